--- /dev/null
+++ b/sassafrasgrade/entries.py
@@ -0,0 +1,343 @@
+"""The entry process: admits, places, forwards and answers callers' requests."""
+
+import logging
+import signal
+from functools import singledispatchmethod
+
+import fire
+from tornado import gen
+from tornado.httpclient import HTTPRequest
+from tornado.httpserver import HTTPServer
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.answers import Answer, Reason
+from sassafrasgrade.attempts import AttemptSender, busy_slots
+from sassafrasgrade.configurations import ConfigurationHolder
+from sassafrasgrade.counters import EntryCounters
+from sassafrasgrade.delegates import CallersDelegate
+from sassafrasgrade.entry_links import EntryLinks
+from sassafrasgrade.exchanges import ExchangesRunner
+from sassafrasgrade.host_updates import apply_hosts_update
+from sassafrasgrade.http_clients import (
+    create_http_client,
+    fetch_response,
+    prepare_direct,
+)
+from sassafrasgrade.logs import configure_logs
+from sassafrasgrade.messages import (
+    AnyMessage,
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+    EntryHeartbeat,
+    EntryReport,
+    Hello,
+    HostsUpdate,
+    ManagerCounters,
+    PeersUpdate,
+    SlotGrant,
+    SlotRefusal,
+)
+from sassafrasgrade.owners import SlotOwner
+from sassafrasgrade.peers import parse_peer
+from sassafrasgrade.routers import Router
+from sassafrasgrade.seekers import SlotSeeker
+from sassafrasgrade.settings import require_settings
+from sassafrasgrade.streams import Link
+from sassafrasgrade.tables import Configuration, HostList
+from sassafrasgrade.timers import TimerService
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.05
+BEAT_S = 0.25
+REPORT_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+CLIENTS_AT_ONCE = 256
+STOP_GRACE_S = 1.0
+PAGE_TYPE = (("Content-Type", "text/plain; charset=utf-8"),)
+
+
+class Entry:
+    """Wires the parts of one entry process.
+
+    Args:
+        settings: Checked ``Settings``.
+        timers: Timer service.
+    """
+
+    def __init__(self, settings, timers):
+        self.settings = settings
+        self.timers = timers
+        self.counters = EntryCounters()
+        self.is_stopping = False
+        self._holder = ConfigurationHolder()
+        self._hosts = HostList()
+        self._router = Router(())
+        self._http_client = create_http_client(CLIENTS_AT_ONCE)
+        self._owner = SlotOwner(settings, timers, self._deliver, self._probe)
+        self._links = EntryLinks(
+            settings,
+            timers,
+            self._serve,
+            self._take_answer,
+            self._update_owner,
+            self._lose_entry,
+        )
+        self._seeker = SlotSeeker(settings, timers, self._owner, self._links.send)
+        self._runner = ExchangesRunner(
+            settings,
+            timers,
+            AttemptSender(self._http_client),
+            self._seeker,
+            self.counters,
+        )
+        self._server = HTTPServer(
+            CallersDelegate(self),
+            max_body_size=settings.entry_longest_body_bytes * 2,
+            idle_connection_timeout=3600,
+        )
+        self._manager_link = Link(
+            settings.host_address,
+            settings.manager_stream_port,
+            AnyMessage,
+            self._greet_manager,
+            self.handle,
+            lambda: None,
+        )
+        self._pages_by_path = {
+            "/healthz": self._health_page,
+            "/readyz": self._ready_page,
+            "/metrics": self._metrics_page,
+        }
+
+    def start(self):
+        """Listens and starts the ticks."""
+        self._links.set_peers(
+            {peer.name: peer for peer in map(parse_peer, self.settings.manager_peers)}
+        )
+        self._links.start()
+        self._manager_link.start()
+        self._server.listen(
+            self.settings.entry_http_port, self.settings.host_address, backlog=1024
+        )
+        self.timers.subscribe(TICK_S, self._tick)
+        self.timers.subscribe(BEAT_S, self._beat)
+        self.timers.subscribe(REPORT_S, self._report)
+        logger.info("entry started")
+
+    async def stop(self):
+        """Finishes what is in flight, then closes everything."""
+        if self.is_stopping:
+            return
+        self.is_stopping = True
+        logger.info("entry stopping, %d requests open", self._runner.open_count)
+        self._report(self.timers.now())
+        self._beat(self.timers.now())
+        self._update_owner()
+        self._owner.hand_over()
+        # The balancer sees /readyz fail before the port closes.
+        await gen.sleep(STOP_GRACE_S)
+        self._server.stop()
+        until = self.timers.now() + self.settings.entry_stop_timeout_s
+        while self._runner.open_count and self.timers.now() < until:
+            await gen.sleep(TICK_S)
+        await self._server.close_all_connections()
+        self.close()
+        logger.info("entry stopped, %d requests open", self._runner.open_count)
+
+    def close(self):
+        """Closes everything at once."""
+        self.timers.stop()
+        self._server.stop()
+        self._links.close()
+        self._manager_link.close()
+        self._http_client.close()
+
+    # Callers' requests.
+
+    def page(self, method, path):
+        """Returns the function that makes a reserved page, or None."""
+        return self._pages_by_path.get(path) if method == "GET" else None
+
+    def admit(self, method, path, headers):
+        """Decides on a request in its header phase.
+
+        Returns:
+            (route, None, 0) to go on, or (route or None, reason, retry seconds).
+        """
+        if not self._holder.generation:
+            return None, Reason.NO_CONFIGURATION, 1.0
+        route = self._router.find(method, path)
+        if route is None:
+            return None, Reason.NO_ROUTE, 0
+        refused_s = self._seeker.refused_for(route)
+        if refused_s:
+            return route, Reason.OVERLOADED, refused_s
+        if self._runner.waiting_count >= self.settings.entry_longest_queue:
+            return route, Reason.OVERLOADED, 1.0
+        return route, None, 0
+
+    def start_exchange(self, exchange):
+        """Starts an admitted exchange."""
+        self._runner.start(exchange)
+
+    def abandon_exchange(self, exchange):
+        """Forgets an exchange whose caller is gone."""
+        self._runner.abandon(exchange)
+
+    # Pages.
+
+    def _health_page(self):
+        return Answer(200, PAGE_TYPE, b"ok\n")
+
+    def _ready_page(self):
+        if self.is_stopping:
+            return Answer(503, PAGE_TYPE, b"stopping\n")
+        if not self._holder.generation:
+            return Answer(503, PAGE_TYPE, b"no configuration\n")
+        return Answer(200, PAGE_TYPE, b"ready\n")
+
+    def _metrics_page(self):
+        self.counters.set_gauge("open_requests", self._runner.open_count)
+        self.counters.set_gauge("waiting_requests", self._runner.waiting_count)
+        self.counters.set_gauge("ejections", self._owner.ejections)
+        self.counters.set_gauge("generation", self._holder.generation)
+        return Answer(200, PAGE_TYPE, self.counters.expose())
+
+    # Ticks.
+
+    def _tick(self, now):
+        self._links.tick(now)
+        self._owner.tick(now)
+        self._runner.tick(now)
+
+    def _beat(self, now):
+        self._links.beat(self._holder.generation, self.is_stopping, self._owner.loads())
+
+    def _report(self, now):
+        state = "ready"
+        if self.is_stopping:
+            state = "stopping"
+        elif not self._holder.generation:
+            state = "no-configuration"
+        self._manager_link.send(
+            EntryReport(self._holder.generation, self._hosts.version, state)
+        )
+
+    # Entry hosts.
+
+    def _deliver(self, origin, message):
+        if origin == self.settings.host_name:
+            self._take_answer(message, origin)
+        else:
+            self._links.answer(origin, message)
+
+    def _serve(self, message, origin):
+        self._seeker.serve(message, origin)
+
+    def _take_answer(self, message, sender):
+        if isinstance(message, SlotGrant):
+            self._runner.grant(sender, message)
+        elif isinstance(message, SlotRefusal):
+            self._runner.refuse(sender, message)
+        elif isinstance(message, EntryHeartbeat):
+            self._seeker.take_loads(message)
+
+    def _lose_entry(self, name):
+        self._seeker.forget_owner(name)
+        self._runner.lose_owner(name)
+
+    def _update_owner(self):
+        names = self._links.live_names()
+        if self.is_stopping:
+            names.discard(self.settings.host_name)
+        self._owner.update(self._holder.configuration, self._hosts.hosts_by_name, names)
+
+    async def _probe(self, host):
+        """Asks a backend server for its busy slots; -1 if it does not say."""
+        request = HTTPRequest(
+            f"http://{host.address}:{host.port}/healthz",
+            connect_timeout=PROBE_TIMEOUT_S,
+            request_timeout=PROBE_TIMEOUT_S,
+            prepare_curl_callback=prepare_direct,
+        )
+        return busy_slots(await fetch_response(self._http_client, request))
+
+    # The local manager.
+
+    def _greet_manager(self, link):
+        link.send(
+            Hello(self.settings.host_name, self.settings.host_data_centre, "entry")
+        )
+        self._report(self.timers.now())
+
+    @singledispatchmethod
+    def handle(self, message):
+        """Acts on a message of the local manager."""
+        logger.warning("unexpected message %s", type(message).__name__)
+
+    @handle.register
+    def _(self, message: ConfigurationSnapshot):
+        configuration = Configuration(
+            message.generation,
+            {row.name: row for row in message.routes},
+            {row.name: row for row in message.pools},
+        )
+        if self._holder.adopt_configuration(configuration):
+            self._apply_configuration()
+
+    @handle.register
+    def _(self, message: ConfigurationDelta):
+        if self._holder.adopt_commits(message.generation, message.commits):
+            self._apply_configuration()
+
+    @handle.register
+    def _(self, message: HostsUpdate):
+        updated = apply_hosts_update(self._hosts, message)
+        if updated is not None:
+            self._hosts = updated
+            self._update_owner()
+
+    @handle.register
+    def _(self, message: PeersUpdate):
+        peers = map(parse_peer, message.peers)
+        self._links.set_peers({peer.name: peer for peer in peers})
+
+    @handle.register
+    def _(self, message: ManagerCounters):
+        self.counters.manager.values = message.values
+
+    def _apply_configuration(self):
+        configuration = self._holder.configuration
+        self._router = Router(configuration.routes_by_name.values())
+        self._update_owner()
+        self._report(self.timers.now())
+
+
+def run_entry(settings):
+    """Runs one entry process until it is told to stop.
+
+    Args:
+        settings: Path of the INI settings file.
+    """
+    checked = require_settings(settings)
+    configure_logs(checked.log_level, checked.host_name, "entry")
+    entry = Entry(checked, TimerService())
+    loop = IOLoop.current()
+
+    async def stop_entry():
+        await entry.stop()
+        loop.stop()
+
+    def stop(signum, frame):
+        loop.add_callback_from_signal(stop_entry)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    entry.start()
+    loop.start()
+
+
+def main():
+    """Entry point of ``sassafrasgrade-entry``."""
+    fire.Fire(run_entry, name="sassafrasgrade-entry")
--- /dev/null
+++ b/sassafrasgrade/entry_links.py
@@ -0,0 +1,194 @@
+"""Streams between entry hosts: slot messages, heartbeats and liveness."""
+
+import logging
+
+from sassafrasgrade.messages import AnySlotMessage, EntryHeartbeat, EntryHello
+from sassafrasgrade.peers import choose_links
+from sassafrasgrade.streams import Link, MessageServer
+
+logger = logging.getLogger(__name__)
+
+# An entry host silent for longer than this counts as gone.
+SILENCE_S = 1.0
+
+
+class EntryPeer:
+    """The link to one other entry host and what was heard on it."""
+
+    def __init__(self, peer):
+        self.peer = peer
+        self.link = None
+        self.heard_at = 0.0
+        self.is_alive = False
+        self.is_stopping = False
+        self.sent_loads = {}
+
+
+class EntrySession:
+    """A stream that another entry host opened to this one."""
+
+    def __init__(self, links, stream):
+        self._links = links
+        self.stream = stream
+        self.name = ""
+        self.sent_loads_by_pool = {}
+
+    def on_message(self, message):
+        """Hands a message on, with the name of its sender."""
+        if isinstance(message, EntryHello):
+            self.name = message.name
+            self._links.sessions_by_name[message.name] = self
+        elif self.name:
+            self._links.on_request(message, self.name)
+
+    def on_close(self):
+        """Forgets the stream."""
+        if self._links.sessions_by_name.get(self.name) is self:
+            del self._links.sessions_by_name[self.name]
+
+
+class EntryLinks:
+    """Keeps links to the other entry hosts.
+
+    Each entry host answers and sends its heartbeats on the streams that others
+    opened to it; so everything about a peer arrives on the link to it.
+
+    Args:
+        settings: Checked ``Settings``.
+        timers: Timer service.
+        on_request: Function (message, sender name), for messages to an owner.
+        on_answer: Function (message, sender name), for messages of an owner.
+        on_change: Called when the set of live entry hosts changed.
+        on_lost: Function (name), called when a peer is lost.
+    """
+
+    def __init__(self, settings, timers, on_request, on_answer, on_change, on_lost):
+        self._settings = settings
+        self._timers = timers
+        self.on_request = on_request
+        self._on_answer = on_answer
+        self._on_change = on_change
+        self._on_lost = on_lost
+        self._peers_by_name = {}
+        self.sessions_by_name = {}
+        self._server = MessageServer(AnySlotMessage, self._accept)
+
+    def start(self):
+        """Listens for the other entry hosts."""
+        self._server.listen(
+            self._settings.entry_stream_port, self._settings.host_address
+        )
+
+    def close(self):
+        """Closes all streams."""
+        self._server.close()
+        for entry_peer in self._peers_by_name.values():
+            entry_peer.link.close()
+
+    def set_peers(self, peers_by_name):
+        """Opens and closes links as the known entry hosts change."""
+        chosen = {
+            peer.name: peer
+            for peer in choose_links(
+                self._settings.host_name,
+                self._settings.host_data_centre,
+                peers_by_name,
+            )
+        }
+        for name in self._peers_by_name.keys() - chosen.keys():
+            entry_peer = self._peers_by_name.pop(name)
+            entry_peer.link.close()
+            self._lose(entry_peer)
+        for name in chosen.keys() - self._peers_by_name.keys():
+            self._open(chosen[name])
+
+    def live_names(self):
+        """Returns the live entry hosts of the own data centre, with this one."""
+        names = {
+            name
+            for name, entry_peer in self._peers_by_name.items()
+            if entry_peer.is_alive
+            and not entry_peer.is_stopping
+            and entry_peer.peer.data_centre == self._settings.host_data_centre
+        }
+        return names | {self._settings.host_name}
+
+    def send(self, name, message):
+        """Sends to an owner over the link to it; returns whether it was up."""
+        entry_peer = self._peers_by_name.get(name)
+        return entry_peer is not None and entry_peer.link.send(message)
+
+    def answer(self, name, message):
+        """Sends to an entry host over the stream that it opened."""
+        session = self.sessions_by_name.get(name)
+        if session is not None:
+            session.stream.send(message)
+
+    def beat(self, generation, stopping, loads):
+        """Sends a heartbeat to each entry host linked here, with changed loads."""
+        loads_by_pool = {load.pool: load for load in loads}
+        for session in list(self.sessions_by_name.values()):
+            sent = session.sent_loads_by_pool
+            changed = [
+                load for pool, load in loads_by_pool.items() if sent.get(pool) != load
+            ]
+            gone = [
+                type(load)(pool, 0, 0, 0, 0, 0)
+                for pool, load in sent.items()
+                if pool not in loads_by_pool
+            ]
+            session.sent_loads_by_pool = dict(loads_by_pool)
+            session.stream.send(
+                EntryHeartbeat(
+                    self._settings.host_name,
+                    self._settings.host_data_centre,
+                    generation,
+                    stopping,
+                    changed + gone,
+                )
+            )
+
+    def tick(self, now):
+        """Counts silent peers as gone."""
+        for entry_peer in self._peers_by_name.values():
+            if entry_peer.is_alive and now - entry_peer.heard_at > SILENCE_S:
+                self._lose(entry_peer)
+
+    def _open(self, peer):
+        entry_peer = EntryPeer(peer)
+        entry_peer.link = Link(
+            peer.address,
+            self._settings.entry_stream_port,
+            AnySlotMessage,
+            self._greet,
+            lambda message: self._hear(entry_peer, message),
+            lambda: self._lose(entry_peer),
+        )
+        self._peers_by_name[peer.name] = entry_peer
+        entry_peer.link.start()
+
+    def _greet(self, link):
+        link.send(EntryHello(self._settings.host_name, self._settings.host_data_centre))
+
+    def _hear(self, entry_peer, message):
+        entry_peer.heard_at = self._timers.now()
+        was = entry_peer.is_alive, entry_peer.is_stopping
+        entry_peer.is_alive = True
+        if isinstance(message, EntryHeartbeat):
+            entry_peer.is_stopping = message.stopping
+        self._on_answer(message, entry_peer.peer.name)
+        if was != (entry_peer.is_alive, entry_peer.is_stopping):
+            logger.info("entry host %s is live", entry_peer.peer.name)
+            self._on_change()
+
+    def _lose(self, entry_peer):
+        if not entry_peer.is_alive:
+            return
+        entry_peer.is_alive = False
+        logger.warning("entry host %s is silent", entry_peer.peer.name)
+        self._on_lost(entry_peer.peer.name)
+        self._on_change()
+
+    def _accept(self, stream):
+        session = EntrySession(self, stream)
+        return session.on_message, session.on_close
--- /dev/null
+++ b/sassafrasgrade/exchanges.py
@@ -0,0 +1,309 @@
+"""Callers' requests from admission to answer."""
+
+import logging
+
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.answers import Answer, Reason, RunRecord, failure_answer
+from sassafrasgrade.attempts import Attempt, AttemptResult, answer_headers
+from sassafrasgrade.messages import SlotCancel, SlotDone, SlotRequest
+from sassafrasgrade.systems.retries import RetryBudget
+from sassafrasgrade.tables import URGENCY_RANKS
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+LONGEST_ATTEMPTS = 3
+# Time kept for the answer's way back to the caller.
+ANSWER_MARGIN_S = 0.002
+SERVER_ERRORS_TO_RETRY = frozenset({500, 502, 503, 504})
+REASON_BY_RESULT = {
+    AttemptResult.NOT_SENT: Reason.SERVER_UNREACHABLE,
+    AttemptResult.REFUSED: Reason.SERVER_REFUSED,
+    AttemptResult.LATE: Reason.ANSWER_LATE,
+    AttemptResult.CUT: Reason.ANSWER_CUT,
+    AttemptResult.CROSSED: Reason.ANSWER_CROSSED,
+    AttemptResult.TOO_LONG: Reason.ANSWER_TOO_LONG,
+}
+
+
+class Exchange:
+    """One caller's request on its way.
+
+    Attributes:
+        request_id: Id sent to and echoed by the backend server.
+        route: Its ``Route``.
+        received_at: When its headers were read.
+        deadline_at: When its whole answer must be there.
+        record: Whether its work may have run.
+        owner: Name of the owner asked for a slot, or None.
+        asked_at: When that owner was asked.
+        is_done: Whether the caller was answered or is gone.
+    """
+
+    __slots__ = (
+        "request_id",
+        "route",
+        "method",
+        "uri",
+        "headers",
+        "body",
+        "received_at",
+        "deadline_at",
+        "record",
+        "excluded",
+        "owner",
+        "asked_at",
+        "attempts",
+        "is_done",
+        "claim",
+        "_respond",
+    )
+
+    def __init__(self, request_id, route, method, uri, headers, received_at, respond):
+        self.request_id = request_id
+        self.route = route
+        self.method = method
+        self.uri = uri
+        self.headers = headers
+        self.body = b""
+        self.received_at = received_at
+        self.deadline_at = received_at + route.deadline_ms / MS_PER_S
+        self.record = RunRecord()
+        self.excluded = ()
+        self.owner = None
+        self.asked_at = 0.0
+        self.attempts = 0
+        self.is_done = False
+        self.claim = None
+        self._respond = respond
+
+    def finish(self, answer):
+        """Answers the caller, once."""
+        if not self.is_done:
+            self.is_done = True
+            self._respond(answer)
+
+
+class ExchangesRunner:
+    """Finds slots for exchanges, sends attempts and concludes.
+
+    Args:
+        settings: Checked ``Settings``.
+        timers: Timer service.
+        sender: ``AttemptSender``.
+        seeker: ``SlotSeeker`` that chooses owners and reaches them.
+        counters: ``EntryCounters``.
+    """
+
+    def __init__(self, settings, timers, sender, seeker, counters):
+        self._settings = settings
+        self._timers = timers
+        self._sender = sender
+        self._seeker = seeker
+        self._counters = counters
+        self._retries = RetryBudget()
+        self._waiting_by_id = {}
+        self._unplaced_by_id = {}
+        self.open_count = 0
+
+    @property
+    def waiting_count(self):
+        """Exchanges that wait for a slot."""
+        return len(self._waiting_by_id)
+
+    def start(self, exchange):
+        """Takes an admitted exchange whose body was read."""
+        self.open_count += 1
+        if exchange.route.repeatable:
+            self._retries.note_request()
+        self._seek(exchange)
+
+    def abandon(self, exchange):
+        """Forgets an exchange whose caller is gone; a sent attempt goes on."""
+        exchange.is_done = True
+        waits = exchange.request_id in self._waiting_by_id
+        if waits or exchange.request_id in self._unplaced_by_id:
+            self._stop_waiting(exchange)
+            self.open_count -= 1
+
+    def grant(self, owner, grant):
+        """Takes a ``SlotGrant`` from an owner."""
+        exchange = self._waiting_by_id.get(grant.request_id)
+        if exchange is None or exchange.owner != owner:
+            self._give_back(owner, grant)
+            return
+        del self._waiting_by_id[grant.request_id]
+        valid_s = (grant.waited_ms + grant.valid_ms) / MS_PER_S
+        lapses_at = exchange.asked_at + valid_s
+        IOLoop.current().add_callback(self._attempt, exchange, owner, grant, lapses_at)
+
+    def refuse(self, owner, refusal):
+        """Takes a ``SlotRefusal`` from an owner."""
+        exchange = self._waiting_by_id.get(refusal.request_id)
+        if exchange is None or exchange.owner != owner:
+            return
+        reason = Reason(refusal.reason)
+        del self._waiting_by_id[refusal.request_id]
+        if reason is Reason.NO_HOST:
+            self._seeker.forget_load(owner, exchange.route.pool)
+            self._hold(exchange)
+            return
+        retry_after_s = refusal.retry_after_ms / MS_PER_S
+        self._seeker.note_refusal(owner, exchange.route, retry_after_s)
+        self._fail(exchange, reason, retry_after_s)
+
+    def lose_owner(self, owner):
+        """Asks elsewhere for everything that waited at a lost owner."""
+        lost = [e for e in self._waiting_by_id.values() if e.owner == owner]
+        for exchange in lost:
+            del self._waiting_by_id[exchange.request_id]
+            self._seek(exchange)
+
+    def tick(self, now):
+        """Places what found no owner yet; ends what is out of time."""
+        for exchange in list(self._unplaced_by_id.values()):
+            del self._unplaced_by_id[exchange.request_id]
+            if not exchange.is_done:
+                self._seek(exchange)
+        late = [e for e in self._waiting_by_id.values() if now > e.deadline_at]
+        for exchange in late:
+            self._stop_waiting(exchange)
+            self._fail(exchange, Reason.DEADLINE_PASSED, 1.0)
+
+    def _seek(self, exchange):
+        now = self._timers.now()
+        if now > exchange.deadline_at - ANSWER_MARGIN_S:
+            self._fail(exchange, Reason.DEADLINE_PASSED, 1.0)
+            return
+        owner = self._seeker.choose(exchange.route)
+        if owner is None:
+            self._hold(exchange)
+            return
+        exchange.owner = owner
+        exchange.asked_at = now
+        self._waiting_by_id[exchange.request_id] = exchange
+        route = exchange.route
+        request = SlotRequest(
+            exchange.request_id,
+            route.pool,
+            URGENCY_RANKS[route.urgency],
+            route.team,
+            route.weight,
+            route.repeatable,
+            int((exchange.deadline_at - now) * MS_PER_S),
+            exchange.excluded,
+        )
+        self._seeker.ask(owner, request)
+
+    def _hold(self, exchange):
+        # No owner has the pool right now: tries again at the next tick, for at
+        # most half of the request's time.
+        now = self._timers.now()
+        half = (exchange.received_at + exchange.deadline_at) / 2
+        if now > half:
+            self._fail(exchange, Reason.NO_HOST, 1.0)
+            return
+        self._unplaced_by_id[exchange.request_id] = exchange
+
+    def _stop_waiting(self, exchange):
+        self._waiting_by_id.pop(exchange.request_id, None)
+        self._unplaced_by_id.pop(exchange.request_id, None)
+        if exchange.owner is not None:
+            self._seeker.tell(exchange.owner, SlotCancel(exchange.request_id))
+
+    def _give_back(self, owner, grant):
+        done = SlotDone(
+            grant.request_id, grant.host, str(AttemptResult.NOT_SENT), 0, 0.0
+        )
+        self._seeker.tell(owner, done)
+
+    async def _attempt(self, exchange, owner, grant, lapses_at):
+        now = self._timers.now()
+        if exchange.is_done or now >= lapses_at or now >= exchange.deadline_at:
+            self._give_back(owner, grant)
+            if not exchange.is_done:
+                self._counters.note_lapsed_lease()
+                self._seek(exchange)
+            else:
+                self.open_count -= 1
+            return
+        exchange.attempts += 1
+        started_at = now
+        report = await self._sender.send(
+            self._build_attempt(exchange, grant, now, lapses_at)
+        )
+        if report.sent:
+            exchange.record.may_have_run += 1
+        service_s = self._timers.now() - started_at
+        done = SlotDone(
+            grant.request_id,
+            grant.host,
+            str(report.result),
+            report.status,
+            service_s * MS_PER_S,
+            report.busy_slots,
+            report.leaving,
+        )
+        self._seeker.tell(owner, done)
+        self._conclude(exchange, grant, report)
+
+    def _build_attempt(self, exchange, grant, now, lapses_at):
+        return Attempt(
+            exchange.request_id,
+            exchange.method,
+            f"http://{grant.address}:{grant.port}{exchange.uri}",
+            exchange.headers,
+            exchange.body,
+            exchange.route.repeatable,
+            exchange.deadline_at - now,
+            self._settings.entry_connect_timeout_s,
+            exchange.route.longest_answer_bytes,
+            lambda: self._timers.now() < lapses_at and not exchange.is_done,
+        )
+
+    def _conclude(self, exchange, grant, report):
+        if report.result is AttemptResult.REFUSED:
+            exchange.record.may_have_run -= 1
+        elif report.result in (AttemptResult.WHOLE, AttemptResult.TOO_LONG):
+            exchange.record.has_run = True
+        if exchange.is_done:
+            self.open_count -= 1
+            return
+        if self._should_repeat(exchange, report):
+            self._counters.note_repeat()
+            exchange.record.has_run = False
+            exchange.excluded = (*exchange.excluded, grant.host)
+            self._seek(exchange)
+            return
+        if report.result is AttemptResult.WHOLE:
+            headers = answer_headers(report.headers)
+            self._finish(exchange, Answer(report.status, headers, report.body))
+            return
+        self._fail(exchange, REASON_BY_RESULT[report.result], 1.0)
+
+    def _should_repeat(self, exchange, report):
+        if exchange.attempts >= LONGEST_ATTEMPTS:
+            return False
+        now = self._timers.now()
+        if now >= exchange.deadline_at - ANSWER_MARGIN_S:
+            return False
+        if not exchange.record.may_have_run:
+            return True
+        if not exchange.route.repeatable:
+            return False
+        failed = report.result in (AttemptResult.CUT, AttemptResult.CROSSED)
+        server_error = report.status in SERVER_ERRORS_TO_RETRY
+        return (failed or server_error) and self._retries.take()
+
+    def _fail(self, exchange, reason, retry_after_s):
+        answer = failure_answer(
+            exchange.record, reason, exchange.request_id, retry_after_s
+        )
+        self._finish(exchange, answer)
+
+    def _finish(self, exchange, answer):
+        self.open_count -= 1
+        seconds = self._timers.now() - exchange.received_at
+        self._counters.note_answer(exchange.route, answer, seconds)
+        exchange.finish(answer)
--- /dev/null
+++ b/sassafrasgrade/http_clients.py
@@ -0,0 +1,46 @@
+"""curl clients of tornado, and fetching without exceptions."""
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPRequest, HTTPResponse
+
+HTTP_TRANSPORT_FAILURE = 599
+
+
+class CurlClient(CurlAsyncHTTPClient):
+    """tornado's curl client, with a close that leaves no timeout behind."""
+
+    def close(self):
+        """Closes all handles and connections."""
+        super().close()
+        if self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
+            self._timeout = None
+
+
+def create_http_client(clients):
+    """Returns a client of its own with room for ``clients`` requests at once."""
+    return CurlClient(force_instance=True, max_clients=clients)
+
+
+def prepare_direct(curl):
+    """Lets curl connect directly, whatever proxy the environment names."""
+    curl.setopt(pycurl.PROXY, "")
+
+
+async def fetch_response(client, request):
+    """Fetches; a failed transfer gives a response with code 599 and ``error``.
+
+    Args:
+        client: A ``CurlClient``.
+        request: An ``HTTPRequest`` or a URL.
+
+    Returns:
+        ``HTTPResponse``; its ``error`` is a ``CurlError`` if the transfer failed.
+    """
+    if isinstance(request, str):
+        request = HTTPRequest(request, prepare_curl_callback=prepare_direct)
+    try:
+        return await client.fetch(request, raise_error=False)
+    except (CurlError, OSError, ValueError) as error:
+        return HTTPResponse(request, HTTP_TRANSPORT_FAILURE, error=error)
--- /dev/null
+++ b/sassafrasgrade/managers.py
@@ -0,0 +1,478 @@
+"""The manager process: takes configuration and hosts in and hands them on."""
+
+import logging
+import random
+import signal
+from functools import singledispatchmethod
+
+import fire
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.configurations import ConfigurationHolder
+from sassafrasgrade.host_updates import apply_hosts_update, compare_hosts
+from sassafrasgrade.logs import configure_logs
+from sassafrasgrade.messages import (
+    AnyMessage,
+    ConfigurationDelta,
+    ConfigurationRequest,
+    ConfigurationSnapshot,
+    EntryHostStatus,
+    EntryReport,
+    Heartbeat,
+    Hello,
+    HostsRequest,
+    HostsUpdate,
+    ManagerCounters,
+    PeersUpdate,
+    StatusReply,
+    StatusRequest,
+)
+from sassafrasgrade.peers import choose_links, merge_peers
+from sassafrasgrade.platforms import PlatformClient
+from sassafrasgrade.settings import require_settings
+from sassafrasgrade.streams import Link, MessageServer
+from sassafrasgrade.systems.distribution import NEVER_S, ManagerView, should_read
+from sassafrasgrade.systems.host_lists import accept_hosts
+from sassafrasgrade.tables import Configuration, HostList
+from sassafrasgrade.timers import TimerService
+from sassafrasgrade.watchers import ConfigurationWatcher, HostsWatcher
+
+logger = logging.getLogger(__name__)
+
+HEARTBEAT_S = 1.0
+# Other data centres get every fourth heartbeat only.
+REMOTE_HEARTBEAT_BEATS = 4
+LONGEST_JITTER_S = 1.0
+REQUEST_SPACING_S = 0.5
+ENTRY_DOWN = -1
+
+
+class PeerState:
+    """What this manager knows of another one, from its heartbeats."""
+
+    def __init__(self, data_centre):
+        self.data_centre = data_centre
+        self.heartbeat = None
+        self.heard_at = -NEVER_S
+
+    def hear(self, heartbeat, now):
+        """Stores a heartbeat."""
+        self.heartbeat = heartbeat
+        self.heard_at = now
+
+
+class ManagerSession:
+    """One accepted stream: a peer manager, the local entry or an operator."""
+
+    def __init__(self, manager, stream):
+        self._manager = manager
+        self.stream = stream
+        self.hello = Hello("", "", "")
+        self.report = None
+
+    def on_message(self, message):
+        """Hands a message to the manager."""
+        self._manager.handle(message, self)
+
+    def on_close(self):
+        """Tells the manager that the stream closed."""
+        self._manager.forget_session(self)
+
+    def send(self, message):
+        """Sends a message back on the stream."""
+        self.stream.send(message)
+
+
+class Manager:
+    """Wires watchers, peers and the local entry of one entry host.
+
+    Args:
+        settings: Checked ``Settings``.
+        timers: Timer service.
+    """
+
+    def __init__(self, settings, timers):
+        self._settings = settings
+        self._timers = timers
+        self._holder = ConfigurationHolder()
+        self._hosts = HostList()
+        self._platform = PlatformClient(
+            settings.platform_url, settings.host_name, settings.platform_timeout_s
+        )
+        self._platform_answer_at = -NEVER_S
+        self._jitter_s = random.uniform(0, LONGEST_JITTER_S)
+        self._requested_at = -NEVER_S
+        self._beats = 0
+        self._sessions = set()
+        self._links_by_name = {}
+        self._peers_by_name = {}
+        self._states_by_name = {}
+        self._server = MessageServer(AnyMessage, self._accept)
+        self._configuration_watcher = ConfigurationWatcher(
+            self._platform,
+            timers,
+            self._note_platform_answer,
+            self._holder,
+            self._take_commits,
+            self._take_loaded,
+            settings.platform_watch_s,
+        )
+        self._hosts_watcher = HostsWatcher(
+            self._platform,
+            timers,
+            self._note_platform_answer,
+            settings.host_data_centre,
+            lambda: self._hosts.version,
+            self._take_hosts,
+            settings.platform_hosts_period_s,
+        )
+
+    def start(self):
+        """Listens, links to the peers and starts the ticks."""
+        self._server.listen(
+            self._settings.manager_stream_port, self._settings.host_address
+        )
+        self._update_links()
+        self._timers.subscribe(HEARTBEAT_S, self._tick)
+        self._tick(self._timers.now())
+        logger.info("manager started")
+
+    def stop(self):
+        """Closes everything."""
+        self._timers.stop()
+        self._configuration_watcher.close()
+        self._hosts_watcher.close()
+        self._server.close()
+        for link in self._links_by_name.values():
+            link.close()
+        self._platform.close()
+        logger.info("manager stopped")
+
+    # Ticks.
+
+    def _tick(self, now):
+        reading = should_read(
+            self._settings.host_name,
+            self._views(now),
+            self._settings.manager_silence_s,
+            self._jitter_s,
+        )
+        if reading != self._hosts_watcher.is_reading:
+            logger.info("reading the platform: %s", reading)
+        self._configuration_watcher.set_reading(reading)
+        self._hosts_watcher.set_reading(reading)
+        self._send_heartbeats(now)
+
+    def _views(self, now):
+        return [
+            ManagerView(
+                name,
+                now - state.heard_at,
+                state.heartbeat.platform_age_s,
+                state.heartbeat.reading,
+            )
+            for name, state in self._states_by_name.items()
+            if state.heartbeat is not None
+            and state.data_centre == self._settings.host_data_centre
+        ]
+
+    def _send_heartbeats(self, now):
+        heartbeat = self._heartbeat(now)
+        remote_too = self._beats % REMOTE_HEARTBEAT_BEATS == 0
+        self._beats += 1
+        for name, link in self._links_by_name.items():
+            if remote_too or self._is_local(name):
+                link.send(heartbeat)
+        counters = ManagerCounters(self.counters())
+        for session in self._entry_sessions():
+            session.send(counters)
+
+    def _heartbeat(self, now):
+        report = self._entry_report()
+        return Heartbeat(
+            self._holder.generation,
+            self._hosts.version,
+            report.generation if report else ENTRY_DOWN,
+            min(now - self._platform_answer_at, NEVER_S),
+            self._hosts_watcher.is_reading,
+            report.state if report else "down",
+        )
+
+    def counters(self):
+        """Returns counters by name, for the local entry's metrics page."""
+        return {
+            "platform_calls": self._platform.calls,
+            "older_heads": self._configuration_watcher.older_heads,
+            "generation": self._holder.generation,
+            "hosts_version": self._hosts.version,
+            "links_open": sum(link.is_open for link in self._links_by_name.values()),
+            "reading": int(self._hosts_watcher.is_reading),
+        }
+
+    # What the watchers found.
+
+    def _note_platform_answer(self):
+        self._platform_answer_at = self._timers.now()
+
+    def _take_commits(self, generation, commits):
+        if self._holder.adopt_commits(generation, commits):
+            self._announce_generation(ConfigurationDelta(generation, commits))
+
+    def _take_loaded(self, configuration, commits):
+        if self._holder.adopt_configuration(configuration):
+            self._announce_generation(self._snapshot())
+
+    def _take_hosts(self, offered):
+        accepted, kept = accept_hosts(
+            self._hosts, offered, self._holder.configuration.pools_by_name
+        )
+        if kept:
+            logger.warning(
+                "the host list lost %d hosts at once; keeping them: %s",
+                len(kept),
+                ", ".join(kept[:10]),
+            )
+        update = compare_hosts(self._hosts, accepted)
+        self._hosts = accepted
+        self._announce_hosts(update)
+
+    def _announce_generation(self, message):
+        logger.info("generation %d is in force", self._holder.generation)
+        for session in self._entry_sessions():
+            session.send(message)
+        if self._hosts_watcher.is_reading:
+            self._send_locally(message)
+
+    def _send_locally(self, message):
+        for name, link in self._links_by_name.items():
+            if self._is_local(name):
+                link.send(message)
+
+    def _announce_hosts(self, update):
+        self._update_links()
+        for session in self._entry_sessions():
+            session.send(update)
+            session.send(self._peers_update())
+        if self._hosts_watcher.is_reading:
+            self._send_locally(update)
+
+    # Peers.
+
+    def _is_local(self, name):
+        peer = self._peers_by_name.get(name)
+        return peer and peer.data_centre == self._settings.host_data_centre
+
+    def _update_links(self):
+        self._peers_by_name = merge_peers(
+            self._settings.manager_peers, self._hosts.hosts_by_name.values()
+        )
+        chosen = {
+            peer.name: peer
+            for peer in choose_links(
+                self._settings.host_name,
+                self._settings.host_data_centre,
+                self._peers_by_name,
+            )
+        }
+        for name in self._links_by_name.keys() - chosen.keys():
+            self._links_by_name.pop(name).close()
+        for name in chosen.keys() - self._links_by_name.keys():
+            self._links_by_name[name] = self._open_link(chosen[name])
+
+    def _open_link(self, peer):
+        link = Link(
+            peer.address,
+            self._settings.manager_stream_port,
+            AnyMessage,
+            self._greet,
+            lambda message: self.handle(message, link),
+            lambda: None,
+        )
+        link.start()
+        return link
+
+    def _greet(self, link):
+        link.send(
+            Hello(self._settings.host_name, self._settings.host_data_centre, "manager")
+        )
+        link.send(self._heartbeat(self._timers.now()))
+        link.send(ConfigurationRequest(self._holder.generation))
+
+    # Streams accepted.
+
+    def _accept(self, stream):
+        session = ManagerSession(self, stream)
+        self._sessions.add(session)
+        return session.on_message, session.on_close
+
+    def forget_session(self, session):
+        """Drops a closed stream; a manager that closed it counts as gone."""
+        self._sessions.discard(session)
+        state = self._states_by_name.get(session.hello.name)
+        if session.hello.role == "manager" and state is not None:
+            state.heard_at = -NEVER_S
+
+    def _entry_sessions(self):
+        return [s for s in self._sessions if s.hello.role == "entry"]
+
+    def _entry_report(self):
+        reports = [s.report for s in self._entry_sessions() if s.report is not None]
+        return reports[-1] if reports else None
+
+    def _snapshot(self):
+        configuration = self._holder.configuration
+        return ConfigurationSnapshot(
+            configuration.generation,
+            list(configuration.routes_by_name.values()),
+            list(configuration.pools_by_name.values()),
+        )
+
+    def _peers_update(self):
+        return PeersUpdate([str(peer) for peer in self._peers_by_name.values()])
+
+    def _newer_than(self, generation):
+        commits = self._holder.commits_after(generation)
+        if commits is None:
+            return self._snapshot()
+        return ConfigurationDelta(self._holder.generation, commits)
+
+    # Messages, by type.
+
+    @singledispatchmethod
+    def handle(self, message, sender):
+        """Acts on a message; ``sender`` is the session or link it came from."""
+        logger.warning("unexpected message %s", type(message).__name__)
+
+    @handle.register
+    def _(self, message: Hello, sender):
+        sender.hello = message
+        if message.role == "entry":
+            sender.send(self._snapshot())
+            sender.send(compare_hosts(HostList(), self._hosts))
+            sender.send(self._peers_update())
+        elif message.role == "manager":
+            self._states_by_name.setdefault(
+                message.name, PeerState(message.data_centre)
+            )
+
+    @handle.register
+    def _(self, message: Heartbeat, sender):
+        state = self._states_by_name.get(sender.hello.name)
+        if state is None:
+            return
+        now = self._timers.now()
+        state.hear(message, now)
+        if message.generation < self._holder.generation:
+            sender.send(self._newer_than(message.generation))
+        if now - self._requested_at < REQUEST_SPACING_S:
+            return
+        behind = message.generation > self._holder.generation
+        local = state.data_centre == self._settings.host_data_centre
+        hosts_behind = local and message.hosts_version > self._hosts.version
+        if behind:
+            sender.send(ConfigurationRequest(self._holder.generation))
+        if hosts_behind:
+            sender.send(HostsRequest(self._hosts.version))
+        if behind or hosts_behind:
+            self._requested_at = now
+
+    @handle.register
+    def _(self, message: ConfigurationRequest, sender):
+        if message.generation < self._holder.generation:
+            sender.send(self._newer_than(message.generation))
+
+    @handle.register
+    def _(self, message: ConfigurationDelta, sender):
+        self._take_commits(message.generation, message.commits)
+
+    @handle.register
+    def _(self, message: ConfigurationSnapshot, sender):
+        configuration = Configuration(
+            message.generation,
+            {row.name: row for row in message.routes},
+            {row.name: row for row in message.pools},
+        )
+        self._take_loaded(configuration, ())
+
+    @handle.register
+    def _(self, message: HostsRequest, sender):
+        if message.version < self._hosts.version:
+            sender.send(compare_hosts(HostList(), self._hosts))
+
+    @handle.register
+    def _(self, message: HostsUpdate, sender):
+        updated = apply_hosts_update(self._hosts, message)
+        if updated is not None:
+            self._hosts = updated
+            self._announce_hosts(message)
+
+    @handle.register
+    def _(self, message: EntryReport, sender):
+        sender.report = message
+        if message.generation < self._holder.generation:
+            sender.send(self._newer_than(message.generation))
+
+    @handle.register
+    def _(self, message: StatusRequest, sender):
+        sender.send(self._status())
+
+    def _status(self):
+        now = self._timers.now()
+        rows = [
+            _entry_host_status(name, state, now, self._settings.manager_silence_s)
+            for name, state in sorted(self._states_by_name.items())
+            if state.heartbeat is not None
+        ]
+        own = PeerState(self._settings.host_data_centre)
+        own.hear(self._heartbeat(now), now)
+        rows.append(_entry_host_status(self._settings.host_name, own, now, 1.0))
+        return StatusReply(
+            self._settings.host_name,
+            self._settings.host_data_centre,
+            self._holder.generation,
+            self._hosts.version,
+            rows,
+            list(self._hosts.hosts_by_name.values()),
+        )
+
+
+def _entry_host_status(name, state, now, silence_s):
+    heartbeat = state.heartbeat
+    age_s = now - state.heard_at
+    return EntryHostStatus(
+        name,
+        state.data_centre,
+        age_s <= silence_s,
+        heartbeat.generation,
+        heartbeat.entry_generation,
+        heartbeat.entry_state,
+        heartbeat.reading,
+        round(heartbeat.platform_age_s, 3),
+        round(age_s, 3),
+    )
+
+
+def run_manager(settings):
+    """Runs one manager until it is told to stop.
+
+    Args:
+        settings: Path of the INI settings file.
+    """
+    checked = require_settings(settings)
+    configure_logs(checked.log_level, checked.host_name, "manager")
+    manager = Manager(checked, TimerService())
+    loop = IOLoop.current()
+
+    def stop(signum, frame):
+        loop.add_callback_from_signal(loop.stop)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    manager.start()
+    loop.start()
+    manager.stop()
+
+
+def main():
+    """Entry point of ``sassafrasgrade-manager``."""
+    fire.Fire(run_manager, name="sassafrasgrade-manager")
--- /dev/null
+++ b/sassafrasgrade/messages.py
@@ -0,0 +1,242 @@
+"""Typed messages between the system's own processes."""
+
+import msgspec
+
+from sassafrasgrade.configurations import Commit
+from sassafrasgrade.tables import Host, Pool, Route
+
+
+class Message(msgspec.Struct, frozen=True, tag_field="t", array_like=True):
+    """Base of all messages; the tag names the type on the wire."""
+
+
+class Hello(Message, tag="hello"):
+    """First message on a stream: who speaks. Role: manager, entry, operator."""
+
+    name: str
+    data_centre: str
+    role: str
+    incarnation: int = 0
+
+
+class Heartbeat(Message, tag="hb"):
+    """Sent by a manager to its peers.
+
+    Attributes:
+        generation: Configuration generation held.
+        hosts_version: Version of the host list held.
+        entry_generation: Generation in force at the local entry; -1 if it is down.
+        platform_age_s: Seconds since the platform answered this manager.
+        reading: Whether this manager reads the platform now.
+        entry_state: State of the local entry: ready, stopping or down.
+    """
+
+    generation: int
+    hosts_version: int
+    entry_generation: int
+    platform_age_s: float
+    reading: bool
+    entry_state: str = "ready"
+
+
+class ConfigurationRequest(Message, tag="creq"):
+    """Asks for what is newer than the generation held."""
+
+    generation: int
+
+
+class ConfigurationDelta(Message, tag="cdelta"):
+    """Commits whose last one makes ``generation``."""
+
+    generation: int
+    commits: list[Commit]
+
+
+class ConfigurationSnapshot(Message, tag="csnap"):
+    """Both tables at one generation."""
+
+    generation: int
+    routes: list[Route]
+    pools: list[Pool]
+
+
+class HostsRequest(Message, tag="hreq"):
+    """Asks for the host list if it is newer than the version held."""
+
+    version: int
+
+
+class HostsUpdate(Message, tag="hosts"):
+    """Host list of one data centre, whole or as changes to ``base_version``.
+
+    ``base_version`` 0 means whole.
+    """
+
+    version: int
+    base_version: int
+    changed: list[Host]
+    removed: list[str] = []
+
+
+class PeersUpdate(Message, tag="peers"):
+    """Manager to entry: the entry hosts known, as name/data_centre/address."""
+
+    peers: list[str]
+
+
+class EntryReport(Message, tag="erep"):
+    """Entry to manager: the generation in force and the state."""
+
+    generation: int
+    hosts_version: int
+    state: str
+
+
+class ManagerCounters(Message, tag="mcnt"):
+    """Manager to entry: counters that the entry exposes, by name."""
+
+    values: dict[str, float]
+
+
+class StatusRequest(Message, tag="sreq"):
+    """Operator to manager: asks for what it knows."""
+
+
+class EntryHostStatus(msgspec.Struct, frozen=True):
+    """What a manager knows of one entry host; ages in seconds."""
+
+    name: str
+    data_centre: str
+    alive: bool
+    generation: int
+    entry_generation: int
+    entry_state: str
+    reading: bool
+    platform_age_s: float
+    heard_age_s: float
+
+
+class StatusReply(Message, tag="srep"):
+    """Manager to operator: its own data centre and its peers."""
+
+    name: str
+    data_centre: str
+    generation: int
+    hosts_version: int
+    entry_hosts: list[EntryHostStatus]
+    hosts: list[Host]
+
+
+class SlotRequest(Message, tag="sq"):
+    """Entry to owner: asks for a slot of a pool.
+
+    ``deadline_ms`` is the time left to the whole answer.
+    """
+
+    request_id: str
+    pool: str
+    urgency: int
+    team: str
+    weight: int
+    repeatable: bool
+    deadline_ms: int
+    excluded: tuple[str, ...] = ()
+
+
+class SlotCancel(Message, tag="sc"):
+    """Entry to owner: the request is not waiting any more."""
+
+    request_id: str
+
+
+class SlotGrant(Message, tag="sg"):
+    """Owner to entry: a slot lease for one start.
+
+    It is valid for ``valid_ms`` from the grant. The entry counts from when it
+    asked plus ``waited_ms``, which is never later than the grant itself, so
+    that a grant read late, after a pause, has lapsed.
+    """
+
+    request_id: str
+    host: str
+    address: str
+    port: int
+    waited_ms: int
+    valid_ms: int
+
+
+class SlotRefusal(Message, tag="sr"):
+    """Owner to entry: no slot can be had; ``reason`` is an ``answers.Reason``."""
+
+    request_id: str
+    reason: str
+    retry_after_ms: int
+
+
+class SlotDone(Message, tag="sd"):
+    """Entry to owner: the slot is free again, and how the attempt went.
+
+    ``busy`` is the number of busy slots that the server reported, or -1.
+    """
+
+    request_id: str
+    host: str
+    result: str
+    status: int
+    service_ms: float
+    busy: int = -1
+    leaving: bool = False
+
+
+class PoolLoad(Message, tag="pl"):
+    """Owner to entries: what it could grant now in one pool."""
+
+    pool: str
+    slots: int
+    free_slots: int
+    queued: int
+    queue_delay_ms: int
+    ejected: int
+
+
+class EntryHello(Message, tag="el"):
+    """Entry to entry: first message on a stream."""
+
+    name: str
+    data_centre: str
+
+
+class EntryHeartbeat(Message, tag="eh"):
+    """Entry to entry: alive, the generation in force, and changed loads."""
+
+    name: str
+    data_centre: str
+    generation: int
+    stopping: bool
+    loads: list[PoolLoad] = []
+
+
+AnyMessage = (
+    Hello
+    | Heartbeat
+    | ConfigurationRequest
+    | ConfigurationDelta
+    | ConfigurationSnapshot
+    | HostsRequest
+    | HostsUpdate
+    | PeersUpdate
+    | EntryReport
+    | ManagerCounters
+    | StatusRequest
+    | StatusReply
+)
+
+AnySlotMessage = (
+    SlotRequest
+    | SlotCancel
+    | SlotGrant
+    | SlotRefusal
+    | SlotDone
+    | EntryHello
+    | EntryHeartbeat
+)
--- /dev/null
+++ b/sassafrasgrade/owners.py
@@ -0,0 +1,205 @@
+"""Owns backend servers: queues slot requests and grants slot leases."""
+
+import logging
+
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.answers import Reason
+from sassafrasgrade.attempts import AttemptResult
+from sassafrasgrade.messages import PoolLoad, SlotGrant, SlotRefusal
+from sassafrasgrade.systems.ownership import assign_owners, assign_split
+from sassafrasgrade.systems.shares import FifoQueue, ShareQueue, Waiting
+from sassafrasgrade.systems.slots import LEASE_VALID_S, SlotTable
+from sassafrasgrade.tables import HostState
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+# An owner that did not tick for this long grants nothing: it was paused.
+LONGEST_TICK_GAP_S = 0.5
+QUEUE_TYPES = {"shares": ShareQueue, "fifo": FifoQueue}
+
+
+class SlotOwner:
+    """Runs the slot table of one entry host.
+
+    Args:
+        settings: Checked ``Settings``.
+        timers: Timer service.
+        deliver: Function (origin name, message) that sends an answer.
+        probe: Coroutine function (host) that returns a server's busy slots.
+    """
+
+    def __init__(self, settings, timers, deliver, probe):
+        self._name = settings.host_name
+        self._data_centre = settings.host_data_centre
+        self._slot_method = settings.entry_slot_method
+        self._timers = timers
+        self._deliver = deliver
+        self._probe = probe
+        self._ticked_at = timers.now()
+        self.table = SlotTable(QUEUE_TYPES[settings.entry_admission_method])
+        self.ejections = 0
+
+    def update(self, configuration, hosts_by_name, entry_names):
+        """Recomputes which servers this entry host owns.
+
+        Args:
+            configuration: ``Configuration`` in force.
+            hosts_by_name: Hosts of the own data centre.
+            entry_names: Live entry hosts of the own data centre, with this one.
+        """
+        wanted = []
+        budgets = {}
+        for pool in configuration.pools_by_name.values():
+            budgets[pool.name] = pool.out_at_most
+            names = pool.hosts_by_data_centre.get(self._data_centre, ())
+            for name, slots in self._owned_slots(pool, names, entry_names).items():
+                host = hosts_by_name.get(name)
+                if host is not None and host.state is HostState.LIVE:
+                    wanted.append((host, pool.name, slots))
+        taken = self.table.set_servers(wanted, budgets, self._timers.now())
+        for name in taken:
+            IOLoop.current().add_callback(self._count_busy, name)
+        for pool, queue in self.table.queues_by_pool.items():
+            if len(queue) and not self.table.serves(pool):
+                self._refuse_all(queue.drain(), Reason.NO_HOST)
+
+    def _owned_slots(self, pool, names, entry_names):
+        if self._name not in entry_names:
+            return {}
+        if self._slot_method == "split":
+            return assign_split(names, entry_names, self._name, pool.slots)
+        owners = assign_owners(names, entry_names)
+        return {
+            name: pool.slots for name, owner in owners.items() if owner == self._name
+        }
+
+    async def _count_busy(self, name):
+        server = self.table.servers_by_name.get(name)
+        if server is None:
+            return
+        delay_s = server.ready_at - self._timers.now()
+        if delay_s > 0:
+            IOLoop.current().call_later(delay_s, self._count_busy, name)
+            return
+        busy = await self._probe(server.host)
+        self.table.count_busy(name, busy, self._timers.now())
+        self._grant(server.pool)
+
+    def request(self, origin, message):
+        """Takes a slot request; answers with a grant or refusal in time."""
+        now = self._timers.now()
+        waiting = Waiting(
+            message.request_id,
+            message.pool,
+            message.urgency,
+            message.team,
+            message.weight,
+            message.repeatable,
+            now,
+            now + message.deadline_ms / MS_PER_S,
+            origin,
+            tuple(message.excluded),
+        )
+        if not self.table.serves(message.pool):
+            self._refuse(waiting, Reason.NO_HOST, 0)
+            return
+        wait_s = self.table.enqueue(waiting, now)
+        if wait_s is not None:
+            self._refuse(waiting, Reason.OVERLOADED, wait_s)
+            return
+        self._grant(message.pool)
+
+    def cancel(self, pool, request_id):
+        """Forgets a waiting request."""
+        self.table.queue(pool).remove(request_id)
+
+    def cancel_anywhere(self, request_id):
+        """Forgets a waiting request whose pool is not known."""
+        for queue in self.table.queues_by_pool.values():
+            queue.remove(request_id)
+
+    def finish(self, done):
+        """Takes a ``SlotDone``: frees the slot and learns from the attempt."""
+        lease = self.table.release(done.request_id, done.host)
+        if lease is None:
+            return
+        result = AttemptResult(done.result)
+        if done.status or result is not AttemptResult.NOT_SENT or done.service_ms:
+            ejected = self.table.learn(
+                lease,
+                result,
+                done.status,
+                done.service_ms / MS_PER_S,
+                done.busy,
+                done.leaving,
+                self._timers.now(),
+            )
+            if ejected:
+                self.ejections += 1
+                logger.warning("ejected backend server %s for a while", done.host)
+        self._grant(lease.waiting.pool)
+
+    def tick(self, now):
+        """Expires, reclaims and grants; called periodically."""
+        if now - self._ticked_at > LONGEST_TICK_GAP_S:
+            logger.warning("was paused for %.1f s", now - self._ticked_at)
+            self._give_up_all()
+        self._ticked_at = now
+        self.table.reclaim(now)
+        for pool, queue in self.table.queues_by_pool.items():
+            for waiting in queue.expire(now):
+                self._refuse(waiting, Reason.DEADLINE_PASSED, 1.0)
+            self._grant(pool)
+
+    def loads(self):
+        """Returns a ``PoolLoad`` for each pool with servers here."""
+        return [
+            PoolLoad(
+                report.pool,
+                report.slots,
+                report.free_slots,
+                report.queued,
+                int(report.queue_delay_s * MS_PER_S),
+                report.ejected,
+            )
+            for report in self.table.load_reports(self._timers.now())
+        ]
+
+    def hand_over(self):
+        """Refuses all that waits, so that the origins ask elsewhere."""
+        for queue in self.table.queues_by_pool.values():
+            self._refuse_all(queue.drain(), Reason.NO_HOST)
+
+    def _give_up_all(self):
+        # Others may own the servers by now: take them over again, with grace.
+        self.table.set_servers([], {}, self._timers.now())
+        self.hand_over()
+
+    def _grant(self, pool):
+        now = self._timers.now()
+        if now - self._ticked_at > LONGEST_TICK_GAP_S:
+            return
+        for lease in self.table.grant(pool, now):
+            host = self.table.servers_by_name[lease.host].host
+            waited_s = lease.granted_at - lease.waiting.enqueued_at
+            grant = SlotGrant(
+                lease.waiting.request_id,
+                host.name,
+                host.address,
+                host.port,
+                int(waited_s * MS_PER_S),
+                int(LEASE_VALID_S * MS_PER_S),
+            )
+            self._deliver(lease.waiting.origin, grant)
+
+    def _refuse_all(self, waiting_list, reason):
+        for waiting in waiting_list:
+            self._refuse(waiting, reason, 0)
+
+    def _refuse(self, waiting, reason, retry_after_s):
+        refusal = SlotRefusal(
+            waiting.request_id, str(reason), int(retry_after_s * MS_PER_S)
+        )
+        self._deliver(waiting.origin, refusal)
--- /dev/null
+++ b/sassafrasgrade/rollouts.py
@@ -0,0 +1,96 @@
+"""Asks managers for their status and waits for a generation everywhere."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from tornado import gen
+
+from sassafrasgrade.messages import AnyMessage, Hello, StatusReply, StatusRequest
+from sassafrasgrade.streams import Link
+
+POLL_S = 0.1
+ANSWER_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True)
+class RolloutReport:
+    """How far a generation got.
+
+    Attributes:
+        generation: The generation asked about.
+        seconds: Time until it was in force everywhere, or waited so far.
+        in_force: Names of the live entry hosts that have it.
+        behind: Names of the live entry hosts that do not.
+        unreachable: Names of the entry hosts whose manager did not answer.
+    """
+
+    generation: int
+    seconds: float
+    in_force: tuple[str, ...]
+    behind: tuple[str, ...]
+    unreachable: tuple[str, ...]
+
+
+async def ask_status(address, port, timeout_s=ANSWER_TIMEOUT_S):
+    """Asks one manager; returns its ``StatusReply`` or None."""
+    answered = asyncio.get_running_loop().create_future()
+
+    def take(message):
+        if isinstance(message, StatusReply) and not answered.done():
+            answered.set_result(message)
+
+    def greet(link):
+        link.send(Hello("operator", "", "operator"))
+        link.send(StatusRequest())
+
+    link = Link(address, port, AnyMessage, greet, take, lambda: None)
+    link.start()
+    try:
+        return await asyncio.wait_for(answered, timeout_s)
+    except TimeoutError:
+        return None
+    finally:
+        link.close()
+
+
+async def ask_all(peers, port):
+    """Asks the managers of all peers at once; returns replies by name."""
+    replies = await asyncio.gather(*(ask_status(p.address, port) for p in peers))
+    return {peer.name: reply for peer, reply in zip(peers, replies)}
+
+
+def own_row(reply):
+    """Returns the row of a reply that is about the manager's own host."""
+    return next(row for row in reply.entry_hosts if row.name == reply.name)
+
+
+async def wait_in_force(peers, port, generation, timeout_s):
+    """Waits until every live entry host has a generation in force.
+
+    Args:
+        peers: ``Peer`` list of the entry hosts known.
+        port: Stream port of the managers.
+        generation: Generation to wait for.
+        timeout_s: Longest wait.
+
+    Returns:
+        ``RolloutReport``.
+    """
+    started = time.monotonic()
+    while True:
+        replies = await ask_all(peers, port)
+        in_force, behind, unreachable = [], [], []
+        for name, reply in sorted(replies.items()):
+            if reply is None:
+                unreachable.append(name)
+            elif own_row(reply).entry_generation >= generation:
+                in_force.append(name)
+            else:
+                behind.append(name)
+        seconds = time.monotonic() - started
+        if not behind and in_force or seconds > timeout_s:
+            return RolloutReport(
+                generation, seconds, tuple(in_force), tuple(behind), tuple(unreachable)
+            )
+        await gen.sleep(POLL_S)
--- /dev/null
+++ b/sassafrasgrade/seekers.py
@@ -0,0 +1,125 @@
+"""Knows the owners of each pool's servers and asks them for slots."""
+
+import random
+from functools import singledispatchmethod
+
+from sassafrasgrade.messages import SlotCancel, SlotDone, SlotRequest
+from sassafrasgrade.systems.placement import OwnerView, choose_owner
+from sassafrasgrade.tables import URGENCY_RANKS
+
+MS_PER_S = 1000.0
+# A refusal speaks for all of its class for at most this long.
+LONGEST_REFUSAL_S = 0.1
+
+
+class SlotSeeker:
+    """Chooses owners by their last loads and reaches them.
+
+    Args:
+        settings: Checked ``Settings``.
+        timers: Timer service.
+        owner: The ``SlotOwner`` of this entry host.
+        send: Function (owner name, message) that sends to another entry host
+            and returns whether the link was up.
+    """
+
+    def __init__(self, settings, timers, owner, send):
+        self._name = settings.host_name
+        self._data_centre = settings.host_data_centre
+        self._timers = timers
+        self._owner = owner
+        self._send = send
+        self._random = random.Random()
+        self._views_by_pool = {}
+        self._refused_until = {}
+
+    def take_loads(self, heartbeat):
+        """Takes the loads of another entry host's heartbeat."""
+        for load in heartbeat.loads:
+            views = self._views_by_pool.setdefault(load.pool, {})
+            views[heartbeat.name] = OwnerView(
+                heartbeat.name,
+                False,
+                heartbeat.data_centre == self._data_centre,
+                load.slots,
+                load.free_slots,
+                load.queue_delay_ms / MS_PER_S,
+            )
+
+    def forget_owner(self, name):
+        """Forgets a lost entry host."""
+        for views in self._views_by_pool.values():
+            views.pop(name, None)
+
+    def forget_load(self, name, pool):
+        """Forgets an owner's load in a pool that it does not serve now."""
+        self._views_by_pool.get(pool, {}).pop(name, None)
+
+    def note_refusal(self, owner, route, retry_after_s):
+        """Remembers that a class was refused, to refuse its next ones early."""
+        until = self._timers.now() + min(retry_after_s, LONGEST_REFUSAL_S)
+        self._refused_until[_class_key(route)] = (until, retry_after_s)
+
+    def refused_for(self, route):
+        """Returns the Retry-After seconds while a class is refused, else 0."""
+        found = self._refused_until.get(_class_key(route))
+        if found is None or self._timers.now() >= found[0]:
+            return 0.0
+        return found[1]
+
+    def choose(self, route):
+        """Returns the name of the owner to ask for a slot, or None."""
+        pool = route.pool
+        table = self._owner.table
+        now = self._timers.now()
+        views = list(self._views_by_pool.get(pool, {}).values())
+        if table.serves(pool):
+            free = table.free_slots(pool, now)
+            if free and not len(table.queue(pool)):
+                return self._name
+            queue = table.queue(pool)
+            slots = table.slots_of(pool)
+            delay_s = len(queue) * queue.cost_of(None) / max(slots, 1)
+            views.append(OwnerView(self._name, True, True, slots, free, delay_s))
+        chosen = choose_owner(views, self._random)
+        if chosen is None:
+            return None
+        if not chosen.is_self:
+            chosen.free_slots -= 1
+            if chosen.free_slots < 0:
+                chosen.queue_delay_s += 1.0 / MS_PER_S
+        return chosen.name
+
+    def ask(self, owner, request):
+        """Sends a slot request; answers come back through the runner."""
+        if owner == self._name:
+            self._owner.request(self._name, request)
+        else:
+            self._send(owner, request)
+
+    def tell(self, owner, message):
+        """Sends a ``SlotDone`` or ``SlotCancel`` to an owner."""
+        if owner == self._name:
+            self.serve(message, self._name)
+        else:
+            self._send(owner, message)
+
+    @singledispatchmethod
+    def serve(self, message, origin):
+        """Acts as owner on a message of another entry host."""
+
+    @serve.register
+    def _(self, message: SlotRequest, origin):
+        self._owner.request(origin, message)
+
+    @serve.register
+    def _(self, message: SlotCancel, origin):
+        self._owner.cancel_anywhere(message.request_id)
+
+    @serve.register
+    def _(self, message: SlotDone, origin):
+        self._owner.finish(message)
+
+
+def _class_key(route):
+    return route.pool, URGENCY_RANKS[route.urgency], route.team
--- /dev/null
+++ b/sassafrasgrade/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions over the tables: no sockets, no clocks, no sleeping."""
--- /dev/null
+++ b/sassafrasgrade/systems/health.py
@@ -0,0 +1,121 @@
+"""Health of backend servers: ejection, probing back and concurrency limits."""
+
+from dataclasses import dataclass
+
+from sassafrasgrade.attempts import AttemptResult
+
+FAILURES_TO_EJECT = 5
+FAILURE_RATIO_TO_EJECT = 0.5
+RATIO_SMOOTHING = 0.1
+FIRST_EJECTION_S = 1.0
+LONGEST_EJECTION_S = 30.0
+PROBES_TO_RETURN = 3
+# A server slower than the others by this factor gets fewer requests at a time.
+SLOW_FACTOR = 2.0
+SLOW_SMOOTHING = 0.2
+LIMIT_DECREASE = 0.7
+LIMIT_INCREASE = 0.2
+FIRST_SERVER_ERROR = 500
+
+FAILED_RESULTS = frozenset(
+    {
+        AttemptResult.NOT_SENT,
+        AttemptResult.LATE,
+        AttemptResult.CUT,
+        AttemptResult.CROSSED,
+    }
+)
+
+
+@dataclass(slots=True)
+class ServerHealth:
+    """Health of one server, as its owner sees it.
+
+    Attributes:
+        limit: Requests at a time that its latency allows.
+        failures_in_row: Failures since the last success.
+        failure_ratio: Smoothed share of failures.
+        slowness: Smoothed service time relative to the class's mean.
+        ejected_until: End of the ejection, 0 when not ejected.
+        ejection_s: Length of the last ejection.
+        probes_left: Successes still needed to count as healthy.
+    """
+
+    limit: float
+    failures_in_row: int = 0
+    failure_ratio: float = 0.0
+    slowness: float = 1.0
+    ejected_until: float = 0.0
+    ejection_s: float = 0.0
+    probes_left: int = 0
+
+    def is_ejected(self, now):
+        """Whether no work may go there now."""
+        return now < self.ejected_until
+
+    @property
+    def is_probing(self):
+        """Whether it takes one request at a time until it proves itself."""
+        return self.probes_left > 0
+
+    def allowed(self, slots, now):
+        """Returns the requests at a time that it may have now."""
+        if self.is_ejected(now):
+            return 0
+        if self.is_probing:
+            return 1
+        return max(1, min(slots, int(self.limit)))
+
+
+def has_failed(result, status):
+    """Whether an attempt counts against the server's health."""
+    return result in FAILED_RESULTS or status >= FIRST_SERVER_ERROR
+
+
+def note_attempt(health, failed, relative_s, slots, now, may_eject):
+    """Learns from one attempt.
+
+    Args:
+        health: ``ServerHealth`` to change.
+        failed: Whether the attempt failed.
+        relative_s: Service time divided by the class's mean.
+        slots: Slots of the server.
+        now: Current time.
+        may_eject: Whether the pool's budget bears one more ejection.
+
+    Returns:
+        Whether the server was ejected by this.
+    """
+    health.failure_ratio += RATIO_SMOOTHING * (failed - health.failure_ratio)
+    if not failed:
+        _note_success(health, relative_s, slots)
+        return False
+    health.failures_in_row += 1
+    health.limit = max(1.0, health.limit * LIMIT_DECREASE)
+    in_row = health.failures_in_row >= FAILURES_TO_EJECT
+    often = health.failure_ratio >= FAILURE_RATIO_TO_EJECT
+    if health.is_ejected(now) or not (in_row or often or health.is_probing):
+        return False
+    if not may_eject and not health.is_probing:
+        return False
+    doubled_s = max(FIRST_EJECTION_S, health.ejection_s * 2)
+    health.ejection_s = min(LONGEST_EJECTION_S, doubled_s)
+    health.ejected_until = now + health.ejection_s
+    health.probes_left = PROBES_TO_RETURN
+    return True
+
+
+def _note_success(health, relative_s, slots):
+    health.failures_in_row = 0
+    health.slowness += SLOW_SMOOTHING * (relative_s - health.slowness)
+    if health.slowness > SLOW_FACTOR:
+        health.limit = max(1.0, health.limit * LIMIT_DECREASE)
+        health.slowness = 1.0
+    else:
+        health.limit = min(float(slots), health.limit + LIMIT_INCREASE)
+    if health.probes_left:
+        health.probes_left -= 1
+        if health.probes_left == 0:
+            health.failure_ratio = 0.0
+            health.ejection_s = 0.0
+            health.limit = float(slots)
--- /dev/null
+++ b/sassafrasgrade/systems/shares.py
@@ -0,0 +1,230 @@
+"""Fair queue of one pool: guaranteed shares by class, lent while unused.
+
+Start-time fair queueing over classes of (urgency, team): each class has a
+virtual time that advances by the cost of what it was served, divided by its
+weight. The class furthest behind is served first; a more urgent class may run
+ahead by a bounded lead, so that urgency shortens waits without taking shares.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from sassafrasgrade.rendezvous import score
+
+# How far a more urgent class may run ahead, in mean costs of weight 1.
+URGENCY_LEAD = 4.0
+COST_SMOOTHING = 0.1
+FIRST_COST_S = 0.02
+# Share of the mean service time added when the end of a request is predicted.
+SERVICE_MARGIN = 1.2
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request that waits for a slot at the owner.
+
+    Attributes:
+        request_id: Id of the request.
+        pool: Pool that serves it.
+        urgency: Rank of its urgency, 0 most urgent.
+        team: Quota account.
+        weight: Guaranteed share of its class.
+        repeatable: Whether it may run more than once.
+        enqueued_at: When the owner took it.
+        deadline_at: When its answer must be whole.
+        origin: Entry host that holds the caller's connection.
+        excluded: Hosts not to send it to.
+    """
+
+    request_id: str
+    pool: str
+    urgency: int
+    team: str
+    weight: int
+    repeatable: bool
+    enqueued_at: float
+    deadline_at: float
+    origin: str
+    excluded: tuple[str, ...] = ()
+
+    @property
+    def class_key(self):
+        """Class of the request: (urgency, team)."""
+        return self.urgency, self.team
+
+
+class WorkClass:
+    """Queue and account of one class."""
+
+    __slots__ = ("key", "weight", "virtual_s", "cost_s", "queue")
+
+    def __init__(self, key, cost_s):
+        self.key = key
+        self.weight = 1
+        self.virtual_s = 0.0
+        self.cost_s = cost_s
+        self.queue = deque()
+
+
+class ShareQueue:
+    """Queue of one pool at one owner."""
+
+    def __init__(self):
+        self._classes_by_key = {}
+        self._waiting_by_id = {}
+        self._virtual_s = 0.0
+        self._mean_cost_s = FIRST_COST_S
+
+    def __len__(self):
+        return len(self._waiting_by_id)
+
+    def cost_of(self, key):
+        """Returns the mean service time of a class, in seconds."""
+        found = self._classes_by_key.get(key)
+        return found.cost_s if found else self._mean_cost_s
+
+    def predict_wait(self, waiting, slots):
+        """Returns how long a new request would wait for a slot, in seconds.
+
+        Args:
+            waiting: The request.
+            slots: Slots that serve the queue.
+        """
+        own = self._classes_by_key.get(waiting.class_key)
+        if own is None or not own.queue:
+            return 0.0
+        weights = sum(c.weight for c in self._classes_by_key.values() if c.queue)
+        rate = max(slots, 1) * own.weight / weights
+        return len(own.queue) * own.cost_s / rate
+
+    def push(self, waiting):
+        """Adds a request."""
+        key = waiting.class_key
+        work = self._classes_by_key.get(key)
+        if work is None:
+            work = self._classes_by_key[key] = WorkClass(key, self._mean_cost_s)
+        if not work.queue:
+            work.virtual_s = max(work.virtual_s, self._virtual_s)
+        work.weight = max(work.weight, waiting.weight)
+        work.queue.append(waiting)
+        self._waiting_by_id[waiting.request_id] = waiting
+
+    def remove(self, request_id):
+        """Removes a request that does not wait any more; returns it or None."""
+        return self._waiting_by_id.pop(request_id, None)
+
+    def pop(self, accepts=None):
+        """Takes the next request.
+
+        Args:
+            accepts: Function that says whether a request can be served now;
+                classes whose first request cannot are passed over.
+
+        Returns:
+            The request, charged to its class, or None.
+        """
+        candidates = []
+        for work in self._classes_by_key.values():
+            self._drop_removed(work)
+            if work.queue and (accepts is None or accepts(work.queue[0])):
+                candidates.append(work)
+        if not candidates:
+            return None
+        work = self._choose(candidates)
+        waiting = work.queue.popleft()
+        del self._waiting_by_id[waiting.request_id]
+        self._virtual_s = max(
+            self._virtual_s, min(candidate.virtual_s for candidate in candidates)
+        )
+        work.virtual_s += work.cost_s / work.weight
+        return waiting
+
+    def expire(self, now):
+        """Removes and returns the requests that cannot be answered in time."""
+        late = [
+            waiting
+            for waiting in self._waiting_by_id.values()
+            if self.latest_start(waiting) < now
+        ]
+        for waiting in late:
+            del self._waiting_by_id[waiting.request_id]
+        return late
+
+    def latest_start(self, waiting):
+        """Returns when a request must start to be answered in time."""
+        expected_s = self.cost_of(waiting.class_key) * SERVICE_MARGIN
+        longest_s = waiting.deadline_at - waiting.enqueued_at
+        # A class that got slow is still tried with half of its time.
+        return waiting.deadline_at - min(expected_s, longest_s / 2)
+
+    def learn_cost(self, key, service_s):
+        """Learns a class's service time and corrects what it was charged."""
+        work = self._classes_by_key.get(key)
+        self._mean_cost_s += COST_SMOOTHING * (service_s - self._mean_cost_s)
+        if work is None:
+            return
+        work.virtual_s += (service_s - work.cost_s) / work.weight
+        work.cost_s += COST_SMOOTHING * (service_s - work.cost_s)
+
+    def drain(self):
+        """Removes and returns everything that waits."""
+        waiting = list(self._waiting_by_id.values())
+        self._waiting_by_id.clear()
+        for work in self._classes_by_key.values():
+            work.queue.clear()
+        return waiting
+
+    def _choose(self, candidates):
+        least_s = min(work.virtual_s for work in candidates)
+        lead_s = URGENCY_LEAD * self._mean_cost_s
+        ahead = [
+            work
+            for work in candidates
+            if work.virtual_s <= least_s + lead_s / work.weight
+        ]
+        return min(ahead, key=lambda work: (work.key[0], work.virtual_s))
+
+    def _drop_removed(self, work):
+        while work.queue and work.queue[0].request_id not in self._waiting_by_id:
+            work.queue.popleft()
+
+
+class FifoQueue(ShareQueue):
+    """Baseline: first in, first out, without classes or early refusal."""
+
+    def __init__(self):
+        super().__init__()
+        self._queue = deque()
+
+    def predict_wait(self, waiting, slots):
+        """Never refuses early."""
+        return 0.0
+
+    def push(self, waiting):
+        """Adds a request at the end."""
+        self._queue.append(waiting)
+        self._waiting_by_id[waiting.request_id] = waiting
+
+    def pop(self, accepts=None):
+        """Takes the first request that can be served now."""
+        while self._queue and self._queue[0].request_id not in self._waiting_by_id:
+            self._queue.popleft()
+        if not self._queue or (accepts and not accepts(self._queue[0])):
+            return None
+        waiting = self._queue.popleft()
+        del self._waiting_by_id[waiting.request_id]
+        return waiting
+
+    def latest_start(self, waiting):
+        """Waits until the deadline itself."""
+        return waiting.deadline_at
+
+    def drain(self):
+        """Removes and returns everything that waits."""
+        self._queue.clear()
+        return super().drain()
+
+
+def tie_break(request_id, host):
+    """Spreads equal choices evenly and repeatably."""
+    return score(host, request_id)
--- /dev/null
+++ b/sassafrasgrade/timers.py
@@ -0,0 +1,82 @@
+"""Timer service that parts of a process subscribe to."""
+
+import logging
+import time
+
+from tornado.ioloop import IOLoop, PeriodicCallback
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+
+
+class TimerService:
+    """Calls subscribers periodically on the current event loop."""
+
+    def __init__(self):
+        self._callbacks = []
+
+    def now(self):
+        """Returns monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall_time(self):
+        """Returns seconds since the epoch."""
+        return time.time()
+
+    def subscribe(self, period_s, callback):
+        """Calls ``callback(now)`` every ``period_s`` seconds until ``stop``."""
+        periodic = PeriodicCallback(
+            lambda: callback(self.now()), period_s * MS_PER_S, jitter=0.1
+        )
+        periodic.start()
+        self._callbacks.append(periodic)
+        return periodic
+
+    def call_later(self, delay_s, callback, *args):
+        """Calls once after a delay in seconds; returns a handle to cancel."""
+        return IOLoop.current().call_later(delay_s, callback, *args)
+
+    def cancel(self, handle):
+        """Cancels a ``call_later`` handle."""
+        IOLoop.current().remove_timeout(handle)
+
+    def stop(self):
+        """Stops all periodic calls."""
+        for periodic in self._callbacks:
+            periodic.stop()
+        self._callbacks.clear()
+
+
+class FakeTimerService:
+    """Timer service driven by tests: time moves only in ``advance``."""
+
+    def __init__(self, start_s=1000.0):
+        self._now = start_s
+        self._subscriptions = []
+
+    def now(self):
+        """Returns the fake time in seconds."""
+        return self._now
+
+    def wall_time(self):
+        """Returns the fake time in seconds."""
+        return self._now
+
+    def subscribe(self, period_s, callback):
+        """Registers ``callback(now)`` to run every ``period_s`` fake seconds."""
+        subscription = [self._now + period_s, period_s, callback]
+        self._subscriptions.append(subscription)
+        return subscription
+
+    def advance(self, seconds):
+        """Moves time on, running each due callback in order of time."""
+        end = self._now + seconds
+        while self._subscriptions:
+            due = min(self._subscriptions, key=lambda item: item[0])
+            if due[0] > end:
+                break
+            self._now = due[0]
+            due[0] += due[1]
+            due[2](self._now)
+        self._now = end
--- /dev/null
+++ b/sassafrasgrade/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Secondary programs: the operators' command line, reports and stand-ins."""
--- /dev/null
+++ b/sassafrasgrade/tools/operators.py
@@ -0,0 +1,353 @@
+"""The operators' command line: everything is driven by the two tables."""
+
+import getpass
+import sys
+from pathlib import Path
+
+import fire
+from returns.result import Failure
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.checks import check_configuration
+from sassafrasgrade.commits import TablesCommitter, load_configuration
+from sassafrasgrade.configurations import compare_configurations
+from sassafrasgrade.errors import RolloutIncomplete
+from sassafrasgrade.peers import merge_peers, parse_peer
+from sassafrasgrade.platforms import PlatformClient
+from sassafrasgrade.readers import read_tables
+from sassafrasgrade.rollouts import ask_all, own_row, wait_in_force
+from sassafrasgrade.routers import Router
+from sassafrasgrade.settings import require_settings
+from sassafrasgrade.tools.formats import describe_change, print_json, print_table
+
+EXIT_FAILED = 1
+EXIT_INCOMPLETE = 3
+WAIT_S = 30.0
+COMMIT_TIMEOUT_S = 10.0
+
+
+def _fail(errors, status=EXIT_FAILED):
+    for error in errors if isinstance(errors, list) else [errors]:
+        print(str(error), file=sys.stderr)
+    raise SystemExit(status)
+
+
+def _unwrap(result):
+    if isinstance(result, Failure):
+        _fail(result.failure())
+    return result.unwrap()
+
+
+def _read_checked(tables):
+    folder = Path(tables)
+    configuration = _unwrap(read_tables(folder / "routes.ini", folder / "pools.ini"))
+    errors = check_configuration(configuration)
+    if errors:
+        _fail(errors)
+    return configuration
+
+
+def _run(settings, work):
+    """Runs ``work(platform, checked settings)`` to its end."""
+    checked = require_settings(settings)
+
+    async def run():
+        platform = PlatformClient(
+            checked.platform_url, "operator", checked.platform_timeout_s
+        )
+        try:
+            return await work(platform, checked)
+        finally:
+            platform.close()
+
+    return IOLoop.current().run_sync(run)
+
+
+async def _load(platform, checked):
+    return await load_configuration(platform)
+
+
+class OperatorCommands:
+    """Checks, applies and shows the routes and pools tables."""
+
+    def check(self, tables, json=False):
+        """Checks the tables in a folder; needs no platform.
+
+        Args:
+            tables: Folder with routes.ini and pools.ini.
+            json: Whether to print JSON.
+        """
+        configuration = _read_checked(tables)
+        counts = {
+            "routes": len(configuration.routes_by_name),
+            "pools": len(configuration.pools_by_name),
+        }
+        if json:
+            print_json(counts)
+        else:
+            print(f"ok: {counts['routes']} routes, {counts['pools']} pools")
+
+    def diff(self, tables, settings, json=False):
+        """Shows row by row what applying the tables would change.
+
+        Args:
+            tables: Folder with routes.ini and pools.ini.
+            settings: INI settings file.
+            json: Whether to print JSON.
+        """
+        wanted = _read_checked(tables)
+        current = _unwrap(_run(settings, _load)).configuration
+        changes = compare_configurations(current, wanted)
+        if json:
+            print_json({"generation": current.generation, "changes": changes})
+            return
+        print(f"generation {current.generation} is committed")
+        for change in changes:
+            print(describe_change(change))
+        if not changes:
+            print("no differences")
+
+    def apply(
+        self, tables, settings, wait=False, base=None, timeout=WAIT_S, json=False
+    ):
+        """Commits the tables as one change; safe to repeat.
+
+        Args:
+            tables: Folder with routes.ini and pools.ini.
+            settings: INI settings file.
+            wait: Whether to wait until every live entry host has it in force.
+            base: Generation that the tables were edited from.
+            timeout: Longest wait in seconds.
+            json: Whether to print JSON.
+        """
+        wanted = _read_checked(tables)
+
+        async def work(platform, checked):
+            committer = TablesCommitter(
+                platform, getpass.getuser(), COMMIT_TIMEOUT_S, base
+            )
+            committed = await committer.commit(wanted)
+            if isinstance(committed, Failure) or not wait:
+                return committed, None
+            generation = committed.unwrap().generation
+            peers = await _known_peers(platform, checked, wanted)
+            port = checked.manager_stream_port
+            return committed, await wait_in_force(peers, port, generation, timeout)
+
+        committed, rollout = _run(settings, work)
+        outcome = _unwrap(committed)
+        if json:
+            print_json({"commit": outcome, "rollout": rollout})
+        else:
+            _print_outcome(outcome, rollout)
+        if rollout is not None and rollout.behind:
+            _fail(_incomplete(rollout), EXIT_INCOMPLETE)
+
+    def show(self, settings, row=None, json=False):
+        """Shows the committed tables, or one row of them.
+
+        Args:
+            settings: INI settings file.
+            row: Name of a route or pool.
+            json: Whether to print JSON.
+        """
+        current = _unwrap(_run(settings, _load)).configuration
+        if row is not None:
+            found = current.routes_by_name.get(row) or current.pools_by_name.get(row)
+            if found is None:
+                _fail(f"there is no row [{row}]; show lists all rows")
+            print_json(found)
+        elif json:
+            print_json(current)
+        else:
+            _print_tables(current)
+
+    def explain(self, method, path, settings=None, tables=None, json=False):
+        """Says which route, pool and hosts a request gets.
+
+        Args:
+            method: HTTP method.
+            path: Path of the request.
+            settings: INI settings file, to ask the platform.
+            tables: Folder with the tables, to ask them instead.
+            json: Whether to print JSON.
+        """
+        if tables is not None:
+            configuration = _read_checked(tables)
+        elif settings is not None:
+            configuration = _unwrap(_run(settings, _load)).configuration
+        else:
+            _fail("explain needs --tables FOLDER or --settings FILE")
+        router = Router(configuration.routes_by_name.values())
+        route = router.find(method.upper(), path)
+        if route is None:
+            _fail(f"no route takes {method} {path}; add one with a matching prefix")
+        pool = configuration.pools_by_name[route.pool]
+        if json:
+            print_json({"route": route, "pool": pool})
+            return
+        print(f"{method.upper()} {path} -> route [{route.name}] ({route.prefix})")
+        repeatable = "may be repeated" if route.repeatable else "runs at most once"
+        print(
+            f"  team {route.team}, {route.urgency}, weight {route.weight}, "
+            f"{repeatable}, deadline {route.deadline_ms} ms"
+        )
+        print(f"  pool [{pool.name}], {pool.slots} slots a host")
+        for centre, hosts in pool.hosts_by_data_centre.items():
+            print(f"    {centre}: {', '.join(hosts)}")
+
+    def status(self, settings, json=False):
+        """Shows entry hosts, pools and backend server hosts as they are.
+
+        Args:
+            settings: INI settings file.
+            json: Whether to print JSON.
+        """
+
+        async def work(platform, checked):
+            loaded = await load_configuration(platform)
+            known = loaded.value_or(None)
+            configuration = known.configuration if known else None
+            peers = await _known_peers(platform, checked, configuration)
+            return configuration, await ask_all(peers, checked.manager_stream_port)
+
+        configuration, replies = _run(settings, work)
+        if json:
+            print_json({"configuration": configuration, "managers": replies})
+            return
+        _print_status(configuration, replies)
+
+    def demo(self, seconds=8):
+        """Runs the whole system in one process over the Kapu tables.
+
+        Args:
+            seconds: Length of the load, in seconds.
+        """
+        from sassafrasgrade.tools.demos import run_demo
+
+        raise SystemExit(run_demo(seconds))
+
+
+async def _known_peers(platform, checked, configuration):
+    """Entry hosts of the settings and of the platform's list, if it answers."""
+    centres = {parse_peer(text).data_centre for text in checked.manager_peers}
+    if configuration is not None:
+        for pool in configuration.pools_by_name.values():
+            centres.update(pool.hosts_by_data_centre)
+    hosts = []
+    for centre in sorted(centres):
+        found = (await platform.read_hosts(centre)).value_or(None)
+        if found is not None:
+            hosts.extend(found.hosts_by_name.values())
+    return list(merge_peers(checked.manager_peers, hosts).values())
+
+
+def _incomplete(rollout):
+    return RolloutIncomplete(
+        f"generation {rollout.generation} is not in force on "
+        f"{', '.join(rollout.behind)} after {rollout.seconds:.1f} s",
+        "It is committed and will arrive; look at these hosts with status.",
+    )
+
+
+def _print_outcome(outcome, rollout):
+    if not outcome.changes:
+        print(f"nothing to change; generation {outcome.generation} is committed")
+    else:
+        print(
+            f"committed generation {outcome.generation} "
+            f"in {outcome.seconds:.2f} s: {len(outcome.changes)} rows"
+        )
+    for change in outcome.changes:
+        print(describe_change(change))
+    if rollout is None:
+        return
+    print(f"in force on {len(rollout.in_force)} hosts after {rollout.seconds:.2f} s")
+    if rollout.unreachable:
+        print(f"no answer from: {', '.join(rollout.unreachable)}")
+
+
+def _print_tables(configuration):
+    print(f"generation {configuration.generation}\n")
+    print_table(
+        ["route", "method", "prefix", "pool", "urgency", "weight", "team", "repeat"],
+        [
+            (
+                route.name,
+                route.method,
+                route.prefix,
+                route.pool,
+                route.urgency,
+                route.weight,
+                route.team,
+                "yes" if route.repeatable else "no",
+            )
+            for route in configuration.routes_by_name.values()
+        ],
+    )
+    print()
+    print_table(
+        ["pool", "hosts", "slots", "out at most", "a domain", "spare", "release"],
+        [
+            (
+                pool.name,
+                sum(len(hosts) for hosts in pool.hosts_by_data_centre.values()),
+                pool.slots,
+                pool.out_at_most,
+                pool.out_at_most_per_domain,
+                pool.spare_pool or "-",
+                pool.release or "-",
+            )
+            for pool in configuration.pools_by_name.values()
+        ],
+    )
+
+
+def _print_status(configuration, replies):
+    rows = []
+    hosts_by_name = {}
+    for name, reply in sorted(replies.items()):
+        if reply is None:
+            rows.append((name, "?", "no answer", "-", "-", "-"))
+            continue
+        row = own_row(reply)
+        rows.append(
+            (
+                name,
+                row.data_centre,
+                row.entry_state,
+                row.generation,
+                row.entry_generation,
+                "yes" if row.reading else "no",
+            )
+        )
+        hosts_by_name.update({host.name: host for host in reply.hosts})
+    print_table(
+        ["entry host", "data centre", "state", "manager gen", "entry gen", "reads"],
+        rows,
+    )
+    if configuration is None:
+        print("\nthe platform does not answer; pools are not shown")
+        return
+    print()
+    print_table(
+        ["pool", "hosts", "live", "leaving", "missing", "out at most"],
+        [
+            _pool_row(pool, hosts_by_name)
+            for pool in configuration.pools_by_name.values()
+        ],
+    )
+
+
+def _pool_row(pool, hosts_by_name):
+    names = [name for hosts in pool.hosts_by_data_centre.values() for name in hosts]
+    states = [hosts_by_name[name].state for name in names if name in hosts_by_name]
+    live = sum(state == "live" for state in states)
+    leaving = len(states) - live
+    missing = len(names) - len(states)
+    return pool.name, len(names), live, leaving, missing, pool.out_at_most
+
+
+def main():
+    """Entry point of ``sassafrasgrade``."""
+    fire.Fire(OperatorCommands, name="sassafrasgrade")
--- /dev/null
+++ b/tasks.py
@@ -0,0 +1,24 @@
+"""Chores of the project: run them with ``invoke NAME``."""
+
+from invoke import task
+
+CODE = "sassafrasgrade features tasks.py"
+
+
+@task
+def format(context):
+    """Formats the code."""
+    context.run(f"isort {CODE} && black -q {CODE}")
+
+
+@task
+def lint(context):
+    """Checks format and style."""
+    context.run(f"black --check -q {CODE} && isort --check -q {CODE}")
+    context.run(f"flake8 {CODE}")
+
+
+@task
+def test(context):
+    """Runs every scenario but those in KNOWN-RED.txt."""
+    context.run("bash .ci/run")
