--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Support code of the scenarios."""
--- /dev/null
+++ b/features/support/commits.py
@@ -0,0 +1,149 @@
+"""Commits and observes configurations from inside the scenario's process."""
+
+import asyncio
+import shutil
+import time
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+from sassafrasgrade.commits import TablesCommitter, load_configuration
+from sassafrasgrade.platforms import PlatformClient
+from sassafrasgrade.rollouts import ask_all, entry_generations
+from sassafrasgrade.tables import Configuration
+from sassafrasgrade.tools.standins.clusters import MANAGER_STREAM_PORT
+
+PLATFORM_TIMEOUT_S = 2.0
+OBSERVE_PERIOD_S = 0.1
+
+
+def with_weight(configuration, route_name, weight):
+    """Returns the tables with another weight of one route."""
+    routes = dict(configuration.routes_by_name)
+    routes[route_name] = replace(routes[route_name], weight=weight)
+    return Configuration(configuration.generation, routes, configuration.pools_by_name)
+
+
+def edited_tables(cluster, name, route, weight):
+    """Writes a copy of the cluster's tables with another weight of a route."""
+    folder = cluster.folder / f"tables-{name}"
+    if not folder.exists():
+        shutil.copytree(cluster.plan.tables, folder)
+    path = Path(folder) / "routes.ini"
+    lines = path.read_text().splitlines()
+    start = lines.index(f"[{route}]")
+    for number in range(start, len(lines)):
+        if lines[number].startswith("weight"):
+            lines[number] = f"weight = {weight}"
+            break
+    path.write_text("\n".join(lines))
+    return folder
+
+
+def run_with_platform(cluster, work):
+    """Runs ``work(platform)`` in an event loop of its own."""
+
+    async def run():
+        platform = PlatformClient(
+            cluster.plan.platform_url, "scenario", PLATFORM_TIMEOUT_S
+        )
+        try:
+            return await work(platform)
+        finally:
+            platform.close()
+
+    return asyncio.run(run())
+
+
+def committed(cluster):
+    """Returns the ``LoadedConfiguration`` on the platform."""
+    return run_with_platform(cluster, load_configuration).unwrap()
+
+
+@dataclass
+class Rollouts:
+    """What was seen while changes were committed.
+
+    Attributes:
+        committed_at: When each generation was committed.
+        seen_at: When each entry host was first seen at a generation or higher.
+        went_back: (entry host, older generation, newer generation) seen.
+    """
+
+    committed_at: dict = field(default_factory=dict)
+    seen_at: dict = field(default_factory=dict)
+    went_back: list = field(default_factory=list)
+    highest: dict = field(default_factory=dict)
+
+    def note(self, generations, now):
+        """Takes the generations in force by entry host."""
+        for name, generation in generations.items():
+            before = self.highest.get(name, 0)
+            if generation < before:
+                self.went_back.append((name, generation, before))
+            for number in range(before + 1, generation + 1):
+                self.seen_at[(name, number)] = now
+            self.highest[name] = max(before, generation)
+
+    def slowest_s(self, names):
+        """Returns the longest time from commit to force, by the names given."""
+        return max(
+            self.seen_at.get((name, generation), float("inf")) - at
+            for generation, at in self.committed_at.items()
+            for name in names
+        )
+
+
+def commit_stream(cluster, count, per_second, midway):
+    """Commits ``count`` changes at a rate and observes them everywhere.
+
+    Args:
+        cluster: ``ProcessCluster``.
+        count: Number of changes.
+        per_second: Rate.
+        midway: Function called once after half of the changes.
+
+    Returns:
+        ``Rollouts``.
+    """
+    rollouts = Rollouts()
+
+    async def observe(done):
+        while not done.is_set():
+            replies = await ask_all(cluster.plan.entry_hosts, MANAGER_STREAM_PORT)
+            rollouts.note(entry_generations(replies), time.monotonic())
+            try:
+                await asyncio.wait_for(done.wait(), OBSERVE_PERIOD_S)
+            except TimeoutError:
+                continue
+
+    async def change(platform):
+        done = asyncio.Event()
+        observer = asyncio.ensure_future(observe(done))
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        for number in range(count):
+            pace = loop.create_future()
+            loop.call_at(begin + number / per_second, pace.set_result, None)
+            await pace
+            if number == count // 2:
+                midway()
+            configuration = (await load_configuration(platform)).unwrap().configuration
+            wanted = with_weight(configuration, "fees-charge", 10 + number)
+            outcome = (
+                await TablesCommitter(platform, "stream").commit(wanted)
+            ).unwrap()
+            rollouts.committed_at[outcome.generation] = time.monotonic()
+        last = max(rollouts.committed_at)
+        until = loop.time() + 10
+        while loop.time() < until and any(
+            rollouts.highest.get(host.name, 0) < last
+            for host in cluster.plan.entry_hosts
+        ):
+            pace = loop.create_future()
+            loop.call_later(OBSERVE_PERIOD_S, pace.set_result, None)
+            await pace
+        done.set()
+        await observer
+
+    run_with_platform(cluster, change)
+    return rollouts
--- a/sassafrasgrade/commits.py
+++ b/sassafrasgrade/commits.py
@@ -19,13 +19,14 @@
     Commit,
     Head,
     SnapshotChunk,
-    apply_changes,
+    apply_commit,
     join_snapshot,
     split_snapshot,
 )
 from sassafrasgrade.errors import (
     ConfigurationConflict,
     ConfigurationDamaged,
+    ConfigurationOlder,
     ConfigurationUnknown,
     PlatformUnavailable,
 )
@@ -36,6 +37,7 @@
 
 RETRY_FIRST_S = 0.05
 RETRY_LONGEST_S = 1.0
+FINAL_ERRORS = (list, ConfigurationConflict, ConfigurationOlder)
 
 
 @dataclass(frozen=True)
@@ -129,10 +131,11 @@
     commits = await read_commits(platform, head.commit_ids)
     if isinstance(commits, Failure):
         return commits
-    configuration = join_snapshot(chunks, head.snapshot_generation)
+    settled_id = head.settled_ids[-1] if head.settled_ids else ""
+    configuration = join_snapshot(chunks, head.snapshot_generation, settled_id)
     for commit in commits.unwrap():
-        configuration = apply_changes(
-            configuration, commit.changes, configuration.generation + 1
+        configuration = apply_commit(
+            configuration, commit, configuration.generation + 1
         )
     return Success(
         LoadedConfiguration(head, revision, configuration, tuple(commits.unwrap()))
@@ -148,10 +151,22 @@
         timeout_s: How long to settle an unknown outcome, in seconds.
         base_generation: Generation that the tables were edited from, or None
             for the one found first.
+        fleet_generation: Highest generation in force anywhere, as far as known.
+        recovers: Whether to go on from there if the platform lost commits.
     """
 
-    def __init__(self, platform, author, timeout_s=30.0, base_generation=None):
+    def __init__(
+        self,
+        platform,
+        author,
+        timeout_s=30.0,
+        base_generation=None,
+        fleet_generation=0,
+        recovers=False,
+    ):
         self._platform = platform
+        self._fleet_generation = fleet_generation
+        self._recovers = recovers
         self._author = author
         self._timeout_s = timeout_s
         self._base = base_generation
@@ -175,7 +190,7 @@
                 return result.map(lambda done: self._outcome(done, started))
             error = result.failure()
             attempted = attempted or isinstance(error, ConfigurationUnknown)
-            if isinstance(error, (list, ConfigurationConflict)):
+            if isinstance(error, FINAL_ERRORS):
                 return result
             if time.monotonic() - started + delay_s > self._timeout_s:
                 return Failure(self._give_up(error, attempted))
@@ -215,12 +230,14 @@
         return await self._swap_head(current, commit_id, changes)
 
     async def _swap_head(self, current, commit_id, changes):
-        generation = current.head.generation + 1
-        after = apply_changes(current.configuration, changes, generation)
+        if current.head.generation < self._fleet_generation and not self._recovers:
+            return Failure(_older(current.head.generation, self._fleet_generation))
+        previous_id = current.configuration.commit_id
+        commit = Commit(commit_id, self._author, time.time(), changes, previous_id)
+        after = apply_commit(current.configuration, commit, 0)
         errors = check_configuration(after)
         if errors:
             return Failure(errors)
-        commit = Commit(commit_id, self._author, time.time(), changes)
         written = await self._platform.write(
             COMMITS_PREFIX + commit_id, msgspec.msgpack.encode(commit)
         )
@@ -234,14 +251,15 @@
         )
         if isinstance(swapped, Success):
             await self._delete_garbage(current.head, head.unwrap())
-            return Success((generation, changes))
+            return Success((head.unwrap().generation, changes))
         if isinstance(swapped.failure(), PlatformUnavailable):
             return Failure(ConfigurationUnknown(str(swapped.failure()), ""))
         return swapped
 
     async def _next_head(self, current, commit_id):
         head = current.head
-        if len(head.commit_ids) < COMMITS_PER_SNAPSHOT:
+        is_behind = head.generation < self._fleet_generation
+        if len(head.commit_ids) < COMMITS_PER_SNAPSHOT and not is_behind:
             return Success(
                 msgspec.structs.replace(
                     head,
@@ -258,13 +276,14 @@
                 return written
             keys.append(key)
         garbage = [COMMITS_PREFIX + name for name in head.commit_ids]
+        folded = max(head.generation, self._fleet_generation)
         return Success(
             Head(
-                generation=head.generation + 1,
+                generation=folded + 1,
                 snapshot_keys=keys,
-                snapshot_generation=head.generation,
+                snapshot_generation=folded,
                 commit_ids=[commit_id],
-                settled_ids=head.commit_ids,
+                settled_ids=head.commit_ids or head.settled_ids,
                 garbage_keys=[*head.snapshot_keys, *garbage],
             )
         )
@@ -277,6 +296,14 @@
             await self._platform.delete(key)
 
 
+def _older(committed, in_force):
+    return ConfigurationOlder(
+        f"the platform holds generation {committed}, but generation {in_force} is "
+        "in force: the platform lost commits",
+        "Check that the tables are complete, then run apply with --recover.",
+    )
+
+
 def _find_commit(current, commit_id):
     head = current.head
     if commit_id in head.commit_ids:
--- a/sassafrasgrade/configurations.py
+++ b/sassafrasgrade/configurations.py
@@ -44,12 +44,14 @@
         author: Who committed.
         written_at: Seconds since the epoch.
         changes: The rows.
+        previous_id: Id of the commit before it, empty for the first.
     """
 
     commit_id: str
     author: str
     written_at: float
     changes: list[Change]
+    previous_id: str = ""
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -60,7 +62,7 @@
         snapshot_keys: Keys of the last snapshot's chunks.
         snapshot_generation: Generation of that snapshot.
         commit_ids: Commits after the snapshot, oldest first.
-        settled_ids: Commits folded into the snapshot last, for late reads.
+        settled_ids: Commits folded into the snapshot last, oldest first.
         garbage_keys: Records that the next fold may delete.
     """
 
@@ -94,17 +96,17 @@
     return changes
 
 
-def apply_changes(configuration, changes, generation):
-    """Returns a new configuration with the changes put in."""
+def apply_commit(configuration, commit, generation):
+    """Returns a new configuration with a commit's changes put in."""
     routes = dict(configuration.routes_by_name)
     pools = dict(configuration.pools_by_name)
-    for change in changes:
+    for change in commit.changes:
         rows = routes if isinstance(change, RouteChange) else pools
         if change.row is None:
             rows.pop(change.name, None)
         else:
             rows[change.name] = change.row
-    return Configuration(generation, routes, pools)
+    return Configuration(generation, routes, pools, commit.commit_id)
 
 
 def split_snapshot(configuration):
@@ -119,11 +121,11 @@
     ]
 
 
-def join_snapshot(chunks, generation):
+def join_snapshot(chunks, generation, commit_id):
     """Builds a configuration from decoded snapshot chunks."""
     routes = {row.name: row for chunk in chunks for row in chunk.routes}
     pools = {row.name: row for chunk in chunks for row in chunk.pools}
-    return Configuration(generation, routes, pools)
+    return Configuration(generation, routes, pools, commit_id)
 
 
 class ConfigurationHolder:
@@ -156,17 +158,17 @@
 
         Returns:
             Whether the generation rose; False also when commits are missing
-            between the held generation and the first one given.
+            between the held generation and the first one given, or when they
+            continue another history than the held one.
         """
-        first = last_generation - len(commits) + 1
-        if last_generation <= self.generation or first > self.generation + 1:
+        missing = last_generation - self.generation
+        if not 0 < missing <= len(commits):
             return False
-        for generation, commit in enumerate(commits, first):
-            if generation <= self.generation:
-                continue
-            self.configuration = apply_changes(
-                self.configuration, commit.changes, generation
-            )
+        newer = commits[-missing:]
+        if newer[0].previous_id != self.configuration.commit_id:
+            return False
+        for generation, commit in enumerate(newer, self.generation + 1):
+            self.configuration = apply_commit(self.configuration, commit, generation)
             self.recent_commits.append((generation, commit))
         return True
 
--- a/sassafrasgrade/entries.py
+++ b/sassafrasgrade/entries.py
@@ -24,8 +24,8 @@
     prepare_direct,
 )
 from sassafrasgrade.logs import configure_logs
+from sassafrasgrade.manager_links import ManagerLink
 from sassafrasgrade.messages import (
-    AnyMessage,
     ConfigurationDelta,
     ConfigurationSnapshot,
     EntryHeartbeat,
@@ -42,8 +42,7 @@
 from sassafrasgrade.routers import Router
 from sassafrasgrade.seekers import SlotSeeker
 from sassafrasgrade.settings import require_settings
-from sassafrasgrade.streams import Link
-from sassafrasgrade.tables import Configuration, HostList
+from sassafrasgrade.tables import HostList
 from sassafrasgrade.timers import TimerService
 
 logger = logging.getLogger(__name__)
@@ -96,13 +95,8 @@
             max_body_size=settings.entry_longest_body_bytes * 2,
             idle_connection_timeout=3600,
         )
-        self._manager_link = Link(
-            settings.host_address,
-            settings.manager_stream_port,
-            AnyMessage,
-            self._greet_manager,
-            self.handle,
-            lambda: None,
+        self._manager_link = ManagerLink(
+            settings, timers, self._greet_manager, self.handle
         )
         self._pages_by_path = {
             "/healthz": self._health_page,
@@ -112,9 +106,7 @@
 
     def start(self):
         """Listens and starts the ticks."""
-        self._links.set_peers(
-            {peer.name: peer for peer in map(parse_peer, self.settings.manager_peers)}
-        )
+        self._set_peers(self.settings.manager_peers)
         self._links.start()
         self._manager_link.start()
         self._server.listen(
@@ -215,6 +207,7 @@
         self._links.beat(self._holder.generation, self.is_stopping, self._owner.loads())
 
     def _report(self, now):
+        self._manager_link.tick(now)
         state = "ready"
         if self.is_stopping:
             state = "stopping"
@@ -278,12 +271,7 @@
 
     @handle.register
     def _(self, message: ConfigurationSnapshot):
-        configuration = Configuration(
-            message.generation,
-            {row.name: row for row in message.routes},
-            {row.name: row for row in message.pools},
-        )
-        if self._holder.adopt_configuration(configuration):
+        if self._holder.adopt_configuration(message.configuration()):
             self._apply_configuration()
 
     @handle.register
@@ -300,8 +288,12 @@
 
     @handle.register
     def _(self, message: PeersUpdate):
-        peers = map(parse_peer, message.peers)
-        self._links.set_peers({peer.name: peer for peer in peers})
+        self._set_peers(message.peers)
+
+    def _set_peers(self, texts):
+        peers_by_name = {peer.name: peer for peer in map(parse_peer, texts)}
+        self._links.set_peers(peers_by_name)
+        self._manager_link.set_peers(peers_by_name)
 
     @handle.register
     def _(self, message: ManagerCounters):
--- a/sassafrasgrade/errors.py
+++ b/sassafrasgrade/errors.py
@@ -70,6 +70,13 @@
     kind: ClassVar[str] = "configuration-damaged"
 
 
+@dataclass(frozen=True)
+class ConfigurationOlder(SassafrasgradeError):
+    """The platform holds an older generation than the fleet."""
+
+    kind: ClassVar[str] = "configuration-older"
+
+
 @dataclass(frozen=True)
 class RolloutIncomplete(SassafrasgradeError):
     """Some live entry hosts do not have a generation in force yet."""
--- a/sassafrasgrade/managers.py
+++ b/sassafrasgrade/managers.py
@@ -18,6 +18,7 @@
     ConfigurationSnapshot,
     EntryHostStatus,
     EntryReport,
+    EntryStatus,
     Heartbeat,
     Hello,
     HostsRequest,
@@ -33,7 +34,7 @@
 from sassafrasgrade.streams import Link, MessageServer
 from sassafrasgrade.systems.distribution import NEVER_S, ManagerView, should_read
 from sassafrasgrade.systems.host_lists import accept_hosts
-from sassafrasgrade.tables import Configuration, HostList
+from sassafrasgrade.tables import HostList
 from sassafrasgrade.timers import TimerService
 from sassafrasgrade.watchers import ConfigurationWatcher, HostsWatcher
 
@@ -215,10 +216,13 @@
         self._platform_answer_at = self._timers.now()
 
     def _take_commits(self, generation, commits):
-        if self._holder.adopt_commits(generation, commits):
+        """Returns whether the commits continued the generation held."""
+        taken = self._holder.adopt_commits(generation, commits)
+        if taken:
             self._announce_generation(ConfigurationDelta(generation, commits))
+        return taken
 
-    def _take_loaded(self, configuration, commits):
+    def _take_loaded(self, configuration):
         if self._holder.adopt_configuration(configuration):
             self._announce_generation(self._snapshot())
 
@@ -316,16 +320,16 @@
         return [s for s in self._sessions if s.hello.role == "entry"]
 
     def _entry_report(self):
-        reports = [s.report for s in self._entry_sessions() if s.report is not None]
+        """Returns the last report of this host's own entry, or None."""
+        reports = [
+            session.report
+            for session in self._entry_sessions()
+            if session.hello.name == self._settings.host_name
+        ]
         return reports[-1] if reports else None
 
     def _snapshot(self):
-        configuration = self._holder.configuration
-        return ConfigurationSnapshot(
-            configuration.generation,
-            list(configuration.routes_by_name.values()),
-            list(configuration.pools_by_name.values()),
-        )
+        return ConfigurationSnapshot.of(self._holder.configuration)
 
     def _peers_update(self):
         return PeersUpdate([str(peer) for peer in self._peers_by_name.values()])
@@ -383,16 +387,14 @@
 
     @handle.register
     def _(self, message: ConfigurationDelta, sender):
-        self._take_commits(message.generation, message.commits)
+        behind = message.generation > self._holder.generation
+        if behind and not self._take_commits(message.generation, message.commits):
+            # Commits are missing or of another history: asks for everything.
+            sender.send(ConfigurationRequest(0))
 
     @handle.register
     def _(self, message: ConfigurationSnapshot, sender):
-        configuration = Configuration(
-            message.generation,
-            {row.name: row for row in message.routes},
-            {row.name: row for row in message.pools},
-        )
-        self._take_loaded(configuration, ())
+        self._take_loaded(message.configuration())
 
     @handle.register
     def _(self, message: HostsRequest, sender):
@@ -432,6 +434,11 @@
             self._holder.generation,
             self._hosts.version,
             rows,
+            [
+                EntryStatus(s.hello.name, s.report.generation, s.report.state)
+                for s in self._entry_sessions()
+                if s.report is not None
+            ],
             list(self._hosts.hosts_by_name.values()),
         )
 
--- a/sassafrasgrade/messages.py
+++ b/sassafrasgrade/messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from sassafrasgrade.configurations import Commit
-from sassafrasgrade.tables import Host, Pool, Route
+from sassafrasgrade.tables import Configuration, Host, Pool, Route
 
 
 class Message(msgspec.Struct, frozen=True, tag_field="t", array_like=True):
@@ -58,6 +58,26 @@
     generation: int
     routes: list[Route]
     pools: list[Pool]
+    commit_id: str
+
+    @classmethod
+    def of(cls, configuration):
+        """Builds the message of a ``Configuration``."""
+        return cls(
+            configuration.generation,
+            list(configuration.routes_by_name.values()),
+            list(configuration.pools_by_name.values()),
+            configuration.commit_id,
+        )
+
+    def configuration(self):
+        """Returns the ``Configuration`` that the message carries."""
+        return Configuration(
+            self.generation,
+            {row.name: row for row in self.routes},
+            {row.name: row for row in self.pools},
+            self.commit_id,
+        )
 
 
 class HostsRequest(Message, tag="hreq"):
@@ -116,14 +136,23 @@
     heard_age_s: float
 
 
+class EntryStatus(msgspec.Struct, frozen=True):
+    """What an entry reported to the manager it is linked to."""
+
+    name: str
+    generation: int
+    state: str
+
+
 class StatusReply(Message, tag="srep"):
-    """Manager to operator: its own data centre and its peers."""
+    """Manager to operator: its own data centre, its peers and its entries."""
 
     name: str
     data_centre: str
     generation: int
     hosts_version: int
     entry_hosts: list[EntryHostStatus]
+    entries: list[EntryStatus]
     hosts: list[Host]
 
 
--- a/sassafrasgrade/rollouts.py
+++ b/sassafrasgrade/rollouts.py
@@ -22,7 +22,7 @@
         seconds: Time until it was in force everywhere, or waited so far.
         in_force: Names of the live entry hosts that have it.
         behind: Names of the live entry hosts that do not.
-        unreachable: Names of the entry hosts whose manager did not answer.
+        unreachable: Names of the entry hosts that nothing was heard of.
     """
 
     generation: int
@@ -65,6 +65,19 @@
     return next(row for row in reply.entry_hosts if row.name == reply.name)
 
 
+def entry_generations(replies):
+    """Returns the generation in force by entry host, from all replies.
+
+    An entry whose own manager is gone reports to another one.
+    """
+    generations = {}
+    for reply in replies.values():
+        for entry in reply.entries if reply is not None else ():
+            known = generations.get(entry.name, 0)
+            generations[entry.name] = max(known, entry.generation)
+    return generations
+
+
 async def wait_in_force(peers, port, generation, timeout_s):
     """Waits until every live entry host has a generation in force.
 
@@ -80,14 +93,10 @@
     started = time.monotonic()
     while True:
         replies = await ask_all(peers, port)
-        in_force, behind, unreachable = [], [], []
-        for name, reply in sorted(replies.items()):
-            if reply is None:
-                unreachable.append(name)
-            elif own_row(reply).entry_generation >= generation:
-                in_force.append(name)
-            else:
-                behind.append(name)
+        generations = entry_generations(replies)
+        in_force = [n for n, held in generations.items() if held >= generation]
+        behind = [n for n, held in generations.items() if held < generation]
+        unreachable = sorted(replies.keys() - generations.keys())
         seconds = time.monotonic() - started
         if not behind and in_force or seconds > timeout_s:
             return RolloutReport(
--- a/sassafrasgrade/streams.py
+++ b/sassafrasgrade/streams.py
@@ -1,5 +1,6 @@
 """Streams of msgpack messages between the system's processes."""
 
+import asyncio
 import logging
 import socket
 
@@ -15,6 +16,7 @@
 LONGEST_BACKLOG_BYTES = 32 * 1024 * 1024
 READ_BYTES = 65_536
 RECONNECT_S = 0.25
+CONNECT_TIMEOUT_S = 2.0
 
 
 class MessageStream:
@@ -171,8 +173,10 @@
             max_write_buffer_size=LONGEST_BACKLOG_BYTES,
         )
         try:
-            await stream.connect((self._address, self._port))
-        except (StreamClosedError, OSError):
+            await asyncio.wait_for(
+                stream.connect((self._address, self._port)), CONNECT_TIMEOUT_S
+            )
+        except (StreamClosedError, OSError, TimeoutError):
             stream.close()
             return None
         if self._closing:
--- a/sassafrasgrade/tables.py
+++ b/sassafrasgrade/tables.py
@@ -119,11 +119,13 @@
         generation: Number of commits that made this configuration; 0 is empty.
         routes_by_name: Routes table.
         pools_by_name: Pools table.
+        commit_id: Id of the last commit, to tell histories apart.
     """
 
     generation: int = 0
     routes_by_name: dict[str, Route] = field(default_factory=dict)
     pools_by_name: dict[str, Pool] = field(default_factory=dict)
+    commit_id: str = ""
 
 
 @dataclass(frozen=True)
--- a/sassafrasgrade/tools/operators.py
+++ b/sassafrasgrade/tools/operators.py
@@ -15,7 +15,12 @@
 from sassafrasgrade.peers import merge_peers, parse_peer
 from sassafrasgrade.platforms import PlatformClient
 from sassafrasgrade.readers import read_tables
-from sassafrasgrade.rollouts import ask_all, own_row, wait_in_force
+from sassafrasgrade.rollouts import (
+    ask_all,
+    entry_generations,
+    own_row,
+    wait_in_force,
+)
 from sassafrasgrade.routers import Router
 from sassafrasgrade.settings import require_settings
 from sassafrasgrade.tools.formats import describe_change, print_json, print_table
@@ -108,7 +113,14 @@
             print("no differences")
 
     def apply(
-        self, tables, settings, wait=False, base=None, timeout=WAIT_S, json=False
+        self,
+        tables,
+        settings,
+        wait=False,
+        base=None,
+        recover=False,
+        timeout=WAIT_S,
+        json=False,
     ):
         """Commits the tables as one change; safe to repeat.
 
@@ -117,21 +129,29 @@
             settings: INI settings file.
             wait: Whether to wait until every live entry host has it in force.
             base: Generation that the tables were edited from.
+            recover: Whether to go on from the generation in force when the
+                platform lost commits.
             timeout: Longest wait in seconds.
             json: Whether to print JSON.
         """
         wanted = _read_checked(tables)
 
         async def work(platform, checked):
+            port = checked.manager_stream_port
+            peers = await _known_peers(platform, checked, wanted)
+            in_force = entry_generations(await ask_all(peers, port))
             committer = TablesCommitter(
-                platform, getpass.getuser(), COMMIT_TIMEOUT_S, base
+                platform,
+                getpass.getuser(),
+                COMMIT_TIMEOUT_S,
+                base,
+                max(in_force.values(), default=0),
+                recover,
             )
             committed = await committer.commit(wanted)
             if isinstance(committed, Failure) or not wait:
                 return committed, None
             generation = committed.unwrap().generation
-            peers = await _known_peers(platform, checked, wanted)
-            port = checked.manager_stream_port
             return committed, await wait_in_force(peers, port, generation, timeout)
 
         committed, rollout = _run(settings, work)
--- a/sassafrasgrade/watchers.py
+++ b/sassafrasgrade/watchers.py
@@ -93,7 +93,8 @@
 
     Args:
         holder: ``ConfigurationHolder`` to compare with.
-        on_commits: Called with (generation, commits) after the held one.
+        on_commits: Called with (generation, commits) after the held one;
+            returns whether they continued it.
         on_configuration: Called with a whole configuration.
         watch_s: Longest wait of one watch call, in seconds.
     """
@@ -136,21 +137,19 @@
             return Success(None)
         missing = head.generation - held
         if missing <= len(head.commit_ids):
-            return await self._take_commits(head, head.commit_ids[-missing:])
+            commits = await read_commits(self.platform, head.commit_ids[-missing:])
+            if isinstance(commits, Failure):
+                return commits
+            if self._on_commits(head.generation, commits.unwrap()):
+                return commits
         loaded = await load_from_head(self.platform, head, revision)
-        return loaded.map(
-            lambda found: self._on_configuration(found.configuration, found.commits)
-        )
-
-    async def _take_commits(self, head, commit_ids):
-        commits = await read_commits(self.platform, commit_ids)
-        return commits.map(lambda found: self._on_commits(head.generation, found))
+        return loaded.map(lambda found: self._on_configuration(found.configuration))
 
     def _report_older(self, offered, held):
         self.older_heads += 1
         logger.error(
             "the platform offers generation %d, older than %d in force; ignoring it; "
-            "apply the tables again to move it on",
+            "run apply with --recover to move the platform on",
             offered,
             held,
         )
