Measure latency, throughput, refusals and platform calls

Cause: no figures for the entry process. Change: a bench over real processes; failure answers are built once per outcome and reason.

--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: speeds measured on real processes, never asserted in tests."""
--- /dev/null
+++ b/benches/overheads.py
@@ -0,0 +1,160 @@
+"""Overhead of the entry process: latency, throughput, refusals, calls."""
+
+from benches.measures import US_PER_S, cpu_seconds, memory_bytes, rest, save
+from features.support.clusters import ProcessCluster
+from features.support.commits import committed, run_with_platform, with_weight
+from sassafrasgrade.commits import TablesCommitter
+
+SECONDS = 12
+WARM_UP_S = 2
+SERVICE_MS = 10
+CLASSES = [("read", "/jury"), ("check", "/clips"), ("form", "/forms"), ("fee", "/fees")]
+
+
+def read_classes(rate, deadline_ms=2000):
+    """Four classes of reads, one a pool; ``rate`` is their sum."""
+    return [
+        {
+            "name": name,
+            "path": path,
+            "rate": rate / len(CLASSES),
+            "service_ms": SERVICE_MS,
+            "deadline_ms": deadline_ms,
+        }
+        for name, path in CLASSES
+    ]
+
+
+def run_load(cluster, name, rate, **plan):
+    """Runs a load to its end; returns the figures of all classes together."""
+    load = cluster.start_load(
+        name,
+        classes=read_classes(rate),
+        duration_s=SECONDS,
+        warm_up_s=WARM_UP_S,
+        **plan,
+    )
+    classes = load.result()["classes"].values()
+    sent = sum(found["sent"] for found in classes)
+    return {
+        "rate": rate,
+        "sent": sent,
+        "in_time": sum(found.get("in_time", 0) for found in classes),
+        "p50_ms": max(found["p50_ms"] for found in classes),
+        "p99_ms": max(found["p99_ms"] for found in classes),
+    }
+
+
+def measure_latency(cluster, rate):
+    """Compares the same load through the entries and straight to the servers."""
+    urls = [f"http://{h.address}:{h.port}" for h in cluster.plan.backend_hosts]
+    direct = run_load(
+        cluster, f"direct-{rate}", rate, targets=urls, checks_ready=False
+    )
+    through = run_load(cluster, f"through-{rate}", rate)
+    return {
+        "direct": direct,
+        "through": through,
+        "added_p50_ms": round(through["p50_ms"] - direct["p50_ms"], 2),
+        "added_p99_ms": round(through["p99_ms"] - direct["p99_ms"], 2),
+    }
+
+
+def measure_entry(cluster, rate):
+    """Sends everything to one entry; returns its cost and what it answered."""
+    host = cluster.plan.entry_hosts[0]
+    process = cluster.processes_by_name[f"entry-{host.name}"]
+    before = cpu_seconds(process)
+    found = run_load(cluster, f"one-{rate}", rate, targets=[host.url])
+    used_s = cpu_seconds(process) - before
+    total = found["sent"] * SECONDS / (SECONDS - WARM_UP_S)
+    found["cpu_us_a_request"] = round(used_s / total * US_PER_S)
+    found["core_share"] = round(used_s / SECONDS, 3)
+    found["resident_mb"] = round(memory_bytes(process)[0] / 1e6, 1)
+    return found
+
+
+def measure_refusal(cluster, rate):
+    """Sends requests without a route to one entry; returns the cost of each."""
+    host = cluster.plan.entry_hosts[0]
+    process = cluster.processes_by_name[f"entry-{host.name}"]
+    before = cpu_seconds(process)
+    load = cluster.start_load(
+        f"refused-{rate}",
+        targets=[host.url],
+        classes=[
+            {
+                "name": "refused",
+                "path": "/nowhere",
+                "rate": rate,
+                "method": "POST",
+                "body_bytes": 512,
+            }
+        ],
+        duration_s=SECONDS,
+    )
+    found = load.result()["classes"]["refused"]
+    used_s = cpu_seconds(process) - before
+    return {
+        "rate": rate,
+        "sent": found["sent"],
+        "not_run": found.get("not-run", 0),
+        "cpu_us_a_refusal": round(used_s / found["sent"] * US_PER_S),
+    }
+
+
+def total_calls(cluster):
+    """Returns the platform calls of all managers."""
+    calls = cluster.platform_calls()
+    return sum(count for name, count in calls.items() if name.startswith("entry"))
+
+
+def measure_platform_calls(cluster, changes=20, rest_s=10):
+    """Counts platform calls at rest and for each configuration change."""
+    before = total_calls(cluster)
+    rest(rest_s)
+    at_rest = (total_calls(cluster) - before) / rest_s
+
+    async def change(platform):
+        for number in range(changes):
+            current = committed_configuration
+            wanted = with_weight(current, "fees-charge", 50 + number)
+            (await TablesCommitter(platform, "bench").commit(wanted)).unwrap()
+
+    committed_configuration = committed(cluster).configuration
+    before = total_calls(cluster)
+    own_before = cluster.platform_calls().get("scenario:write", 0)
+    run_with_platform(cluster, change)
+    rest(2)
+    spent = total_calls(cluster) - before - at_rest * 2
+    writes = cluster.platform_calls().get("scenario:write", 0) - own_before
+    return {
+        "managers_at_rest_a_second": round(at_rest, 2),
+        "managers_a_change": round(spent / changes, 2),
+        "writes_a_change": round(writes / changes, 2),
+    }
+
+
+def main():
+    """Runs all measurements at Kapu's size and saves them."""
+    cluster = ProcessCluster("kapu", service_ms=SERVICE_MS).start()
+    try:
+        result = {
+            "latency": [measure_latency(cluster, rate) for rate in (100, 400)],
+            "one_entry": [measure_entry(cluster, rate) for rate in (200, 400, 800)],
+            "refusals": [measure_refusal(cluster, rate) for rate in (400, 800, 1600)],
+            "platform_calls": measure_platform_calls(cluster),
+        }
+    finally:
+        cluster.stop()
+    answers = {found["rate"]: found for found in result["one_entry"]}
+    for refusal in result["refusals"]:
+        # Compared at the same rate, or with the highest one answered.
+        answer = answers[min(refusal["rate"], max(answers))]
+        fraction = refusal["cpu_us_a_refusal"] / answer["cpu_us_a_request"]
+        refusal["fraction_of_answer"] = round(fraction, 3)
+    save("overheads", result)
+
+
+if __name__ == "__main__":
+    main()
--- a/sassafrasgrade/answers.py
+++ b/sassafrasgrade/answers.py
@@ -3,6 +3,7 @@
 import json
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import cache
 
 OUTCOME_HEADER = "Sassafrasgrade-Outcome"
 REASON_HEADER = "Sassafrasgrade-Reason"
@@ -129,24 +130,26 @@
         An ``Answer``; "not-run" only if no byte may have reached a server.
     """
     outcome = record.outcome
+    status, headers, body = _failure_parts(outcome, reason)
+    headers = (*headers, (REQUEST_ID_HEADER, request_id))
+    if retry_after_s:
+        whole_s = str(max(1, round(retry_after_s)))
+        headers = (*headers, ("Retry-After", whole_s))
+    return Answer(status, headers, body, outcome, reason)
+
+
+@cache
+def _failure_parts(outcome, reason):
+    """Returns (status, headers, body), the same for all such failures."""
     body = {
         "outcome": str(outcome),
         "reason": str(reason),
         "remedy": REMEDIES[reason],
-        "request_id": request_id,
     }
-    headers = [
+    headers = (
         ("Content-Type", "application/json"),
         (OUTCOME_HEADER, str(outcome)),
         (REASON_HEADER, str(reason)),
-        (REQUEST_ID_HEADER, request_id),
-    ]
-    if retry_after_s:
-        headers.append(("Retry-After", str(max(1, round(retry_after_s)))))
-    return Answer(
-        STATUS_BY_REASON.get(reason, STATUS_OTHERWISE),
-        tuple(headers),
-        json.dumps(body).encode(),
-        outcome,
-        reason,
     )
+    status = STATUS_BY_REASON.get(reason, STATUS_OTHERWISE)
+    return status, headers, json.dumps(body).encode()
