--- /dev/null
+++ b/features/once.feature
@@ -0,0 +1,54 @@
+Feature: A request that may not be repeated runs at most once
+
+  Scenario Outline: keyed charges under caller retries and <trouble>
+    Given a running cluster of <user>
+    And every backend server answers with these faults
+      | late | late_s | crossed | truncated | dropped | seed   |
+      | 0.01 | 3.0    | 0.01    | 0.01      | 0.03    | <seed> |
+    When 2000 keyed charges are sent with seed <seed> under "<trouble>"
+    Then no key ran twice
+    And every failure's outcome agrees with the servers' run counts
+    And at least 85 percent were answered in time
+
+    Examples:
+      | user      | seed | trouble               |
+      | kapu      | 21   | lost platform answers |
+      | kapu      | 22   | an entry kill         |
+      | kapu      | 23   | a paused entry        |
+      | authority | 24   | a platform outage     |
+
+  Scenario: a key that ran gets its stored answer, and a key in use is refused
+    Given a running cluster of kapu
+    When a charge with the key "k-1" is sent to "entry-1"
+    And the same charge is sent again to "entry-5"
+    Then both got the same body and the second is marked as replayed
+    And the key "k-1" ran once
+    When two charges with the key "k-2" are sent at once to "entry-2" and "entry-6"
+    Then one is answered and the other is refused as in use
+    And the key "k-2" ran once
+
+  Scenario: a claim that cannot be made is answered not-run
+    Given a running cluster of kapu
+    And the platform is down
+    When a charge with the key "k-3" is sent to "entry-1"
+    Then it is answered with status 503, outcome "not-run" and reason "key-unclaimed"
+    And a charge without a key is answered with status 200
+    And the key "k-3" ran 0 times
+
+  Scenario Outline: claims are decided by the log
+    Given a claim index with "<history>"
+    When the key is claimed with token "<token>" after <seconds> seconds
+    Then the verdict is "<verdict>"
+
+    Examples:
+      | history                   | token | seconds | verdict |
+      | nothing                   | a     | 0       | granted |
+      | a claims                  | a     | 1       | granted |
+      | a claims                  | b     | 1       | in-use  |
+      | a claims                  | b     | 9       | unknown |
+      | a claims, a ran           | b     | 1       | ran     |
+      | a claims, a released      | b     | 1       | granted |
+      | a claims, b released      | b     | 1       | in-use  |
+      | a claims, a unknown       | b     | 1       | unknown |
+      | a claims, b claims        | a     | 1       | granted |
+      | a claims, a ran, a released | b   | 1       | ran     |
--- /dev/null
+++ b/features/steps/cut_steps.py
@@ -0,0 +1,111 @@
+"""Steps on cuts between data centres, entry hosts and the platform."""
+
+import time
+
+from behave import given, then, when
+
+from features.steps.cluster_steps import start_mixed_load
+from features.steps.configuration_steps import generations
+from features.steps.once_steps import wait_span
+from features.support.clusters import ProcessCluster
+from features.support.commits import committed, run_with_platform, with_weight
+from features.support.waiting import wait_until
+from sassafrasgrade.commits import TablesCommitter
+
+LOAD_RATE = 200.0
+REQUESTS = 2400
+IN_FORCE_S = 7.0
+
+
+@given("a cluster of kapu behind the fault proxy")
+def start_proxied(context):
+    context.cluster = ProcessCluster("kapu", proxied=True)
+    context.cluster.start()
+
+
+def lane_matcher(cluster, subject, objects):
+    """Returns a predicate of lane names that join subject and objects."""
+    names = {h.name for h in cluster.plan.entry_hosts if subject in (h.name, "all")}
+    names |= {h.name for h in cluster.plan.entry_hosts if h.data_centre == subject}
+
+    def matches(lane):
+        source, _, target = lane.partition(">")
+        target = target.partition(":")[0]
+        if target == "platform":
+            return source in names and objects in ("the platform", "everything")
+        if objects == "the platform":
+            return False
+        return (source in names) != (target in names)
+
+    return matches
+
+
+@when(
+    '"{subject}" is cut from {objects} for {seconds:d} seconds under load, '
+    "and a change is committed meanwhile"
+)
+def cut(context, subject, objects, seconds):
+    play_cut(context, subject, objects, seconds, {"cut": True}, None)
+
+
+@when(
+    "all are cut from {objects} for {seconds:d} seconds under load, "
+    "and a change is committed meanwhile"
+)
+def cut_all(context, objects, seconds):
+    play_cut(context, "all", objects, seconds, {"cut": True}, None)
+
+
+@when(
+    '"{subject}" is cut one way from everything for {seconds:d} seconds under load, '
+    "and a change is committed meanwhile"
+)
+def cut_one_way(context, subject, seconds):
+    play_cut(context, subject, "everything", seconds, {"hold_forward": True}, subject)
+
+
+def play_cut(context, subject, objects, seconds, faults, only_from):
+    """Cuts lanes, commits a change, heals and collects the load's result."""
+    cluster = context.cluster
+    load = start_mixed_load(context, REQUESTS, 13, LOAD_RATE)
+    runs = cluster.backend_runs
+    wait_until(lambda: len(runs()[0]) > REQUESTS / 10, 30, "the load runs")
+    matches = lane_matcher(cluster, subject, objects)
+    chosen = [
+        lane
+        for lane in cluster.lane_names()
+        if matches(lane) and (only_from is None or lane.startswith(f"{only_from}>"))
+    ]
+    assert chosen
+    for lane in chosen:
+        cluster.set_lane(lane, **faults)
+    commit_change(cluster)
+    wait_span(float(seconds))
+    for lane in chosen:
+        cluster.set_lane(lane)
+    context.healed_at = time.monotonic()
+    context.result = load.result()
+
+
+def commit_change(cluster):
+    """Commits one change straight to the platform."""
+
+    async def work(platform):
+        wanted = with_weight(cluster.plan.configuration, "fees-charge", 9)
+        (await TablesCommitter(platform, "scenario").commit(wanted)).unwrap()
+
+    run_with_platform(cluster, work)
+
+
+@then("within 7 seconds of healing one generation is in force everywhere")
+def check_one_generation(context):
+    cluster = context.cluster
+    head = committed(cluster).head.generation
+    left_s = max(0.5, context.healed_at + IN_FORCE_S - time.monotonic())
+    names = {host.name for host in cluster.plan.entry_hosts}
+
+    def agree():
+        found = generations(cluster)
+        return found.keys() == names and set(found.values()) == {head}
+
+    wait_until(agree, left_s, "one generation is in force")
--- /dev/null
+++ b/features/steps/limit_steps.py
@@ -0,0 +1,167 @@
+"""Steps on slots, connections and the health of backend servers."""
+
+import signal
+
+from behave import given, then, when
+
+from features.steps.cluster_steps import count_outcomes
+from features.steps.once_steps import pause_for
+from features.support.floods import CAPACITY, SERVICE_MS
+from features.support.waiting import wait_until
+from sassafrasgrade.systems.health import ServerHealth, note_attempt
+
+OVERLOAD = 1.3
+SLOTS = 8
+CONNECTIONS = 64
+POOL_SLOTS = 48
+
+
+@when('the pool "forms" is overloaded for {seconds:d} seconds through "{trouble}"')
+def overload(context, seconds, trouble):
+    cluster = context.cluster
+    context.seconds = seconds
+    rate = CAPACITY * OVERLOAD / 2
+    load = cluster.start_load(
+        "overload",
+        classes=[
+            {"name": "read", "path": "/forms", "rate": rate, "service_ms": SERVICE_MS},
+            {
+                "name": "enter",
+                "path": "/forms",
+                "method": "POST",
+                "rate": rate,
+                "service_ms": SERVICE_MS,
+                "body_bytes": 100,
+            },
+        ],
+        duration_s=seconds,
+        seed=7,
+    )
+    busy = cluster.backend_reports
+    wait_until(
+        lambda: sum(r["busy"] for r in busy().values()) > POOL_SLOTS * 0.9,
+        30,
+        "the pool is full",
+    )
+    context.killed = trouble == "an entry kill"
+    if context.killed:
+        cluster.kill("entry-entry-4")
+    elif trouble == "a paused entry":
+        pause_for(cluster, "entry-entry-4", 3.0)
+    elif trouble == "an entry stop":
+        cluster.kill("entry-entry-4", signal.SIGTERM)
+    context.result = load.result()
+
+
+@then("no backend server had more than {slots:d} busy slots or refused a request")
+def check_slots(context, slots):
+    for name, report in context.cluster.backend_reports().items():
+        assert report["most_busy"] <= slots, (name, report)
+        assert report["refused"] == 0, (name, report)
+
+
+@then("no backend server had more than {connections:d} connections")
+def check_connections(context, connections):
+    for name, report in context.cluster.backend_reports().items():
+        assert report["most_connections"] <= connections, (name, report)
+
+
+@then("the pool did at least {percent:d} percent of what its slots allow")
+def check_work(context, percent):
+    reports = context.cluster.backend_reports()
+    runs = sum(r["runs"] for name, r in reports.items() if name.startswith("forms"))
+    assert runs * 100 >= percent * CAPACITY * context.seconds, runs
+
+
+@then("no caller got a wrong or cut answer but from the killed entry host")
+def check_cut(context):
+    totals = count_outcomes(context.result)
+    assert totals.get("wrong", 0) == 0, totals
+    if not context.killed:
+        assert totals.get("cut", 0) == 0, context.result["classes"]
+
+
+FAULTS = {
+    "fails at once": {"fails_all": True},
+    "fails slowly": {"truncated": 1.0},
+    "drops all answers": {"dropped": 1.0},
+}
+
+
+@when('the host "{name}" {fails} under load for {seconds:d} seconds')
+def fail_host(context, name, fails, seconds):
+    cluster = context.cluster
+    context.host = name
+    load = cluster.start_load(
+        "ejection",
+        classes=[
+            {
+                "name": method,
+                "path": "/forms",
+                "method": method,
+                "rate": 100,
+                "service_ms": 10,
+                "body_bytes": 100 if method == "POST" else 0,
+            }
+            for method in ("GET", "POST")
+        ],
+        duration_s=2 + seconds,
+        warm_up_s=2,
+        seed=9,
+    )
+    cluster.backend_faults(name, **FAULTS[fails])
+    context.result = load.result()
+
+
+@then("under {percent:d} percent of the requests fail after the first 2 seconds")
+def check_failures(context, percent):
+    totals = count_outcomes(context.result)
+    failed = totals["sent"] - totals.get("in_time", 0)
+    assert failed * 100 < percent * totals["sent"], context.result["classes"]
+
+
+@then("the others of its pool still serve")
+def check_others(context):
+    reports = context.cluster.backend_reports()
+    pool = context.host.partition("-")[0]
+    for name, report in reports.items():
+        if name.startswith(pool) and name != context.host:
+            assert report["runs"] > 0, name
+
+
+@given("a healthy server of {slots:d} slots in a pool whose budget {budget}")
+def make_server(context, slots, budget):
+    context.health = ServerHealth(float(slots))
+    context.may_eject = budget == "bears ejections"
+    context.now = 100.0
+
+
+@when('its attempts go "{attempts}"')
+def play_attempts(context, attempts):
+    for step in attempts.split(", "):
+        amount, word = step.split()
+        if word == "s":
+            context.now += float(amount)
+            continue
+        for _ in range(int(amount)):
+            relative = 4.0 if word == "slow" else 1.0
+            note_attempt(
+                context.health,
+                word == "failed",
+                relative,
+                SLOTS,
+                context.now,
+                context.may_eject,
+            )
+
+
+@then("it may have {allowed:d} requests at a time")
+def check_allowed(context, allowed):
+    found = context.health.allowed(SLOTS, context.now)
+    assert found == allowed, (found, context.health)
+
+
+@then("after {seconds:g} more seconds it may have {later:d}")
+def check_later(context, seconds, later):
+    found = context.health.allowed(SLOTS, context.now + seconds)
+    assert found == later, (found, context.health)
--- /dev/null
+++ b/features/steps/once_steps.py
@@ -0,0 +1,185 @@
+"""Steps on requests that may run only once."""
+
+import signal
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from features.support.calls import call
+from features.support.waiting import wait_until
+from sassafrasgrade.claim_logs import CLAIMS_PREFIX
+from sassafrasgrade.systems.claims import ClaimIndex, ClaimRecord, ClaimState
+
+HOLD_MS = 5000
+CHARGES_A_SECOND = 200.0
+CHARGE_PATHS = {"kapu": "/fees/charges", "authority": "/payments/deposits"}
+
+
+def start_charges(context, count, seed):
+    """Starts a load of keyed charges that callers repeat."""
+    user = context.cluster.plan.tables.name
+    return context.cluster.start_load(
+        "charges",
+        classes=[
+            {
+                "name": "charge",
+                "path": CHARGE_PATHS[user],
+                "method": "POST",
+                "rate": CHARGES_A_SECOND,
+                "service_ms": 10,
+                "body_bytes": 200,
+                "keyed": True,
+                "repeats": 3,
+            }
+        ],
+        duration_s=600,
+        count=count,
+        seed=seed,
+        keeps_requests=True,
+    )
+
+
+def make_trouble(context, trouble):
+    """Plays one kind of trouble while charges are under way."""
+    cluster = context.cluster
+    if trouble == "lost platform answers":
+        faults = {"lose_write_answers": 40, "lose_answers_for_key": CLAIMS_PREFIX}
+        cluster.set_platform_faults(**faults)
+    elif trouble == "an entry kill":
+        cluster.kill("entry-entry-2")
+    elif trouble == "a paused entry":
+        pause_for(cluster, "entry-entry-3", 3.0)
+    elif trouble == "a platform outage":
+        cluster.set_platform_faults(is_down=True)
+        wait_span(2.0)
+        cluster.set_platform_faults()
+
+
+def wait_span(seconds):
+    """Lets a span pass that is part of the fault itself."""
+    import time
+
+    until = time.monotonic() + seconds
+    wait_until(lambda: time.monotonic() >= until, seconds + 1, "the span passed")
+
+
+def pause_for(cluster, name, seconds):
+    """Stops a process and lets it go on after a span."""
+    cluster.kill(name, signal.SIGSTOP)
+    wait_span(seconds)
+    cluster.kill(name, signal.SIGCONT)
+
+
+@when('{count:d} keyed charges are sent with seed {seed:d} under "{trouble}"')
+def send_charges(context, count, seed, trouble):
+    load = start_charges(context, count, seed)
+    runs = context.cluster.backend_runs
+    wait_until(lambda: len(runs()[1]) > count / 4, 30, "a quarter of the charges ran")
+    make_trouble(context, trouble)
+    context.result = load.result()
+
+
+@then("no key ran twice")
+def check_keys(context):
+    _, runs_by_key = context.cluster.backend_runs()
+    twice = {key: count for key, count in runs_by_key.items() if count > 1}
+    assert len(runs_by_key) > 1000 and not twice, twice
+
+
+def charge(cluster, entry, key=None):
+    """Sends one charge."""
+    headers = {"Idempotency-Key": key} if key else {}
+    url = f"{cluster.entry_host(entry).url}/fees/charges"
+    return call(url, "POST", b"fee", headers)
+
+
+@when('a charge with the key "{key}" is sent to "{entry}"')
+def send_charge(context, key, entry):
+    context.key = key
+    context.first = charge(context.cluster, entry, key)
+
+
+@when('the same charge is sent again to "{entry}"')
+def send_again(context, entry):
+    # The first answer's record may still be on its way: until then the key
+    # counts as in use.
+    def repeat():
+        context.second = charge(context.cluster, entry, context.key)
+        return context.second.status != 409
+
+    wait_until(repeat, 2, "the first charge is settled")
+
+
+@then("both got the same body and the second is marked as replayed")
+def check_replay(context):
+    first, second = context.first, context.second
+    assert first.status == second.status == 200, (first.status, second.status)
+    assert first.body == second.body and first.body
+    assert "Sassafrasgrade-Replayed" not in first.headers
+    assert second.headers["Sassafrasgrade-Replayed"] == "true"
+
+
+@then('the key "{key}" ran once')
+def check_ran_once(context, key):
+    check_ran(context, key, 1)
+
+
+@then('the key "{key}" ran {count:d} times')
+def check_ran(context, key, count):
+    _, runs_by_key = context.cluster.backend_runs()
+    assert runs_by_key.get(key, 0) == count, runs_by_key
+
+
+@when('two charges with the key "{key}" are sent at once to "{one}" and "{other}"')
+def send_two(context, key, one, other):
+    context.cluster.backend_faults(late=1.0, late_s=0.5)
+    with ThreadPoolExecutor(2) as pool:
+        replies = pool.map(
+            lambda entry: charge(context.cluster, entry, key), [one, other]
+        )
+    context.replies = list(replies)
+
+
+@then("one is answered and the other is refused as in use")
+def check_in_use(context):
+    statuses = sorted(reply.status for reply in context.replies)
+    assert statuses == [200, 409], statuses
+    refused = next(reply for reply in context.replies if reply.status == 409)
+    assert refused.headers["Sassafrasgrade-Outcome"] == "not-run"
+    assert refused.headers["Sassafrasgrade-Reason"] == "key-in-use"
+
+
+@then(
+    'it is answered with status {status:d}, outcome "{outcome}" and reason "{reason}"'
+)
+def check_answer(context, status, outcome, reason):
+    reply = context.first
+    assert reply.status == status, reply.status
+    assert reply.headers["Sassafrasgrade-Outcome"] == outcome, reply.headers
+    assert reply.headers["Sassafrasgrade-Reason"] == reason, reply.headers
+
+
+@then("a charge without a key is answered with status {status:d}")
+def check_unkeyed(context, status):
+    assert charge(context.cluster, "entry-1").status == status
+
+
+@given('a claim index with "{history}"')
+def make_index(context, history):
+    context.index = ClaimIndex()
+    for step in history.split(", "):
+        if step == "nothing":
+            continue
+        token, word = step.split()
+        state = ClaimState.CLAIMED if word == "claims" else ClaimState(word)
+        context.index.apply(ClaimRecord(b"key", token, state, HOLD_MS), 100.0)
+
+
+@when('the key is claimed with token "{token}" after {seconds:d} seconds')
+def ask_index(context, token, seconds):
+    context.verdict = context.index.verdict(b"key", token, 100.0 + seconds)
+
+
+@then('the verdict is "{verdict}"')
+def check_verdict(context, verdict):
+    assert str(context.verdict) == verdict, context.verdict
--- a/sassafrasgrade/answers.py
+++ b/sassafrasgrade/answers.py
@@ -8,6 +8,7 @@
 OUTCOME_HEADER = "Sassafrasgrade-Outcome"
 REASON_HEADER = "Sassafrasgrade-Reason"
 REQUEST_ID_HEADER = "X-Request-Id"
+REPLAYED_HEADER = "Sassafrasgrade-Replayed"
 
 
 class Outcome(StrEnum):
@@ -32,6 +33,7 @@
     KEY_UNCLAIMED = "key-unclaimed"
     KEY_IN_USE = "key-in-use"
     ALREADY_RUN = "already-run"
+    KEY_UNSETTLED = "key-unsettled"
     ANSWER_LATE = "answer-late"
     ANSWER_CUT = "answer-cut"
     ANSWER_CROSSED = "answer-crossed"
@@ -47,6 +49,7 @@
     Reason.DEADLINE_PASSED: 504,
     Reason.KEY_IN_USE: 409,
     Reason.ALREADY_RUN: 409,
+    Reason.KEY_UNSETTLED: 409,
     Reason.ANSWER_LATE: 504,
     Reason.ANSWER_CUT: 502,
     Reason.ANSWER_CROSSED: 502,
@@ -66,6 +69,7 @@
     Reason.KEY_UNCLAIMED: "Send the request again with the same key.",
     Reason.KEY_IN_USE: "Wait for the first request with this key.",
     Reason.ALREADY_RUN: "Do not repeat; look up the result of the first request.",
+    Reason.KEY_UNSETTLED: "Do not repeat; look up whether the first request ran.",
     Reason.ANSWER_LATE: "Look up whether the work was done before repeating it.",
     Reason.ANSWER_CUT: "Look up whether the work was done before repeating it.",
     Reason.ANSWER_CROSSED: "Look up whether the work was done before repeating it.",
@@ -138,6 +142,15 @@
     return Answer(status, headers, body, outcome, reason)
 
 
+def replay_answer(answer, request_id):
+    """Returns the stored answer of an idempotency key for a repeated request."""
+    headers = tuple(
+        (name, request_id if name == REQUEST_ID_HEADER else value)
+        for name, value in answer.headers
+    )
+    return Answer(answer.status, (*headers, (REPLAYED_HEADER, "true")), answer.body)
+
+
 @cache
 def _failure_parts(outcome, reason):
     """Returns (status, headers, body), the same for all such failures."""
--- a/sassafrasgrade/attempts.py
+++ b/sassafrasgrade/attempts.py
@@ -120,6 +120,7 @@
         if not self.attempt.repeatable:
             # curl silently resends on a reused connection that died.
             curl.setopt(pycurl.FRESH_CONNECT, 1)
+            curl.setopt(pycurl.FORBID_REUSE, 1)
 
     def allow_start(self, *addresses):
         """Called by curl on a ready connection, before the first byte."""
--- /dev/null
+++ b/sassafrasgrade/claims.py
@@ -0,0 +1,157 @@
+"""Claims idempotency keys through the writer of their shard."""
+
+import asyncio
+import logging
+import uuid
+from dataclasses import dataclass
+
+import xxhash
+
+from sassafrasgrade.answers import Outcome
+from sassafrasgrade.claim_logs import ClaimLog, LeaseKeeper
+from sassafrasgrade.messages import ClaimReply, ClaimRequest
+from sassafrasgrade.rendezvous import rank_names
+from sassafrasgrade.systems.claims import (
+    ClaimRecord,
+    ClaimState,
+    ClaimVerdict,
+)
+
+logger = logging.getLogger(__name__)
+
+KEY_HEADER = "Idempotency-Key"
+LONGEST_KEY = 255
+SHARDS = 4
+MS_PER_S = 1000
+# Added to a request's deadline before a claim without settlement counts as lost.
+HOLD_MARGIN_S = 1.0
+REMOTE_TIMEOUT_S = 0.5
+LONGEST_HOPS = 1
+LONGEST_STORED_BYTES = 1024
+SETTLED_STATES = {
+    Outcome.RAN: ClaimState.RAN,
+    Outcome.NOT_RUN: ClaimState.RELEASED,
+    Outcome.UNKNOWN: ClaimState.UNKNOWN,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A key that one exchange asked for.
+
+    Attributes:
+        shard: Shard of the key.
+        key: Digest of team, route and key.
+        token: Unique to the exchange.
+    """
+
+    shard: int
+    key: bytes
+    token: str
+
+
+def create_claim(route, key):
+    """Returns a ``Claim`` with a fresh token."""
+    scoped = f"{route.team}\x00{route.name}\x00{key}".encode()
+    digest = xxhash.xxh3_128_digest(scoped)
+    return Claim(digest[0] % SHARDS, digest, uuid.uuid4().hex)
+
+
+class ClaimsKeeper:
+    """Routes claims to one writer a shard; writes itself if that is cut off.
+
+    Any writer is safe, as the log decides; a single one only saves calls.
+
+    Args:
+        settings: Checked ``Settings``.
+        timers: Timer service.
+        platform: Adapter to the platform.
+        links: ``EntryLinks``.
+    """
+
+    def __init__(self, settings, timers, platform, links):
+        self._name = settings.host_name
+        self._data_centre = settings.host_data_centre
+        self._links = links
+        leases = LeaseKeeper(platform, timers)
+        self._logs = [
+            ClaimLog(shard, platform, timers, leases) for shard in range(SHARDS)
+        ]
+        self._replies_by_number = {}
+        self._settling = set()
+        self._number = 0
+
+    async def claim(self, claim, deadline_s):
+        """Claims a key for a request that ends within ``deadline_s``.
+
+        Returns:
+            (``ClaimVerdict``, stored ``ClaimRecord`` or None).
+        """
+        hold_ms = int((deadline_s + HOLD_MARGIN_S) * MS_PER_S)
+        record = ClaimRecord(claim.key, claim.token, ClaimState.CLAIMED, hold_ms)
+        reply = await self._commit(claim.shard, record, 0)
+        return reply.verdict, reply.stored
+
+    def settle(self, claim, record, answer):
+        """Settles a claim after its request was answered, in the background.
+
+        Args:
+            claim: The ``Claim``.
+            record: ``RunRecord`` of the request.
+            answer: Whole ``Answer`` of the server, or None without one.
+        """
+        state = SETTLED_STATES[record.outcome]
+        status, headers, body = 0, (), b""
+        whole = answer is not None and answer.outcome is None
+        if whole and len(answer.body) <= LONGEST_STORED_BYTES:
+            status, headers, body = answer.status, answer.headers, answer.body
+        settled = ClaimRecord(claim.key, claim.token, state, 0, status, headers, body)
+        task = asyncio.ensure_future(self._commit(claim.shard, settled, 0))
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+
+    async def drain(self, timeout_s):
+        """Waits until the settlements under way are durable."""
+        if self._settling:
+            await asyncio.wait(self._settling, timeout=timeout_s)
+
+    async def serve(self, message, origin):
+        """Commits or passes on a ``ClaimRequest`` of another entry host."""
+        reply = await self._commit(message.shard, message.record, message.hops + 1)
+        answer = ClaimReply(message.number, reply.verdict, reply.stored)
+        self._links.answer(origin, answer)
+
+    def take_reply(self, message):
+        """Takes a ``ClaimReply`` from a writer."""
+        future = self._replies_by_number.pop(message.number, None)
+        if future is not None and not future.done():
+            future.set_result(message)
+
+    async def _commit(self, shard, record, hops):
+        writer = self._choose_writer(shard) if hops <= LONGEST_HOPS else self._name
+        if writer != self._name:
+            reply = await self._ask(writer, shard, record, hops)
+            if reply is not None:
+                return reply
+        verdict, stored = await self._logs[shard].submit(record)
+        return ClaimReply(0, verdict, stored if verdict is ClaimVerdict.RAN else None)
+
+    def _choose_writer(self, shard):
+        """Returns the entry host to ask: the writer, or one on the way to it."""
+        names_by_centre = self._links.live_names_by_data_centre()
+        centre = rank_names(names_by_centre, f"claims-{shard}")[0]
+        return rank_names(names_by_centre[centre], f"claims-{shard}")[0]
+
+    async def _ask(self, writer, shard, record, hops):
+        self._number += 1
+        number = self._number
+        future = asyncio.get_running_loop().create_future()
+        self._replies_by_number[number] = future
+        if not self._links.send(writer, ClaimRequest(number, shard, record, hops)):
+            self._replies_by_number.pop(number, None)
+            return None
+        try:
+            return await asyncio.wait_for(future, REMOTE_TIMEOUT_S)
+        except TimeoutError:
+            self._replies_by_number.pop(number, None)
+            return None
--- a/sassafrasgrade/entries.py
+++ b/sassafrasgrade/entries.py
@@ -12,6 +12,7 @@
 
 from sassafrasgrade.answers import Answer, Reason
 from sassafrasgrade.attempts import AttemptSender, busy_slots
+from sassafrasgrade.claims import ClaimsKeeper
 from sassafrasgrade.configurations import ConfigurationHolder
 from sassafrasgrade.counters import EntryCounters
 from sassafrasgrade.delegates import CallersDelegate
@@ -26,6 +27,8 @@
 from sassafrasgrade.logs import configure_logs
 from sassafrasgrade.manager_links import ManagerLink
 from sassafrasgrade.messages import (
+    ClaimReply,
+    ClaimRequest,
     ConfigurationDelta,
     ConfigurationSnapshot,
     EntryHeartbeat,
@@ -39,6 +42,7 @@
 )
 from sassafrasgrade.owners import SlotOwner
 from sassafrasgrade.peers import parse_peer
+from sassafrasgrade.platforms import PlatformClient
 from sassafrasgrade.routers import Router
 from sassafrasgrade.seekers import SlotSeeker
 from sassafrasgrade.settings import require_settings
@@ -53,6 +57,7 @@
 PROBE_TIMEOUT_S = 0.5
 CLIENTS_AT_ONCE = 256
 STOP_GRACE_S = 1.0
+SETTLE_TIMEOUT_S = 2.0
 PAGE_TYPE = (("Content-Type", "text/plain; charset=utf-8"),)
 
 
@@ -83,11 +88,16 @@
             self._lose_entry,
         )
         self._seeker = SlotSeeker(settings, timers, self._owner, self._links.send)
+        self._platform = PlatformClient(
+            settings.platform_url, settings.host_name, settings.platform_timeout_s
+        )
+        self._claims = ClaimsKeeper(settings, timers, self._platform, self._links)
         self._runner = ExchangesRunner(
             settings,
             timers,
             AttemptSender(self._http_client),
             self._seeker,
+            self._claims,
             self.counters,
         )
         self._server = HTTPServer(
@@ -133,6 +143,7 @@
         until = self.timers.now() + self.settings.entry_stop_timeout_s
         while self._runner.open_count and self.timers.now() < until:
             await gen.sleep(TICK_S)
+        await self._claims.drain(SETTLE_TIMEOUT_S)
         await self._server.close_all_connections()
         self.close()
         logger.info("entry stopped, %d requests open", self._runner.open_count)
@@ -144,6 +155,7 @@
         self._links.close()
         self._manager_link.close()
         self._http_client.close()
+        self._platform.close()
 
     # Callers' requests.
 
@@ -226,13 +238,18 @@
             self._links.answer(origin, message)
 
     def _serve(self, message, origin):
-        self._seeker.serve(message, origin)
+        if isinstance(message, ClaimRequest):
+            IOLoop.current().add_callback(self._claims.serve, message, origin)
+        else:
+            self._seeker.serve(message, origin)
 
     def _take_answer(self, message, sender):
         if isinstance(message, SlotGrant):
             self._runner.grant(sender, message)
         elif isinstance(message, SlotRefusal):
             self._runner.refuse(sender, message)
+        elif isinstance(message, ClaimReply):
+            self._claims.take_reply(message)
         elif isinstance(message, EntryHeartbeat):
             self._seeker.take_loads(message)
 
--- a/sassafrasgrade/entry_links.py
+++ b/sassafrasgrade/entry_links.py
@@ -113,6 +113,14 @@
         }
         return names | {self._settings.host_name}
 
+    def live_names_by_data_centre(self):
+        """Returns the live entry hosts linked to, with this one, by data centre."""
+        names = {self._settings.host_data_centre: [self._settings.host_name]}
+        for name, entry_peer in self._peers_by_name.items():
+            if entry_peer.is_alive and not entry_peer.is_stopping:
+                names.setdefault(entry_peer.peer.data_centre, []).append(name)
+        return names
+
     def send(self, name, message):
         """Sends to an owner over the link to it; returns whether it was up."""
         entry_peer = self._peers_by_name.get(name)
@@ -133,7 +141,7 @@
                 load for pool, load in loads_by_pool.items() if sent.get(pool) != load
             ]
             gone = [
-                type(load)(pool, 0, 0, 0, 0, 0)
+                type(load)(pool, 0, 0, 0, 0)
                 for pool, load in sent.items()
                 if pool not in loads_by_pool
             ]
--- a/sassafrasgrade/exchanges.py
+++ b/sassafrasgrade/exchanges.py
@@ -4,9 +4,17 @@
 
 from tornado.ioloop import IOLoop
 
-from sassafrasgrade.answers import Answer, Reason, RunRecord, failure_answer
+from sassafrasgrade.answers import (
+    Answer,
+    Reason,
+    RunRecord,
+    failure_answer,
+    replay_answer,
+)
 from sassafrasgrade.attempts import Attempt, AttemptResult, answer_headers
+from sassafrasgrade.claims import KEY_HEADER, LONGEST_KEY, create_claim
 from sassafrasgrade.messages import SlotCancel, SlotDone, SlotRequest
+from sassafrasgrade.systems.claims import ClaimVerdict
 from sassafrasgrade.systems.retries import RetryBudget
 from sassafrasgrade.tables import URGENCY_RANKS
 
@@ -25,6 +33,12 @@
     AttemptResult.CROSSED: Reason.ANSWER_CROSSED,
     AttemptResult.TOO_LONG: Reason.ANSWER_TOO_LONG,
 }
+REASON_BY_VERDICT = {
+    ClaimVerdict.IN_USE: Reason.KEY_IN_USE,
+    ClaimVerdict.RAN: Reason.ALREADY_RUN,
+    ClaimVerdict.UNKNOWN: Reason.KEY_UNSETTLED,
+    ClaimVerdict.UNAVAILABLE: Reason.KEY_UNCLAIMED,
+}
 
 
 class Exchange:
@@ -93,11 +107,13 @@
         timers: Timer service.
         sender: ``AttemptSender``.
         seeker: ``SlotSeeker`` that chooses owners and reaches them.
+        claims: ``ClaimsKeeper`` of idempotency keys.
         counters: ``EntryCounters``.
     """
 
-    def __init__(self, settings, timers, sender, seeker, counters):
+    def __init__(self, settings, timers, sender, seeker, claims, counters):
         self._settings = settings
+        self._claims = claims
         self._timers = timers
         self._sender = sender
         self._seeker = seeker
@@ -117,7 +133,13 @@
         self.open_count += 1
         if exchange.route.repeatable:
             self._retries.note_request()
-        self._seek(exchange)
+        key = exchange.headers.get(KEY_HEADER)
+        if key is None or exchange.route.repeatable:
+            self._seek(exchange)
+        elif len(key) > LONGEST_KEY:
+            self._fail(exchange, Reason.BAD_REQUEST, 0)
+        else:
+            IOLoop.current().add_callback(self._claim, exchange, key)
 
     def abandon(self, exchange):
         """Forgets an exchange whose caller is gone; a sent attempt goes on."""
@@ -125,7 +147,7 @@
         waits = exchange.request_id in self._waiting_by_id
         if waits or exchange.request_id in self._unplaced_by_id:
             self._stop_waiting(exchange)
-            self.open_count -= 1
+            self._end(exchange, None)
 
     def grant(self, owner, grant):
         """Takes a ``SlotGrant`` from an owner."""
@@ -134,6 +156,7 @@
             self._give_back(owner, grant)
             return
         del self._waiting_by_id[grant.request_id]
+        self._seeker.note_grant(exchange.route)
         valid_s = (grant.waited_ms + grant.valid_ms) / MS_PER_S
         lapses_at = exchange.asked_at + valid_s
         IOLoop.current().add_callback(self._attempt, exchange, owner, grant, lapses_at)
@@ -171,6 +194,31 @@
             self._stop_waiting(exchange)
             self._fail(exchange, Reason.DEADLINE_PASSED, 1.0)
 
+    async def _claim(self, exchange, key):
+        claim = create_claim(exchange.route, key)
+        left_s = exchange.deadline_at - self._timers.now()
+        verdict, stored = await self._claims.claim(claim, left_s)
+        if verdict is ClaimVerdict.GRANTED:
+            exchange.claim = claim
+            if exchange.is_done:
+                self._end(exchange, None)
+            else:
+                self._seek(exchange)
+            return
+        if stored is not None and stored.status:
+            answer = Answer(stored.status, stored.headers, stored.body)
+            self._finish(exchange, replay_answer(answer, exchange.request_id))
+            return
+        exchange.record.has_run = verdict is ClaimVerdict.RAN
+        exchange.record.may_have_run += verdict is ClaimVerdict.UNKNOWN
+        self._fail(exchange, REASON_BY_VERDICT[verdict], 1.0)
+
+    def _end(self, exchange, answer):
+        """Ends an exchange: settles its claim and counts it out."""
+        self.open_count -= 1
+        if exchange.claim is not None:
+            self._claims.settle(exchange.claim, exchange.record, answer)
+
     def _seek(self, exchange):
         now = self._timers.now()
         if now > exchange.deadline_at - ANSWER_MARGIN_S:
@@ -226,7 +274,7 @@
                 self._counters.note_lapsed_lease()
                 self._seek(exchange)
             else:
-                self.open_count -= 1
+                self._end(exchange, None)
             return
         exchange.attempts += 1
         started_at = now
@@ -268,7 +316,7 @@
         elif report.result in (AttemptResult.WHOLE, AttemptResult.TOO_LONG):
             exchange.record.has_run = True
         if exchange.is_done:
-            self.open_count -= 1
+            self._end(exchange, _answer_of(report))
             return
         if self._should_repeat(exchange, report):
             self._counters.note_repeat()
@@ -277,8 +325,7 @@
             self._seek(exchange)
             return
         if report.result is AttemptResult.WHOLE:
-            headers = answer_headers(report.headers)
-            self._finish(exchange, Answer(report.status, headers, report.body))
+            self._finish(exchange, _answer_of(report))
             return
         self._fail(exchange, REASON_BY_RESULT[report.result], 1.0)
 
@@ -303,7 +350,14 @@
         self._finish(exchange, answer)
 
     def _finish(self, exchange, answer):
-        self.open_count -= 1
+        self._end(exchange, answer)
         seconds = self._timers.now() - exchange.received_at
         self._counters.note_answer(exchange.route, answer, seconds)
         exchange.finish(answer)
+
+
+def _answer_of(report):
+    """Returns the ``Answer`` of a whole report, else None."""
+    if report.result is not AttemptResult.WHOLE:
+        return None
+    return Answer(report.status, answer_headers(report.headers), report.body)
--- a/sassafrasgrade/messages.py
+++ b/sassafrasgrade/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sassafrasgrade.configurations import Commit
+from sassafrasgrade.systems.claims import ClaimRecord, ClaimVerdict
 from sassafrasgrade.tables import Configuration, Host, Pool, Route
 
 
@@ -217,15 +218,46 @@
     leaving: bool = False
 
 
+class ClassWait(Message, tag="cw"):
+    """Predicted wait of one class that is queued at an owner."""
+
+    urgency: int
+    team: str
+    wait_ms: int
+
+
 class PoolLoad(Message, tag="pl"):
-    """Owner to entries: what it could grant now in one pool."""
+    """Owner to entries: what it could grant now in one pool.
+
+    ``step_ms`` is how much one more request lengthens the wait of its class.
+    """
 
     pool: str
     slots: int
     free_slots: int
-    queued: int
-    queue_delay_ms: int
+    step_ms: int
     ejected: int
+    waits: list[ClassWait] = []
+
+
+class ClaimRequest(Message, tag="kq"):
+    """Entry to writer: commit a claim or settlement of an idempotency key.
+
+    ``hops`` counts how often it was passed on.
+    """
+
+    number: int
+    shard: int
+    record: ClaimRecord
+    hops: int
+
+
+class ClaimReply(Message, tag="kr"):
+    """Writer to entry: the verdict, with the stored answer of a key that ran."""
+
+    number: int
+    verdict: ClaimVerdict
+    stored: ClaimRecord | None = None
 
 
 class EntryHello(Message, tag="el"):
@@ -266,6 +298,8 @@
     | SlotGrant
     | SlotRefusal
     | SlotDone
+    | ClaimRequest
+    | ClaimReply
     | EntryHello
     | EntryHeartbeat
 )
--- a/sassafrasgrade/owners.py
+++ b/sassafrasgrade/owners.py
@@ -6,7 +6,7 @@
 
 from sassafrasgrade.answers import Reason
 from sassafrasgrade.attempts import AttemptResult
-from sassafrasgrade.messages import PoolLoad, SlotGrant, SlotRefusal
+from sassafrasgrade.messages import ClassWait, PoolLoad, SlotGrant, SlotRefusal
 from sassafrasgrade.systems.ownership import assign_owners, assign_split
 from sassafrasgrade.systems.shares import FifoQueue, ShareQueue, Waiting
 from sassafrasgrade.systems.slots import LEASE_VALID_S, SlotTable
@@ -17,6 +17,7 @@
 MS_PER_S = 1000
 # An owner that did not tick for this long grants nothing: it was paused.
 LONGEST_TICK_GAP_S = 0.5
+RECOUNT_S = 0.25
 QUEUE_TYPES = {"shares": ShareQueue, "fifo": FifoQueue}
 
 
@@ -86,6 +87,9 @@
         busy = await self._probe(server.host)
         self.table.count_busy(name, busy, self._timers.now())
         self._grant(server.pool)
+        if self.table.servers_by_name.get(name) is server and server.others_busy:
+            # Requests of the former owner still run: counts again until none do.
+            IOLoop.current().call_later(RECOUNT_S, self._count_busy, name)
 
     def request(self, origin, message):
         """Takes a slot request; answers with a grant or refusal in time."""
@@ -160,9 +164,12 @@
                 report.pool,
                 report.slots,
                 report.free_slots,
-                report.queued,
-                int(report.queue_delay_s * MS_PER_S),
+                int(report.step_s * MS_PER_S),
                 report.ejected,
+                [
+                    ClassWait(urgency, team, int(wait_s * MS_PER_S))
+                    for (urgency, team), wait_s in report.waits_by_class.items()
+                ],
             )
             for report in self.table.load_reports(self._timers.now())
         ]
--- a/sassafrasgrade/platforms.py
+++ b/sassafrasgrade/platforms.py
@@ -178,6 +178,7 @@
                 "Read the value again and repeat the change on top of it.",
             )
         )
+    # Revision 0: nothing was written, as the lease given had lapsed.
     return Success(int(response.headers.get(REVISION_HEADER, 0)))
 
 
--- a/sassafrasgrade/seekers.py
+++ b/sassafrasgrade/seekers.py
@@ -10,6 +10,8 @@
 MS_PER_S = 1000.0
 # A refusal speaks for all of its class for at most this long.
 LONGEST_REFUSAL_S = 0.1
+# Refusals in a row after which a class is refused without asking.
+REFUSALS_TO_BELIEVE = 3
 
 
 class SlotSeeker:
@@ -32,6 +34,7 @@
         self._random = random.Random()
         self._views_by_pool = {}
         self._refused_until = {}
+        self._refusals_in_row = {}
 
     def take_loads(self, heartbeat):
         """Takes the loads of another entry host's heartbeat."""
@@ -43,7 +46,8 @@
                 heartbeat.data_centre == self._data_centre,
                 load.slots,
                 load.free_slots,
-                load.queue_delay_ms / MS_PER_S,
+                load.step_ms / MS_PER_S,
+                {(w.urgency, w.team): w.wait_ms / MS_PER_S for w in load.waits},
             )
 
     def forget_owner(self, name):
@@ -57,8 +61,15 @@
 
     def note_refusal(self, owner, route, retry_after_s):
         """Remembers that a class was refused, to refuse its next ones early."""
-        until = self._timers.now() + min(retry_after_s, LONGEST_REFUSAL_S)
-        self._refused_until[_class_key(route)] = (until, retry_after_s)
+        key = _class_key(route)
+        in_row = self._refusals_in_row[key] = self._refusals_in_row.get(key, 0) + 1
+        if in_row >= REFUSALS_TO_BELIEVE:
+            until = self._timers.now() + min(retry_after_s, LONGEST_REFUSAL_S)
+            self._refused_until[key] = (until, retry_after_s)
+
+    def note_grant(self, route):
+        """Notes that an owner had room for a class."""
+        self._refusals_in_row.pop(_class_key(route), None)
 
     def refused_for(self, route):
         """Returns the Retry-After seconds while a class is refused, else 0."""
@@ -74,20 +85,25 @@
         now = self._timers.now()
         views = list(self._views_by_pool.get(pool, {}).values())
         if table.serves(pool):
-            free = table.free_slots(pool, now)
-            if free and not len(table.queue(pool)):
+            own = table.load_report(pool, now)
+            if own.free_slots and not own.waits_by_class:
                 return self._name
-            queue = table.queue(pool)
-            slots = table.slots_of(pool)
-            delay_s = len(queue) * queue.cost_of(None) / max(slots, 1)
-            views.append(OwnerView(self._name, True, True, slots, free, delay_s))
-        chosen = choose_owner(views, self._random)
+            views.append(
+                OwnerView(
+                    self._name,
+                    True,
+                    True,
+                    own.slots,
+                    own.free_slots,
+                    own.step_s,
+                    own.waits_by_class,
+                )
+            )
+        class_key = URGENCY_RANKS[route.urgency], route.team
+        chosen = choose_owner(views, class_key, self._random)
         if chosen is None:
             return None
-        if not chosen.is_self:
-            chosen.free_slots -= 1
-            if chosen.free_slots < 0:
-                chosen.queue_delay_s += 1.0 / MS_PER_S
+        chosen.note_asked(class_key)
         return chosen.name
 
     def ask(self, owner, request):
--- a/sassafrasgrade/systems/health.py
+++ b/sassafrasgrade/systems/health.py
@@ -12,18 +12,17 @@
 PROBES_TO_RETURN = 3
 # A server slower than the others by this factor gets fewer requests at a time.
 SLOW_FACTOR = 2.0
-SLOW_SMOOTHING = 0.2
+SLOW_SMOOTHING = 0.05
 LIMIT_DECREASE = 0.7
 LIMIT_INCREASE = 0.2
 FIRST_SERVER_ERROR = 500
 
+# A late answer counts against the server only if the attempt had this many mean
+# service times; else the time was used up before.
+LATE_FACTOR = 4.0
+
 FAILED_RESULTS = frozenset(
-    {
-        AttemptResult.NOT_SENT,
-        AttemptResult.LATE,
-        AttemptResult.CUT,
-        AttemptResult.CROSSED,
-    }
+    {AttemptResult.NOT_SENT, AttemptResult.CUT, AttemptResult.CROSSED}
 )
 
 
@@ -67,8 +66,17 @@
         return max(1, min(slots, int(self.limit)))
 
 
-def has_failed(result, status):
-    """Whether an attempt counts against the server's health."""
+def has_failed(result, status, allowed_s, mean_s):
+    """Whether an attempt counts against the server's health.
+
+    Args:
+        result: ``AttemptResult``.
+        status: HTTP status, 0 without an answer.
+        allowed_s: Time that the attempt had.
+        mean_s: Mean service time of its class.
+    """
+    if result is AttemptResult.LATE:
+        return allowed_s >= LATE_FACTOR * mean_s
     return result in FAILED_RESULTS or status >= FIRST_SERVER_ERROR
 
 
--- a/sassafrasgrade/systems/placement.py
+++ b/sassafrasgrade/systems/placement.py
@@ -1,10 +1,11 @@
 """Chooses the owner that a slot request goes to."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # Added to the predicted wait of an owner elsewhere, in seconds.
 PEER_PENALTY_S = 0.001
 DATA_CENTRE_PENALTY_S = 0.006
+CHOICES = 2
 
 
 @dataclass(slots=True)
@@ -15,9 +16,10 @@
         name: Owner's host name.
         is_self: Whether it is this entry host.
         is_local: Whether it is in the same data centre.
-        slots: Slots that it owns.
+        slots: Slots that it may grant in all.
         free_slots: Free slots by its last report, less what was asked since.
-        queue_delay_s: Predicted wait when no slot is free.
+        step_s: How much one more request lengthens the wait of its class.
+        waits_by_class: Predicted waits in seconds of the classes that queue.
     """
 
     name: str
@@ -25,35 +27,51 @@
     is_local: bool
     slots: int
     free_slots: int
-    queue_delay_s: float
+    step_s: float
+    waits_by_class: dict = field(default_factory=dict)
 
+    def note_asked(self, class_key):
+        """Counts a request sent there since the last report."""
+        if self.free_slots > 0:
+            self.free_slots -= 1
+            return
+        wait_s = self.waits_by_class.get(class_key, 0.0)
+        self.waits_by_class[class_key] = wait_s + self.step_s
 
-def rank_owner(view):
-    """Returns the predicted wait in seconds; the smallest is asked first."""
-    wait_s = 0.0 if view.free_slots > 0 else view.queue_delay_s
-    if view.is_self:
-        return wait_s
-    if view.is_local:
-        return wait_s + PEER_PENALTY_S
-    return wait_s + DATA_CENTRE_PENALTY_S
+    @property
+    def distance_s(self):
+        """Penalty for how far the owner is."""
+        if self.is_self:
+            return 0.0
+        return PEER_PENALTY_S if self.is_local else DATA_CENTRE_PENALTY_S
 
+    def predict_wait(self, class_key):
+        """Returns the predicted wait of a new request of a class, in seconds."""
+        if self.free_slots > 0:
+            return self.distance_s
+        wait_s = self.waits_by_class.get(class_key, 0.0)
+        return wait_s + self.step_s + self.distance_s
 
-def choose_owner(views, random_source):
+
+def choose_owner(views, class_key, random_source):
     """Returns the owner with the shortest predicted wait, or None.
 
-    Among equally good ones the choice is random by slots, so that entry hosts
-    with the same news do not all ask the same owner.
+    While slots are free, the nearest owner with one is taken. Otherwise the
+    better of two random ones, drawn by slots: entry hosts with the same old
+    news would all ask the single best.
 
     Args:
         views: ``OwnerView`` of the owners that serve the pool.
+        class_key: (urgency, team) of the request.
         random_source: Seeded ``random.Random``.
     """
     usable = [view for view in views if view.slots > 0]
     if not usable:
         return None
-    best_s = min(rank_owner(view) for view in usable)
-    best = [view for view in usable if rank_owner(view) <= best_s + PEER_PENALTY_S / 2]
-    if len(best) == 1:
-        return best[0]
-    weights = [max(view.free_slots, 1) for view in best]
-    return random_source.choices(best, weights)[0]
+    free = [view for view in usable if view.free_slots > 0]
+    if free:
+        nearest_s = min(view.distance_s for view in free)
+        usable = [view for view in free if view.distance_s == nearest_s]
+    weights = [max(view.free_slots, 1) if free else view.slots for view in usable]
+    drawn = random_source.choices(usable, weights, k=CHOICES)
+    return min(drawn, key=lambda view: view.predict_wait(class_key))
--- a/sassafrasgrade/systems/shares.py
+++ b/sassafrasgrade/systems/shares.py
@@ -15,8 +15,8 @@
 URGENCY_LEAD = 4.0
 COST_SMOOTHING = 0.1
 FIRST_COST_S = 0.02
-# Share of the mean service time added when the end of a request is predicted.
-SERVICE_MARGIN = 1.2
+# Mean deviations added to the mean when the end of a request is predicted.
+SERVICE_DEVIATIONS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,15 +56,28 @@
 class WorkClass:
     """Queue and account of one class."""
 
-    __slots__ = ("key", "weight", "virtual_s", "cost_s", "queue")
+    __slots__ = ("key", "weight", "virtual_s", "cost_s", "deviation_s", "queue")
 
     def __init__(self, key, cost_s):
         self.key = key
         self.weight = 1
         self.virtual_s = 0.0
         self.cost_s = cost_s
+        self.deviation_s = 0.0
         self.queue = deque()
 
+    @property
+    def longest_s(self):
+        """Service time that few requests exceed."""
+        return self.cost_s + SERVICE_DEVIATIONS * self.deviation_s
+
+    def learn(self, service_s):
+        """Learns from one service time and corrects what was charged for it."""
+        error_s = service_s - self.cost_s
+        self.virtual_s += error_s / self.weight
+        self.cost_s += COST_SMOOTHING * error_s
+        self.deviation_s += COST_SMOOTHING * (abs(error_s) - self.deviation_s)
+
 
 class ShareQueue:
     """Queue of one pool at one owner."""
@@ -90,12 +103,24 @@
             waiting: The request.
             slots: Slots that serve the queue.
         """
-        own = self._classes_by_key.get(waiting.class_key)
-        if own is None or not own.queue:
-            return 0.0
-        weights = sum(c.weight for c in self._classes_by_key.values() if c.queue)
-        rate = max(slots, 1) * own.weight / weights
-        return len(own.queue) * own.cost_s / rate
+        return self.waits_by_class(slots).get(waiting.class_key, 0.0)
+
+    def longest_of(self, key):
+        """Returns the service time that few requests of a class exceed."""
+        work = self._classes_by_key.get(key)
+        return work.longest_s if work else self._mean_cost_s
+
+    def waits_by_class(self, slots):
+        """Returns the predicted wait in seconds of each class that queues."""
+        queued = [work for work in self._classes_by_key.values() if work.queue]
+        weights = sum(work.weight for work in queued)
+        return {
+            work.key: len(work.queue)
+            * work.cost_s
+            * weights
+            / (max(slots, 1) * work.weight)
+            for work in queued
+        }
 
     def push(self, waiting):
         """Adds a request."""
@@ -152,7 +177,7 @@
 
     def latest_start(self, waiting):
         """Returns when a request must start to be answered in time."""
-        expected_s = self.cost_of(waiting.class_key) * SERVICE_MARGIN
+        expected_s = self.longest_of(waiting.class_key)
         longest_s = waiting.deadline_at - waiting.enqueued_at
         # A class that got slow is still tried with half of its time.
         return waiting.deadline_at - min(expected_s, longest_s / 2)
@@ -161,10 +186,8 @@
         """Learns a class's service time and corrects what it was charged."""
         work = self._classes_by_key.get(key)
         self._mean_cost_s += COST_SMOOTHING * (service_s - self._mean_cost_s)
-        if work is None:
-            return
-        work.virtual_s += (service_s - work.cost_s) / work.weight
-        work.cost_s += COST_SMOOTHING * (service_s - work.cost_s)
+        if work is not None:
+            work.learn(service_s)
 
     def drain(self):
         """Removes and returns everything that waits."""
@@ -196,9 +219,9 @@
         super().__init__()
         self._queue = deque()
 
-    def predict_wait(self, waiting, slots):
-        """Never refuses early."""
-        return 0.0
+    def waits_by_class(self, slots):
+        """Predicts nothing, so that nothing is refused early."""
+        return {}
 
     def push(self, waiting):
         """Adds a request at the end."""
--- a/sassafrasgrade/systems/slots.py
+++ b/sassafrasgrade/systems/slots.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from sassafrasgrade.attempts import AttemptResult
 from sassafrasgrade.systems.health import ServerHealth, has_failed, note_attempt
 from sassafrasgrade.systems.shares import ShareQueue, Waiting, tie_break
 from sassafrasgrade.tables import Host
@@ -14,6 +15,9 @@
 # A server that says that it is leaving is believed for this long.
 LEAVING_VALID_S = 10.0
 PREFERRED_PROBE_S = 1.0
+SHORTEST_SERVICE_S = 1e-6
+# A late request is taken to run for up to this many longest service times.
+ABANDONED_FACTOR = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +52,7 @@
         others_busy: Slots in use by others, as the server reported.
         others_until: How long that report counts.
         leaving_until: No grant before this time, as the server is leaving.
+        abandoned: Times until which slots of late requests count as busy.
     """
 
     host: Host
@@ -60,25 +65,38 @@
     others_busy: int = 0
     others_until: float = 0.0
     leaving_until: float = 0.0
+    abandoned: list = field(default_factory=list)
 
     def free_slots(self, now):
         """Returns how many slots can be granted now."""
         if not self.is_counted or now < self.ready_at or now < self.leaving_until:
             return 0
+        if self.abandoned:
+            self.abandoned = [until for until in self.abandoned if until > now]
         others = self.others_busy if now < self.others_until else 0
-        return self.health.allowed(self.slots, now) - len(self.leases_by_id) - others
+        busy = len(self.leases_by_id) + len(self.abandoned) + others
+        return self.health.allowed(self.slots, now) - busy
 
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """What an owner could grant in one pool: slots and seconds."""
+    """What an owner could grant in one pool.
+
+    Attributes:
+        pool: Name of the pool.
+        slots: Slots of the servers owned.
+        free_slots: Slots that could be granted now.
+        step_s: How much one more request lengthens the wait of its class.
+        ejected: Servers ejected or probing.
+        waits_by_class: Predicted wait in seconds of the classes queued.
+    """
 
     pool: str
     slots: int
     free_slots: int
-    queued: int
-    queue_delay_s: float
+    step_s: float
     ejected: int
+    waits_by_class: dict
 
 
 class SlotTable:
@@ -138,11 +156,6 @@
         """Whether this owner has any server of the pool."""
         return pool in self._names_by_pool
 
-    def slots_of(self, pool):
-        """Returns the slots of the owned servers of a pool."""
-        names = self._names_by_pool.get(pool, ())
-        return sum(self.servers_by_name[name].slots for name in names)
-
     def free_slots(self, pool, now):
         """Returns the slots that could be granted now in a pool."""
         names = self._names_by_pool.get(pool, ())
@@ -212,14 +225,20 @@
         server = self.servers_by_name.get(lease.host)
         if server is None:
             return False
+        if result is AttemptResult.LATE:
+            # The server does not know that nobody waits: its slot stays busy.
+            longest_s = self.queue(server.pool).longest_of(lease.waiting.class_key)
+            server.abandoned.append(now + ABANDONED_FACTOR * longest_s)
         if leaving:
             server.leaving_until = now + LEAVING_VALID_S
         if busy >= 0:
             self._note_busy(server, busy, len(server.leases_by_id), now)
         queue = self.queue(server.pool)
         key = lease.waiting.class_key
-        relative = service_s / max(queue.cost_of(key), 1e-6)
-        failed = has_failed(result, status)
+        mean_s = queue.cost_of(key)
+        relative = service_s / max(mean_s, SHORTEST_SERVICE_S)
+        allowed_s = lease.waiting.deadline_at - lease.granted_at
+        failed = has_failed(result, status, allowed_s, mean_s)
         if not failed and status:
             queue.learn_cost(key, service_s)
         return note_attempt(
@@ -242,19 +261,19 @@
 
     def load_reports(self, now):
         """Returns a ``LoadReport`` for each pool served."""
-        return [self._load_report(pool, now) for pool in sorted(self._names_by_pool)]
+        return [self.load_report(pool, now) for pool in sorted(self._names_by_pool)]
 
-    def _load_report(self, pool, now):
+    def load_report(self, pool, now):
+        """Returns the ``LoadReport`` of one pool."""
         queue = self.queue(pool)
-        slots = self.slots_of(pool)
-        delay_s = len(queue) * queue.cost_of(None) / max(slots, 1)
+        slots = self._working_slots(pool, now)
         return LoadReport(
             pool,
             slots,
             self.free_slots(pool, now),
-            len(queue),
-            delay_s,
+            queue.cost_of(None) / max(slots, 1),
             self._ejected(pool, now),
+            queue.waits_by_class(slots),
         )
 
     def _ejected(self, pool, now):
--- a/sassafrasgrade/tools/standins/backends.py
+++ b/sassafrasgrade/tools/standins/backends.py
@@ -109,28 +109,31 @@
 
 
 class BackendDelegate(httputil.HTTPServerConnectionDelegate):
-    """Creates request delegates and counts connections."""
+    """Creates a ``BackendRequest`` for each request."""
 
     def __init__(self, server, owner):
         self.server = server
         self.owner = owner
-        self._seen = set()
 
     def start_request(self, server_conn, request_conn):
         """Called by tornado for each request."""
-        if server_conn not in self._seen:
-            self._seen.add(server_conn)
-            self.server.connections += 1
-            self.server.most_connections = max(
-                self.server.most_connections, self.server.connections
-            )
         return BackendRequest(self, request_conn)
 
+
+class CountingHTTPServer(HTTPServer):
+    """Counts the connections open to one backend server."""
+
+    def handle_stream(self, stream, address):
+        """Called by tornado for each connection."""
+        server = self.request_callback.server
+        server.connections += 1
+        server.most_connections = max(server.most_connections, server.connections)
+        super().handle_stream(stream, address)
+
     def on_close(self, server_conn):
         """Called by tornado when a connection closed."""
-        if server_conn in self._seen:
-            self._seen.discard(server_conn)
-            self.server.connections -= 1
+        self.request_callback.server.connections -= 1
+        super().on_close(server_conn)
 
 
 class BackendRequest(httputil.HTTPMessageDelegate):
@@ -248,7 +251,7 @@
         for name, address, port in hosts:
             server = BackendServer(name, slots, service_ms)
             self.servers_by_name[name] = server
-            listener = HTTPServer(BackendDelegate(server, self))
+            listener = CountingHTTPServer(BackendDelegate(server, self))
             self._listeners.append((listener, address, port))
 
     def start(self):
