--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,268 @@
+"""Steps on the planner: tick-driven, with fakes at the interfaces."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.support.fleets import NEW, OLD, FakeFleet
+from sassafrasgrade.fleets import HostPhase
+from sassafrasgrade.systems.maintenance import choose_batch, in_window
+
+SETTLE_S = 20
+FAILURE_CHANCE = 0.004
+TROUBLE_S = 200
+PAUSE_S = 15
+MANY_S = 100
+
+
+@given(
+    "a fleet of {hosts:d} hosts a pool and data centre in {pools:d} pools "
+    "with seed {seed:d}"
+)
+def make_fleet(context, hosts, pools, seed):
+    context.fleet = FakeFleet(seed, pools=pools, hosts=hosts)
+    context.fleet.run(SETTLE_S)
+
+
+@given(
+    "one data centre of {hosts:d} hosts in {pools:d} pools "
+    "with a budget of {budget:d} and seed {seed:d}"
+)
+def make_large_fleet(context, hosts, pools, budget, seed):
+    context.fleet = FakeFleet(
+        seed,
+        data_centres=("north",),
+        pools=pools,
+        hosts=hosts // pools,
+        out_at_most=budget,
+        per_domain=budget,
+    )
+    context.fleet.run(SETTLE_S)
+
+
+def play_trouble(fleet, trouble, second):
+    """Plays one second of a kind of trouble."""
+    if trouble in ("random failures", "everything"):
+        if fleet.random.random() < FAILURE_CHANCE:
+            fleet.fail(fleet.random.choice(sorted(fleet.hosts_by_name)))
+    if trouble in ("lost platform answers", "everything"):
+        fleet.platform._lost_answers = 0.1
+    phase = second % TROUBLE_S
+    centre = fleet.data_centres[second // TROUBLE_S % len(fleet.data_centres)]
+    if trouble in ("managers dying in turn", "everything") and phase == 20:
+        kill_leader(fleet, centre)
+    if trouble in ("planners pausing", "everything"):
+        pause_and_go_on(fleet, centre, phase)
+    if trouble in ("a data centre cut off", "everything"):
+        cut = {centre} if 100 <= phase < 100 + PAUSE_S * 3 else set()
+        fleet.platform.cut_data_centres = cut
+    if trouble in ("an entry host silent", "everything"):
+        silent = {f"{centre}-entry-0"} if 150 <= phase < 150 + PAUSE_S * 2 else set()
+        fleet.entries_by_centre[centre].paused = silent
+
+
+def kill_leader(fleet, centre):
+    """Replaces the planning manager by a fresh one."""
+    managers = fleet.managers_by_centre[centre]
+    for number, manager in enumerate(managers):
+        if manager["leads"]:
+            managers[number] = fleet._make_manager(centre, number, None)
+
+
+def pause_and_go_on(fleet, centre, phase):
+    """Pauses the leader for a while, holding what it had decided."""
+    if phase == 50 and any(m["leads"] for m in fleet.managers_by_centre[centre]):
+        if not fleet.platform.cut_data_centres:
+            fleet.resume_later = fleet.pause_leader(centre)[0]
+    if phase == 50 + PAUSE_S and getattr(fleet, "resume_later", None):
+        fleet.resume_later()
+        fleet.resume_later = None
+
+
+@when('every pool gets a new release while "{trouble}" happens')
+def start_wave(context, trouble):
+    fleet = context.fleet
+    fleet.set_release(NEW)
+    context.trouble = trouble
+    context.started_at = fleet.timers.now()
+
+
+@then("every host runs it within {longest:d} seconds")
+def check_wave(context, longest):
+    fleet = context.fleet
+
+    def is_done():
+        second = int(fleet.timers.now() - context.started_at)
+        play_trouble(fleet, context.trouble, second)
+        return all(host.release == NEW for host in fleet.hosts_by_name.values())
+
+    context.seconds = fleet.run_until(is_done, longest)
+
+
+@then("no budget was exceeded by the planners' own act")
+def check_budgets(context):
+    assert not context.fleet.violations, context.fleet.violations[:5]
+
+
+@then("no host was used for two pools")
+def check_pools(context):
+    assert not [v for v in context.fleet.violations if "is used for" in v]
+
+
+@given("every pool got a new release {seconds:d} seconds ago")
+def start_earlier(context, seconds):
+    context.fleet.set_release(NEW)
+    context.fleet.run(seconds)
+
+
+@when('the planner of "{centre}" is paused for {seconds:d} seconds')
+def pause_planner(context, centre, seconds):
+    fleet = context.fleet
+    context.centre = centre
+    term = fleet.memberships()[centre].term
+    context.resume, context.commands = fleet.pause_leader(centre)
+    context.taken_over_s = fleet.run_until(
+        lambda: fleet.memberships()[centre].term > term, seconds
+    )
+    fleet.run(seconds - context.taken_over_s)
+
+
+@then("another one plans within {seconds:d} seconds")
+def check_take_over(context, seconds):
+    assert context.taken_over_s <= seconds, context.taken_over_s
+
+
+@then("the paused one wrote nothing when it went on")
+def check_fenced(context):
+    context.resume()
+    context.fleet.run(MANY_S)
+    assert not context.fleet.violations, context.fleet.violations
+
+
+@when("a rack fails for {seconds:d} seconds")
+def fail_rack(context, seconds):
+    fleet = context.fleet
+    rack = sorted(fleet.racks())[0]
+    context.lost = fleet.racks()[rack]
+    for name in context.lost:
+        fleet.fail(name, seconds)
+    fleet.run(seconds + MANY_S)
+
+
+@when("a host fails for {seconds:d} seconds")
+def fail_host(context, seconds):
+    context.fleet.fail("pool-0-north-0", seconds)
+    context.fleet.run(seconds + MANY_S)
+
+
+@when("all hosts vanish from the list for {seconds:d} seconds")
+def vanish(context, seconds):
+    fleet = context.fleet
+    hide = {centre: fleet.listed for centre in fleet.data_centres}
+    original = hide[fleet.data_centres[0]]
+    fleet.listed = lambda centre: {}
+    fleet.set_release(NEW)
+    fleet.run(seconds)
+    context.during = fleet.memberships()
+    fleet.listed = original
+
+
+@then("at most {count:d} hosts were moved")
+def check_most_moves(context, count):
+    moved = context.fleet.moves()
+    assert 0 < moved <= count, moved
+
+
+@then("{count:d} hosts were moved")
+def check_moves(context, count):
+    assert context.fleet.moves() == count, context.fleet.moves()
+
+
+@then("the pools that lost a host are whole again")
+def check_whole(context):
+    records = {
+        name: record
+        for membership in context.fleet.memberships().values()
+        for name, record in membership.records_by_name.items()
+    }
+    for pool in context.fleet.configuration.pools_by_name.values():
+        configured = sum(len(n) for n in pool.hosts_by_data_centre.values())
+        serving = [
+            record
+            for record in records.values()
+            if record.pool == pool.name and record.phase is HostPhase.SERVING
+        ]
+        assert len(serving) == configured, (pool.name, serving)
+
+
+@then("every host still counts as serving")
+def check_serving(context):
+    for membership in context.during.values():
+        phases = {r.phase for r in membership.records_by_name.values()}
+        assert phases == {HostPhase.SERVING}, phases
+
+
+@then("a wave started meanwhile takes out nothing")
+def check_nothing_out(context):
+    check_serving(context)
+    releases = {host.release for host in context.fleet.hosts_by_name.values()}
+    assert releases == {OLD}, releases
+    context.fleet.run(1000)
+    releases = {host.release for host in context.fleet.hosts_by_name.values()}
+    assert releases == {NEW}, releases
+
+
+@when('the pools table moves "{host}" to "{target}"')
+def edit_pools(context, host, target):
+    fleet = context.fleet
+    pools = dict(fleet.configuration.pools_by_name)
+    for name, pool in pools.items():
+        by_centre = {
+            centre: tuple(n for n in names if n != host)
+            for centre, names in pool.hosts_by_data_centre.items()
+        }
+        if name == target:
+            by_centre["north"] = (*by_centre["north"], host)
+        pools[name] = replace(pool, hosts_by_data_centre=by_centre)
+    fleet.configuration = replace(fleet.configuration, pools_by_name=pools)
+
+
+@then('the host "{host}" serves "{target}" within {seconds:d} seconds, after a drain')
+def check_moved(context, host, target, seconds):
+    fleet = context.fleet
+    seen = set()
+
+    def is_moved():
+        record = fleet.memberships()["north"].records_by_name[host]
+        seen.add(record.phase)
+        return record.pool == target and record.phase is HostPhase.SERVING
+
+    fleet.run_until(is_moved, seconds)
+    assert HostPhase.MOVING in seen, seen
+
+
+def current_view(context):
+    """Returns the view of the planner of "north" in a wave."""
+    fleet = context.fleet
+    fleet.set_release(NEW)
+    leader = next(m for m in fleet.managers_by_centre["north"] if m["leads"])
+    view = fleet._view("north", leader["planner"])
+    assert choose_batch(view, view.pools_by_name["pool-0"])
+    return view
+
+
+@then("a pool that burns chooses no batch")
+def check_burn(context):
+    view = replace(current_view(context), burning_pools=frozenset({"pool-0"}))
+    assert not choose_batch(view, view.pools_by_name["pool-0"])
+    assert choose_batch(view, view.pools_by_name["pool-1"])
+
+
+@then("a pool outside its window chooses no batch")
+def check_window(context):
+    view = current_view(context)
+    closed = replace(view.pools_by_name["pool-0"], window="10:00-12:00")
+    assert not in_window(closed.window, view.now)
+    assert not choose_batch(view, closed)
+    night = replace(view, now=11 * 3600.0)
+    assert choose_batch(night, closed)
--- /dev/null
+++ b/features/steps/maintenance_steps.py
@@ -0,0 +1,145 @@
+"""Steps on maintenance and moves with real processes."""
+
+import asyncio
+import shutil
+
+from behave import given, then, when
+
+from features.steps.cluster_steps import start_mixed_load
+from features.steps.once_steps import wait_span
+from features.support.waiting import wait_until
+from sassafrasgrade.fleets import HostPhase
+from sassafrasgrade.rollouts import ask_all
+from sassafrasgrade.tools.standins.clusters import MANAGER_STREAM_PORT
+
+NEW_RELEASE = "2026.12"
+LOAD_RATE = 200.0
+
+
+def replies(cluster):
+    """Returns the managers' status replies by entry host."""
+
+    async def ask():
+        return await ask_all(cluster.plan.entry_hosts, MANAGER_STREAM_PORT)
+
+    return {name: reply for name, reply in asyncio.run(ask()).items() if reply}
+
+
+def records(cluster):
+    """Returns the newest known host records by name."""
+    found = {}
+    for reply in replies(cluster).values():
+        for record in reply.records:
+            if record.name not in found or found[record.name].version < record.version:
+                found[record.name] = record
+    return found
+
+
+def edit_pools_file(cluster, name, old, new):
+    """Writes a copy of the tables with text replaced in pools.ini."""
+    folder = cluster.folder / f"tables-{name}"
+    shutil.copytree(cluster.plan.tables, folder)
+    path = folder / "pools.ini"
+    content = path.read_text()
+    assert old in content, old
+    path.write_text(content.replace(old, new))
+    return folder
+
+
+@when('the release of every pool is edited under load while "{trouble}"')
+def edit_release(context, trouble):
+    cluster = context.cluster
+    wait_until(lambda: records(cluster), 20, "the planners wrote the membership")
+    load = start_mixed_load(context, 6000, 17, LOAD_RATE)
+    folder = edit_pools_file(cluster, "release", "2026.11", NEW_RELEASE)
+    cluster.apply(folder)
+    if trouble == "the planner's host dies":
+        planner = next(name for name, r in replies(cluster).items() if r.planning)
+        wait_until(
+            lambda: any(r.phase is HostPhase.OUT for r in records(cluster).values()),
+            60,
+            "the wave began",
+        )
+        cluster.kill(f"manager-{planner}")
+    context.load = load
+
+
+@then("every host runs the new release within {seconds:d} seconds")
+def check_release(context, seconds):
+    cluster = context.cluster
+
+    def is_done():
+        hosts = {}
+        for reply in replies(cluster).values():
+            hosts.update({h.name: h for h in reply.hosts if h.port})
+        serving = {r.phase for r in records(cluster).values()} == {HostPhase.SERVING}
+        return serving and {h.release for h in hosts.values()} == {NEW_RELEASE}
+
+    wait_until(is_done, seconds, "every host runs the new release")
+    context.result = context.load.result()
+
+
+@then("status shows the release done in every pool")
+def check_status(context):
+    done = context.cluster.operate(
+        "status", f"--settings={context.cluster.operator_settings}"
+    )
+    assert done.returncode == 0, done.stderr
+    rows = [line for line in done.stdout.splitlines() if NEW_RELEASE in line]
+    assert len(rows) == len(context.cluster.plan.configuration.pools_by_name), rows
+    assert all("6/6" in row for row in rows), rows
+
+
+@when('the pools table moves the host "{host}" to "{pool}" under load')
+def move_host(context, host, pool):
+    cluster = context.cluster
+    wait_until(lambda: records(cluster), 20, "the planners wrote the membership")
+    context.load = start_mixed_load(context, 4000, 19, LOAD_RATE)
+    folder = edit_pools_file(
+        cluster, "move", "hosts.pecs = clips-pecs-[1-2]", "hosts.pecs = clips-pecs-2"
+    )
+    path = folder / "pools.ini"
+    old, new = "jury-pecs-[1-2]", f"jury-pecs-[1-2] {host}"
+    path.write_text(path.read_text().replace(old, new))
+    cluster.apply(folder)
+
+
+@then('"{host}" serves "{pool}" within {seconds:d} seconds')
+def check_host_moved(context, host, pool, seconds):
+    def is_moved():
+        record = records(context.cluster)[host]
+        return record.pool == pool and record.phase is HostPhase.SERVING
+
+    wait_until(is_moved, seconds, f"{host} serves {pool}")
+    context.host = host
+    context.result = context.load.result()
+
+
+@then("it never ran work of both pools at once")
+def check_never_both(context):
+    report = context.cluster.backend_reports()[context.host]
+    assert report["first_segments"] == ["clips", "jury"], report
+    assert report["mixed"] == 0, report
+
+
+@given('the entry of "{name}" is killed while the list still shows its host')
+def kill_entry(context, name):
+    wait_until(lambda: records(context.cluster), 20, "the planners wrote")
+    context.cluster.kill(f"entry-{name}")
+    context.cluster.await_exit(f"entry-{name}")
+
+
+@then('"{host}" still belongs to "{pool}" after {seconds:d} seconds')
+def check_still(context, host, pool, seconds):
+    wait_span(float(seconds))
+    record = records(context.cluster)[host]
+    assert record.pool == pool and record.phase is HostPhase.MOVING, record
+    context.host = host
+
+
+@then(
+    'once the entry of "{name}" is back it serves "{pool}" within {seconds:d} seconds'
+)
+def check_after_return(context, name, pool, seconds):
+    context.cluster.start_program("entry", name)
+    check_host_moved(context, context.host, pool, seconds)
--- /dev/null
+++ b/features/support/fleets.py
@@ -0,0 +1,510 @@
+"""Fakes of the platform and the entry hosts, for tick-driven planner scenarios."""
+
+import random
+from collections import defaultdict
+from dataclasses import replace
+
+from returns.result import Failure, Success
+
+from sassafrasgrade.errors import PlatformUnavailable, RevisionConflict
+from sassafrasgrade.fleets import (
+    BUDGET_KEY,
+    MEMBERSHIP_KEY,
+    EntryAck,
+    HostPhase,
+    Membership,
+    decode_budget,
+    decode_membership,
+)
+from sassafrasgrade.planners import FleetPlanner, PlannerLease
+from sassafrasgrade.platforms import ABSENT, Versioned
+from sassafrasgrade.tables import Configuration, Host, HostState, Pool, Route, Urgency
+from sassafrasgrade.timers import FakeTimerService
+
+TICK_S = 1.0
+REBOOT_S = 120.0
+REPAIR_S = 400.0
+DEADLINE_MS = 2000
+IN_FLIGHT_S = 1.5
+OLD, NEW = "2026.11", "2026.12"
+
+
+def run_now(coroutine):
+    """Runs a coroutine whose fakes never wait; returns its result."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("a fake waited")
+
+
+class FakePlatform:
+    """Key-value service, leases and reboots on fake time.
+
+    Args:
+        timers: ``FakeTimerService``.
+        source: Seeded ``random.Random``.
+        lost_answers: Fraction of writes that take effect but answer nothing.
+    """
+
+    def __init__(self, timers, source, lost_answers=0.0):
+        self._timers = timers
+        self._random = source
+        self._lost_answers = lost_answers
+        self.values_by_key = {}
+        self._revision = 0
+        self._lease_ends = {}
+        self.reboots = []
+        self.cut_data_centres = set()
+        self.writes = 0
+        self.reads = 0
+
+    def expire(self):
+        """Deletes the values of lapsed leases."""
+        now = self._timers.now()
+        for key, (_, _, lease) in list(self.values_by_key.items()):
+            if lease and self._lease_ends.get(lease, 0) < now:
+                del self.values_by_key[key]
+
+    async def read(self, key):
+        """Reads a value."""
+        self.reads += 1
+        value, revision, _ = self.values_by_key.get(key, (b"", 0, ""))
+        return Success(Versioned(value, revision) if revision else ABSENT)
+
+    async def write(self, key, value, expected_revision=None, lease=""):
+        """Writes a value if its revision is as expected."""
+        self.writes += 1
+        held = self.values_by_key.get(key, (b"", 0, ""))[1]
+        if expected_revision is not None and expected_revision != held:
+            return Failure(RevisionConflict(key, "Read again."))
+        self._revision += 1
+        self.values_by_key[key] = (value, self._revision, lease)
+        if self._random.random() < self._lost_answers:
+            return Failure(PlatformUnavailable(key, "The answer was lost."))
+        return Success(self._revision)
+
+    async def grant_lease(self, ttl_s):
+        """Creates a lease."""
+        lease = f"lease-{len(self._lease_ends)}"
+        self._lease_ends[lease] = self._timers.now() + ttl_s
+        return Success(lease)
+
+    async def keep_lease(self, lease):
+        """Renews a lease unless it lapsed."""
+        if self._lease_ends[lease] < self._timers.now():
+            return Success(False)
+        self._lease_ends[lease] = self._timers.now() + 4.0
+        return Success(True)
+
+    async def command_host(self, name, command, **arguments):
+        """Notes a reboot."""
+        self.reboots.append((name, arguments["release"]))
+        return Success(None)
+
+
+class CutPlatform:
+    """A data centre's view of the platform, which can be cut."""
+
+    def __init__(self, platform, data_centre):
+        self._platform = platform
+        self._data_centre = data_centre
+
+    def __getattr__(self, name):
+        async def call(*arguments, **named):
+            if self._data_centre in self._platform.cut_data_centres:
+                return Failure(PlatformUnavailable(name, "The link is cut."))
+            return await getattr(self._platform, name)(*arguments, **named)
+
+        return call
+
+
+class FakeEntries:
+    """Entry hosts of one data centre: apply versions late, hold hosts a while."""
+
+    def __init__(self, names, source):
+        self._random = source
+        self._applied = {name: Membership() for name in names}
+        self._due = {name: [] for name in names}
+        self._used_until = defaultdict(dict)
+        self._offered = 0
+        self.paused = set()
+
+    def tick(self, membership, now):
+        """Offers the newest membership; applies what is due."""
+        if membership.version > self._offered:
+            self._offered = membership.version
+            for name in self._due:
+                delay_s = self._random.uniform(0.0, 3.0)
+                self._due[name].append((now + delay_s, membership))
+        for name, due in self._due.items():
+            if name in self.paused:
+                continue
+            for at, value in due:
+                if at <= now and value.version > self._applied[name].version:
+                    self._applied[name] = value
+            self._due[name] = [item for item in due if item[0] > now]
+            self._work(name, now)
+
+    def _work(self, name, now):
+        for record in self._applied[name].records_by_name.values():
+            if record.phase is HostPhase.SERVING:
+                # The pool and epoch under which the host is used, and until when.
+                end = now + self._random.uniform(0.0, IN_FLIGHT_S)
+                key = (record.name, record.pool, record.epoch)
+                held = self._used_until[name].get(key, 0.0)
+                self._used_until[name][key] = max(held, end)
+
+    def acks(self, now):
+        """Returns ``EntryAck`` by entry host; paused ones say nothing new."""
+        acks = {}
+        for name, membership in self._applied.items():
+            if name in self.paused:
+                continue
+            busy = {
+                host
+                for (host, _, _), until in self._used_until[name].items()
+                if until > now
+            }
+            serving = {
+                record.name
+                for record in membership.records_by_name.values()
+                if record.phase is HostPhase.SERVING
+            }
+            acks[name] = EntryAck(membership.version, frozenset(busy - serving))
+        return acks
+
+    def pools_by_host(self, now):
+        """Returns the pools that each host is used for now, by any entry host."""
+        pools = defaultdict(set)
+        for uses in self._used_until.values():
+            for (host, pool, _), until in uses.items():
+                if until > now:
+                    pools[host].add(pool)
+        return pools
+
+
+class FakeFleet:
+    """Hosts, planners, entry hosts and operators on fake time.
+
+    Args:
+        seed: Seed of every draw.
+        data_centres: Names of the data centres.
+        pools: Number of pools; the last one is the spare pool.
+        hosts: Hosts of each pool in each data centre.
+        out_at_most: Budget of each pool.
+        lag_s: Lag of the host list.
+        lost_answers: See ``FakePlatform``.
+        most_by_pool: See ``planning.TickPlan``.
+    """
+
+    def __init__(
+        self,
+        seed,
+        data_centres=("north", "south", "east"),
+        pools=5,
+        hosts=2,
+        out_at_most=2,
+        per_domain=1,
+        lag_s=3.0,
+        lost_answers=0.0,
+        most_by_pool=None,
+    ):
+        self.timers = FakeTimerService()
+        self.random = random.Random(seed)
+        self.platform = FakePlatform(self.timers, self.random, lost_answers)
+        self.data_centres = data_centres
+        self._lag_s = lag_s
+        self.configuration = make_configuration(
+            data_centres, pools, hosts, out_at_most, per_domain
+        )
+        self.hosts_by_name = make_hosts(self.configuration)
+        self._lists = []
+        self._down_until = {}
+        self._release_at_return = {}
+        self.entries_by_centre = {
+            centre: FakeEntries([f"{centre}-entry-{n}" for n in range(2)], self.random)
+            for centre in data_centres
+        }
+        self.managers_by_centre = {
+            centre: [self._make_manager(centre, n, most_by_pool) for n in range(2)]
+            for centre in data_centres
+        }
+        self.paused_managers = set()
+        self._late_commands = []
+        self.violations = []
+        self._phases = {}
+        self._terms = {}
+
+    def _make_manager(self, centre, number, most_by_pool):
+        platform = CutPlatform(self.platform, centre)
+        name = f"{centre}-{number}"
+
+        async def probe(host):
+            return host.name not in self._down_until
+
+        planner = FleetPlanner(centre, platform, self.timers, probe, most_by_pool)
+        lease = PlannerLease(platform, self.timers, centre, name)
+        return {"name": name, "planner": planner, "lease": lease, "leads": False}
+
+    # What happens to hosts.
+
+    def fail(self, name, seconds=REPAIR_S):
+        """Lets a host fail for a while."""
+        self._down_until[name] = self.timers.now() + seconds
+
+    def racks(self):
+        """Returns host names by rack."""
+        by_rack = defaultdict(list)
+        for host in self.hosts_by_name.values():
+            by_rack[host.rack].append(host.name)
+        return by_rack
+
+    def set_release(self, release, pools=None):
+        """Edits the release of the pools, which starts a wave."""
+        changed = {
+            name: replace(pool, release=release)
+            for name, pool in self.configuration.pools_by_name.items()
+            if pools is None or name in pools
+        }
+        self.configuration = replace(
+            self.configuration,
+            pools_by_name=self.configuration.pools_by_name | changed,
+        )
+
+    def is_done(self, release):
+        """Whether every host serves with a release."""
+        records = [
+            r for m in self.memberships().values() for r in m.records_by_name.values()
+        ]
+        return all(h.release == release for h in self.hosts_by_name.values()) and all(
+            record.phase is HostPhase.SERVING for record in records
+        )
+
+    def memberships(self):
+        """Returns the stored ``Membership`` by data centre."""
+        found = {}
+        for centre in self.data_centres:
+            key = MEMBERSHIP_KEY.format(data_centre=centre)
+            value = self.platform.values_by_key.get(key, (b"",))[0]
+            found[centre] = decode_membership(value)
+        return found
+
+    def uses(self):
+        """Returns the stored ``BudgetUse`` by pool."""
+        found = {}
+        for pool in self.configuration.pools_by_name:
+            value = self.platform.values_by_key.get(
+                BUDGET_KEY.format(pool=pool), (b"",)
+            )
+            found[pool] = decode_budget(value[0])
+        return found
+
+    def moves(self):
+        """Returns the moves of all data centres."""
+        return sum(membership.moves for membership in self.memberships().values())
+
+    # Time.
+
+    def run(self, seconds):
+        """Runs ticks for a span of fake time."""
+        for _ in range(int(seconds / TICK_S)):
+            self.tick()
+
+    def run_until(self, condition, longest_s):
+        """Runs ticks until a condition holds; returns the seconds it took."""
+        started = self.timers.now()
+        while not condition():
+            assert (
+                self.timers.now() - started < longest_s
+            ), f"not within {longest_s} s: {self.summary()}"
+            self.tick()
+        return self.timers.now() - started
+
+    def summary(self):
+        """Returns the counts of phases and releases, for messages."""
+        phases = defaultdict(int)
+        for membership in self.memberships().values():
+            for record in membership.records_by_name.values():
+                phases[str(record.phase)] += 1
+        releases = defaultdict(int)
+        for host in self.hosts_by_name.values():
+            releases[host.release] += 1
+        return dict(phases), dict(releases)
+
+    def tick(self):
+        """One second: hosts, platform, managers, entry hosts, checks."""
+        self.timers.advance(TICK_S)
+        now = self.timers.now()
+        self._update_hosts(now)
+        self.platform.expire()
+        for centre in self.data_centres:
+            for manager in self.managers_by_centre[centre]:
+                if manager["name"] not in self.paused_managers:
+                    self._tick_manager(centre, manager)
+        memberships = self.memberships()
+        for centre, entries in self.entries_by_centre.items():
+            if centre not in self.platform.cut_data_centres:
+                entries.tick(memberships[centre], now)
+            self._check_single_pool(entries, now)
+        self._check(memberships)
+
+    def _update_hosts(self, now):
+        for name, release in self.platform.reboots:
+            host = self.hosts_by_name[name]
+            if name not in self._down_until and host.release != release:
+                self._down_until[name] = now + REBOOT_S
+                self._release_at_return[name] = release
+        self.platform.reboots.clear()
+        for name, until in list(self._down_until.items()):
+            if until <= now:
+                del self._down_until[name]
+                release = self._release_at_return.pop(name, None)
+                if release:
+                    host = self.hosts_by_name[name]
+                    self.hosts_by_name[name] = replace(host, release=release)
+        shown = {
+            name: (
+                replace(host, state=HostState.LEAVING)
+                if name in self._down_until
+                else host
+            )
+            for name, host in self.hosts_by_name.items()
+        }
+        self._lists.append((now, shown))
+        while len(self._lists) > 1 and self._lists[1][0] <= now - self._lag_s:
+            self._lists.pop(0)
+
+    def listed(self, centre):
+        """Returns the lagging host list of a data centre."""
+        shown = self._lists[0][1]
+        return {n: h for n, h in shown.items() if h.data_centre == centre}
+
+    def _tick_manager(self, centre, manager):
+        planner, lease = manager["planner"], manager["lease"]
+        if not run_now(lease.renew()):
+            if manager["leads"]:
+                planner.forget()
+            manager["leads"] = False
+            return
+        if not manager["leads"]:
+            manager["leads"] = run_now(planner.take_over())
+            return
+        view = self._view(centre, planner)
+        if view is not None:
+            run_now(planner.carry_out_all(view, planner.decide(view)))
+
+    def _view(self, centre, planner):
+        entries = self.entries_by_centre[centre]
+        acks = entries.acks(self.timers.now())
+        listed = [f"{centre}-entry-{n}" for n in range(2)]
+        return run_now(
+            planner.view(self.configuration, self.listed(centre), acks, listed, ())
+        )
+
+    def pause_leader(self, centre):
+        """Pauses the planner of a data centre between decision and writes.
+
+        Returns:
+            Function that lets it go on and carry out what it had decided.
+        """
+        leader = next(m for m in self.managers_by_centre[centre] if m["leads"])
+        planner = leader["planner"]
+        view = self._view(centre, planner)
+        commands = planner.decide(view)
+        self.paused_managers.add(leader["name"])
+
+        def resume():
+            before = dict(self.platform.values_by_key)
+            run_now(planner.carry_out_all(view, commands))
+            key = MEMBERSHIP_KEY.format(data_centre=centre)
+            if self.platform.values_by_key.get(key) != before.get(key):
+                self.violations.append(f"{leader['name']} wrote after its pause")
+            self.paused_managers.discard(leader["name"])
+
+        return resume, commands
+
+    # Checks.
+
+    def _check_single_pool(self, entries, now):
+        for host, pools in entries.pools_by_host(now).items():
+            if len(pools) > 1:
+                self.violations.append(f"{host} is used for {sorted(pools)}")
+
+    def _check(self, memberships):
+        pools = self.configuration.pools_by_name
+        out_by_pool = defaultdict(list)
+        started = defaultdict(list)
+        for centre, membership in memberships.items():
+            if membership.term < self._terms.get(centre, 0):
+                self.violations.append(f"the term of {centre} went back")
+            self._terms[centre] = membership.term
+            for record in membership.records_by_name.values():
+                before = self._phases.get(record.name, HostPhase.SERVING)
+                self._phases[record.name] = record.phase
+                if record.phase is HostPhase.SERVING:
+                    continue
+                out_by_pool[record.pool].append(record.name)
+                begins = record.phase in (HostPhase.DRAINING, HostPhase.MOVING)
+                if begins and before is HostPhase.SERVING:
+                    started[record.pool].append(record.name)
+        for pool, names in started.items():
+            out = out_by_pool[pool]
+            if len(out) > pools[pool].out_at_most:
+                self.violations.append(f"{pool}: {names} started with {out} out")
+            self._check_domains(pools[pool], names, out)
+        for pool, use in self.uses().items():
+            planned = sum(len(names) for names in use.planned.values())
+            if planned > pools[pool].out_at_most:
+                self.violations.append(f"{pool}: {use.planned} planned")
+
+    def _check_domains(self, pool, names, out):
+        for name in names:
+            rack = self.hosts_by_name[name].rack
+            together = [n for n in out if self.hosts_by_name[n].rack == rack]
+            if len(together) > pool.out_at_most_per_domain:
+                self.violations.append(f"{pool.name}: {together} out in {rack}")
+
+
+def make_configuration(data_centres, pools, hosts, out_at_most, per_domain):
+    """Returns tables with equal pools; the last one is the spare pool."""
+    names = [f"pool-{number}" for number in range(pools)]
+    spare = names[-1]
+    rows = {
+        name: Pool(
+            name,
+            {
+                centre: tuple(f"{name}-{centre}-{n}" for n in range(hosts))
+                for centre in data_centres
+            },
+            8,
+            64,
+            out_at_most,
+            per_domain,
+            spare if name != spare else "",
+            OLD,
+        )
+        for name in names
+    }
+    routes = {
+        name: Route(
+            name, "*", f"/{name}", name, Urgency.NORMAL, 1, "team", True, DEADLINE_MS, 1
+        )
+        for name in names
+    }
+    return Configuration(1, routes, rows)
+
+
+def make_hosts(configuration, hosts_per_rack=4):
+    """Returns hosts by name; the hosts of one pool go to different racks."""
+    hosts = {}
+    columns = defaultdict(list)
+    for pool in configuration.pools_by_name.values():
+        for centre, names in pool.hosts_by_data_centre.items():
+            for position, name in enumerate(names):
+                columns[centre].append((position, name))
+    for centre, rows in columns.items():
+        for number, (_, name) in enumerate(sorted(rows)):
+            rack = f"{centre}-rack-{number // hosts_per_rack}"
+            hosts[name] = Host(name, centre, rack, "127.0.0.1", 1, release=OLD)
+    return hosts
--- a/sassafrasgrade/counters.py
+++ b/sassafrasgrade/counters.py
@@ -1,9 +1,13 @@
 """Metrics of the entry process; also shows those of its manager."""
 
+import time
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.exposition import generate_latest
 
+from sassafrasgrade.systems.burn import BurnWindow
+
 SECONDS_BUCKETS = (
     0.002,
     0.005,
@@ -45,6 +49,7 @@
     def __init__(self):
         self._registry = CollectorRegistry()
         self.manager = ManagerCollector()
+        self.burn = BurnWindow()
         self._registry.register(self.manager)
         self._answers = Counter(
             f"{PREFIX}_answers",
@@ -82,6 +87,7 @@
         if child is None:
             child = self._answer_children[key] = self._answers.labels(*key)
         child.inc()
+        self.burn.note(route.pool, result != IN_TIME, time.monotonic())
         if answer.outcome is None:
             self._seconds.labels(route.pool, str(route.urgency)).observe(seconds)
 
--- a/sassafrasgrade/entries.py
+++ b/sassafrasgrade/entries.py
@@ -18,6 +18,8 @@
 from sassafrasgrade.delegates import CallersDelegate
 from sassafrasgrade.entry_links import EntryLinks
 from sassafrasgrade.exchanges import ExchangesRunner
+from sassafrasgrade.fleet_keepers import apply_membership_update
+from sassafrasgrade.fleets import HostPhase, Membership
 from sassafrasgrade.host_updates import apply_hosts_update
 from sassafrasgrade.http_clients import (
     create_http_client,
@@ -36,6 +38,7 @@
     Hello,
     HostsUpdate,
     ManagerCounters,
+    MembershipUpdate,
     PeersUpdate,
     SlotGrant,
     SlotRefusal,
@@ -76,6 +79,7 @@
         self.is_stopping = False
         self._holder = ConfigurationHolder()
         self._hosts = HostList()
+        self._membership = Membership()
         self._router = Router(())
         self._http_client = create_http_client(CLIENTS_AT_ONCE)
         self._owner = SlotOwner(settings, timers, self._deliver, self._probe)
@@ -99,6 +103,7 @@
             self._seeker,
             self._claims,
             self.counters,
+            self._may_use,
         )
         self._server = HTTPServer(
             CallersDelegate(self),
@@ -226,9 +231,25 @@
         elif not self._holder.generation:
             state = "no-configuration"
         self._manager_link.send(
-            EntryReport(self._holder.generation, self._hosts.version, state)
+            EntryReport(
+                self._holder.generation,
+                self._hosts.version,
+                state,
+                self._membership.version,
+                self._busy_hosts(),
+                self.counters.burn.burning_pools(now),
+            )
         )
 
+    def _may_use(self, host):
+        record = self._membership.records_by_name.get(host)
+        return record is None or record.phase is HostPhase.SERVING
+
+    def _busy_hosts(self):
+        """Returns the hosts in use that are not serving by the membership."""
+        used = self._runner.busy_hosts() | self._owner.table.retired_busy()
+        return sorted(host for host in used if not self._may_use(host))
+
     # Entry hosts.
 
     def _deliver(self, origin, message):
@@ -261,7 +282,12 @@
         names = self._links.live_names()
         if self.is_stopping:
             names.discard(self.settings.host_name)
-        self._owner.update(self._holder.configuration, self._hosts.hosts_by_name, names)
+        self._owner.update(
+            self._holder.configuration,
+            self._hosts.hosts_by_name,
+            names,
+            self._membership,
+        )
 
     async def _probe(self, host):
         """Asks a backend server for its busy slots; -1 if it does not say."""
@@ -303,6 +329,14 @@
             self._hosts = updated
             self._update_owner()
 
+    @handle.register
+    def _(self, message: MembershipUpdate):
+        updated = apply_membership_update(self._membership, message)
+        if updated is not None:
+            self._membership = updated
+            self._update_owner()
+            self._report(self.timers.now())
+
     @handle.register
     def _(self, message: PeersUpdate):
         self._set_peers(message.peers)
--- a/sassafrasgrade/exchanges.py
+++ b/sassafrasgrade/exchanges.py
@@ -1,6 +1,7 @@
 """Callers' requests from admission to answer."""
 
 import logging
+from collections import Counter
 
 from tornado.ioloop import IOLoop
 
@@ -109,9 +110,21 @@
         seeker: ``SlotSeeker`` that chooses owners and reaches them.
         claims: ``ClaimsKeeper`` of idempotency keys.
         counters: ``EntryCounters``.
+        may_use: Function (host) that says whether work may start there now.
     """
 
-    def __init__(self, settings, timers, sender, seeker, claims, counters):
+    def __init__(
+        self,
+        settings,
+        timers,
+        sender,
+        seeker,
+        claims,
+        counters,
+        may_use=lambda host: True,
+    ):
+        self._may_use = may_use
+        self._attempts_by_host = Counter()
         self._settings = settings
         self._claims = claims
         self._timers = timers
@@ -128,6 +141,10 @@
         """Exchanges that wait for a slot."""
         return len(self._waiting_by_id)
 
+    def busy_hosts(self):
+        """Returns the hosts that an attempt is under way to."""
+        return {host for host, count in self._attempts_by_host.items() if count}
+
     def start(self, exchange):
         """Takes an admitted exchange whose body was read."""
         self.open_count += 1
@@ -268,7 +285,8 @@
 
     async def _attempt(self, exchange, owner, grant, lapses_at):
         now = self._timers.now()
-        if exchange.is_done or now >= lapses_at or now >= exchange.deadline_at:
+        in_time = now < lapses_at and now < exchange.deadline_at
+        if exchange.is_done or not in_time or not self._may_use(grant.host):
             self._give_back(owner, grant)
             if not exchange.is_done:
                 self._counters.note_lapsed_lease()
@@ -278,9 +296,11 @@
             return
         exchange.attempts += 1
         started_at = now
+        self._attempts_by_host[grant.host] += 1
         report = await self._sender.send(
             self._build_attempt(exchange, grant, now, lapses_at)
         )
+        self._attempts_by_host[grant.host] -= 1
         if report.sent:
             exchange.record.may_have_run += 1
         service_s = self._timers.now() - started_at
--- /dev/null
+++ b/sassafrasgrade/fleet_keepers.py
@@ -0,0 +1,170 @@
+"""The manager's part in the fleet: holds the membership and plans by lease."""
+
+import logging
+
+from tornado.httpclient import HTTPRequest
+
+from sassafrasgrade.fleets import EntryAck, HostPhase, Membership
+from sassafrasgrade.http_clients import (
+    create_http_client,
+    fetch_response,
+    prepare_direct,
+)
+from sassafrasgrade.messages import MembershipUpdate
+from sassafrasgrade.planners import FleetPlanner, PlannerLease
+from sassafrasgrade.tables import HostKind
+
+logger = logging.getLogger(__name__)
+
+PROBE_TIMEOUT_S = 1.0
+PROBES_AT_ONCE = 4
+HTTP_OK = 200
+
+
+class FleetKeeper:
+    """Plans the data centre while it holds the lease; else follows.
+
+    Args:
+        settings: Checked ``Settings``.
+        timers: Timer service.
+        platform: Adapter to the platform.
+        on_change: Function (``MembershipUpdate``), called when it changed.
+    """
+
+    def __init__(self, settings, timers, platform, on_change):
+        self._timers = timers
+        self._on_change = on_change
+        self._http = create_http_client(PROBES_AT_ONCE)
+        self._planner = FleetPlanner(
+            settings.host_data_centre, platform, timers, self._probe
+        )
+        self._lease = PlannerLease(
+            platform, timers, settings.host_data_centre, settings.host_name
+        )
+        self._is_ticking = False
+        self.is_planning = False
+        self.membership = Membership()
+
+    def close(self):
+        """Closes the probe client."""
+        self._http.close()
+
+    async def tick(self, is_candidate, configuration, hosts_by_name, acks, burning):
+        """Plans once, if this manager holds or gets the lease.
+
+        Args:
+            is_candidate: Whether no other manager is known to plan.
+            configuration: ``Configuration`` in force.
+            hosts_by_name: The host list of the data centre.
+            acks: ``EntryAck`` by entry host.
+            burning: Names of pools that burn too fast for maintenance.
+        """
+        if self._is_ticking or not configuration.generation or not hosts_by_name:
+            return
+        if not (is_candidate or self.is_planning):
+            return
+        self._is_ticking = True
+        try:
+            await self._tick(configuration, hosts_by_name, acks, burning)
+        finally:
+            self._is_ticking = False
+
+    async def _tick(self, configuration, hosts_by_name, acks, burning):
+        if not await self._lease.renew():
+            self._set_planning(False)
+            return
+        if not self.is_planning:
+            self._set_planning(await self._planner.take_over())
+            return
+        listed = [
+            host.name for host in hosts_by_name.values() if host.kind is HostKind.ENTRY
+        ]
+        servers = {
+            name: host
+            for name, host in hosts_by_name.items()
+            if host.kind is HostKind.BACKEND_SERVER
+        }
+        view = await self._planner.view(configuration, servers, acks, listed, burning)
+        if view is None:
+            return
+        await self._planner.carry_out_all(view, self._planner.decide(view))
+        self.adopt(self._planner.membership)
+
+    def _set_planning(self, planning):
+        if planning != self.is_planning:
+            logger.info("planning this data centre: %s", planning)
+        if not planning:
+            self._planner.forget()
+        self.is_planning = planning
+
+    def adopt(self, membership):
+        """Takes a newer membership and tells about it."""
+        if membership.version <= self.membership.version:
+            return
+        update = compare_memberships(self.membership, membership)
+        self.membership = membership
+        self._on_change(update)
+
+    def take_update(self, update):
+        """Takes an update of a peer; returns False if it does not fit."""
+        membership = apply_membership_update(self.membership, update)
+        if membership is None:
+            return update.version <= self.membership.version
+        self.adopt(membership)
+        return True
+
+    def whole_update(self):
+        """Returns the update that brings anyone up to date."""
+        return compare_memberships(Membership(), self.membership)
+
+    async def _probe(self, host):
+        request = HTTPRequest(
+            f"http://{host.address}:{host.port}/healthz",
+            connect_timeout=PROBE_TIMEOUT_S,
+            request_timeout=PROBE_TIMEOUT_S,
+            prepare_curl_callback=prepare_direct,
+        )
+        response = await fetch_response(self._http, request)
+        return response.code == HTTP_OK
+
+
+def compare_memberships(old, new):
+    """Returns the ``MembershipUpdate`` from one membership to another."""
+    changed = [
+        record
+        for name, record in new.records_by_name.items()
+        if old.records_by_name.get(name) != record
+    ]
+    removed = sorted(old.records_by_name.keys() - new.records_by_name.keys())
+    return MembershipUpdate(new.version, old.version, changed, removed, new.moves)
+
+
+def apply_membership_update(held, update):
+    """Returns the new ``Membership``, or None if the update does not fit."""
+    if update.version <= held.version:
+        return None
+    if update.base_version not in (0, held.version):
+        return None
+    records = {} if update.base_version == 0 else dict(held.records_by_name)
+    records.update({record.name: record for record in update.changed})
+    for name in update.removed:
+        records.pop(name, None)
+    return Membership(update.version, 0, records, {}, update.moves)
+
+
+def serving_names(membership):
+    """Returns the names of the hosts that may get work."""
+    return {
+        record.name
+        for record in membership.records_by_name.values()
+        if record.phase is HostPhase.SERVING
+    }
+
+
+def collect_acks(reports):
+    """Returns ``EntryAck`` by entry host.
+
+    Args:
+        reports: (entry host, version, busy hosts) heard last.
+    """
+    return {name: EntryAck(version, frozenset(busy)) for name, version, busy in reports}
--- /dev/null
+++ b/sassafrasgrade/fleets.py
@@ -0,0 +1,180 @@
+"""Tables of the planner: what state each host is in, and what budgets are used."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+from functools import cached_property
+
+import msgspec
+
+MEMBERSHIP_KEY = "fleet/{data_centre}/membership"
+PLANNER_KEY = "fleet/{data_centre}/planner"
+BUDGET_KEY = "fleet/budgets/{pool}"
+
+
+class HostPhase(StrEnum):
+    """Phase of a host in its pool; only SERVING hosts get work."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    OUT = "out"
+    RETURNING = "returning"
+    MOVING = "moving"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class HostRecord:
+    """A host's place in the fleet; a host has exactly one record.
+
+    Attributes:
+        name: Host name.
+        pool: The one pool that it belongs to.
+        epoch: Rises with every change of pool.
+        phase: Its phase.
+        since: When the phase began, seconds since the epoch.
+        version: Membership version at which the phase began.
+        configured: Pool that the pools table named for it then.
+        target: Pool that it moves to, if it is MOVING.
+    """
+
+    name: str
+    pool: str
+    epoch: int
+    phase: HostPhase
+    since: float
+    version: int = 0
+    configured: str = ""
+    target: str = ""
+
+
+@dataclass(frozen=True)
+class Membership:
+    """All host records of one data centre: one value on the platform.
+
+    Attributes:
+        version: Rises with every write.
+        term: Rises with every new planner, which fences the former one.
+        records_by_name: The records.
+        skipped_until: Hosts that maintenance steps around, and until when.
+        moves: Hosts moved from pool to pool so far.
+    """
+
+    version: int = 0
+    term: int = 0
+    records_by_name: dict[str, HostRecord] = field(default_factory=dict)
+    skipped_until: dict[str, float] = field(default_factory=dict)
+    moves: int = 0
+
+    @cached_property
+    def records_by_pool(self):
+        """The records, listed by pool."""
+        by_pool = defaultdict(list)
+        for record in self.records_by_name.values():
+            by_pool[record.pool].append(record)
+        return by_pool
+
+    def of_pool(self, pool):
+        """Returns the records of a pool."""
+        return self.records_by_pool.get(pool, [])
+
+
+@dataclass(frozen=True)
+class BudgetUse:
+    """Who uses a pool's availability budget: hosts by data centre.
+
+    Attributes:
+        planned: Hosts taken out, or about to be, by the planners.
+        failed: Hosts that failed.
+    """
+
+    planned: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    failed: dict[str, tuple[str, ...]] = field(default_factory=dict)
+
+    def total(self):
+        """Returns the number of hosts out for any reason."""
+        parts = [*self.planned.values(), *self.failed.values()]
+        return len({name for names in parts for name in names})
+
+    def planned_in(self, data_centre):
+        """Returns the hosts planned out in a data centre."""
+        return frozenset(self.planned.get(data_centre, ()))
+
+    def failed_in(self, data_centre):
+        """Returns the hosts failed in a data centre."""
+        return frozenset(self.failed.get(data_centre, ()))
+
+    def with_planned(self, data_centre, names):
+        """Returns the use with other planned hosts in a data centre."""
+        return replace(self, planned=self.planned | {data_centre: tuple(sorted(names))})
+
+    def with_failed(self, data_centre, names):
+        """Returns the use with other failed hosts in a data centre."""
+        return replace(self, failed=self.failed | {data_centre: tuple(sorted(names))})
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAck:
+    """What one entry host said last about the membership.
+
+    Attributes:
+        version: Version that it applies.
+        busy_hosts: Hosts that are not serving and that it still uses.
+    """
+
+    version: int
+    busy_hosts: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True)
+class FleetView:
+    """Everything that a planner decides on at one tick.
+
+    Attributes:
+        data_centre: Data centre of the planner.
+        now: Seconds since the epoch.
+        pools_by_name: Pools in force.
+        deadlines_by_pool: Longest route deadline of each pool, in seconds.
+        hosts_by_name: The platform's host list of the data centre.
+        membership: Host records.
+        uses_by_pool: Budget use by pool.
+        acks_by_entry: Last acknowledgement of each entry host heard.
+        listed_entries: Entry hosts that the platform lists in the data centre.
+        racks_by_name: Failure domain of every host ever listed.
+        missing_since: When each host went missing from the live ones.
+        probed: Returning hosts whose probe succeeded.
+        burning_pools: Pools whose service level burns too fast for maintenance.
+    """
+
+    data_centre: str
+    now: float
+    pools_by_name: dict
+    deadlines_by_pool: dict
+    hosts_by_name: dict
+    membership: Membership
+    uses_by_pool: dict
+    acks_by_entry: dict
+    listed_entries: frozenset
+    racks_by_name: dict
+    missing_since: dict
+    probed: frozenset = frozenset()
+    burning_pools: frozenset = frozenset()
+
+    def use(self, pool):
+        """Returns the budget use of a pool."""
+        return self.uses_by_pool.get(pool, BudgetUse())
+
+
+def encode_record(value):
+    """Encodes a ``Membership`` or ``BudgetUse`` for the platform."""
+    return msgspec.msgpack.encode(value)
+
+
+def decode_membership(value):
+    """Decodes a membership value; an absent one is empty."""
+    return msgspec.msgpack.decode(value, type=Membership) if value else Membership()
+
+
+def decode_budget(value):
+    """Decodes a budget value; an absent one is unused."""
+    return msgspec.msgpack.decode(value, type=BudgetUse) if value else BudgetUse()
--- a/sassafrasgrade/managers.py
+++ b/sassafrasgrade/managers.py
@@ -9,6 +9,7 @@
 from tornado.ioloop import IOLoop
 
 from sassafrasgrade.configurations import ConfigurationHolder
+from sassafrasgrade.fleet_keepers import FleetKeeper, collect_acks
 from sassafrasgrade.host_updates import apply_hosts_update, compare_hosts
 from sassafrasgrade.logs import configure_logs
 from sassafrasgrade.messages import (
@@ -24,6 +25,9 @@
     HostsRequest,
     HostsUpdate,
     ManagerCounters,
+    MembershipAck,
+    MembershipRequest,
+    MembershipUpdate,
     PeersUpdate,
     StatusReply,
     StatusRequest,
@@ -101,6 +105,9 @@
             settings.platform_url, settings.host_name, settings.platform_timeout_s
         )
         self._platform_answer_at = -NEVER_S
+        self._fleet = FleetKeeper(
+            settings, timers, self._platform, self._announce_membership
+        )
         self._jitter_s = random.uniform(0, LONGEST_JITTER_S)
         self._requested_at = -NEVER_S
         self._beats = 0
@@ -146,6 +153,7 @@
         self._server.close()
         for link in self._links_by_name.values():
             link.close()
+        self._fleet.close()
         self._platform.close()
         logger.info("manager stopped")
 
@@ -163,6 +171,50 @@
         self._configuration_watcher.set_reading(reading)
         self._hosts_watcher.set_reading(reading)
         self._send_heartbeats(now)
+        IOLoop.current().add_callback(self._plan, now)
+
+    async def _plan(self, now):
+        beats = self._local_heartbeats(now)
+        acks = [ack for beat in beats for ack in beat.entry_acks]
+        await self._fleet.tick(
+            not any(beat.planning for beat in beats),
+            self._holder.configuration,
+            self._hosts.hosts_by_name,
+            collect_acks(
+                (ack.entry, ack.version, ack.busy_hosts)
+                for ack in [*acks, *self._entry_acks()]
+            ),
+            {pool for beat in beats for pool in beat.burning_pools}
+            | set(self._burning_pools()),
+        )
+
+    def _local_heartbeats(self, now):
+        """Returns the heartbeats of the live managers of the data centre."""
+        return [
+            state.heartbeat
+            for state in self._states_by_name.values()
+            if state.heartbeat is not None
+            and state.data_centre == self._settings.host_data_centre
+            and now - state.heard_at <= self._settings.manager_silence_s
+        ]
+
+    def _entry_acks(self):
+        return [
+            MembershipAck(
+                session.hello.name,
+                session.report.membership_version,
+                session.report.busy_hosts,
+            )
+            for session in self._entry_sessions()
+            if session.report is not None
+        ]
+
+    def _burning_pools(self):
+        pools = set()
+        for session in self._entry_sessions():
+            if session.report is not None:
+                pools.update(session.report.burning_pools)
+        return sorted(pools)
 
     def _views(self, now):
         return [
@@ -197,6 +249,10 @@
             min(now - self._platform_answer_at, NEVER_S),
             self._hosts_watcher.is_reading,
             report.state if report else "down",
+            self._fleet.membership.version,
+            self._fleet.is_planning,
+            self._entry_acks(),
+            self._burning_pools(),
         )
 
     def counters(self):
@@ -208,6 +264,8 @@
             "hosts_version": self._hosts.version,
             "links_open": sum(link.is_open for link in self._links_by_name.values()),
             "reading": int(self._hosts_watcher.is_reading),
+            "planning": int(self._fleet.is_planning),
+            "moves": self._fleet.membership.moves,
         }
 
     # What the watchers found.
@@ -252,6 +310,12 @@
             if self._is_local(name):
                 link.send(message)
 
+    def _announce_membership(self, update):
+        for session in self._entry_sessions():
+            session.send(update)
+        if self._fleet.is_planning:
+            self._send_locally(update)
+
     def _announce_hosts(self, update):
         self._update_links()
         for session in self._entry_sessions():
@@ -354,6 +418,7 @@
             sender.send(self._snapshot())
             sender.send(compare_hosts(HostList(), self._hosts))
             sender.send(self._peers_update())
+            sender.send(self._fleet.whole_update())
         elif message.role == "manager":
             self._states_by_name.setdefault(
                 message.name, PeerState(message.data_centre)
@@ -377,7 +442,11 @@
             sender.send(ConfigurationRequest(self._holder.generation))
         if hosts_behind:
             sender.send(HostsRequest(self._hosts.version))
-        if behind or hosts_behind:
+        held = self._fleet.membership.version
+        membership_behind = local and message.membership_version > held
+        if membership_behind:
+            sender.send(MembershipRequest(held))
+        if behind or hosts_behind or membership_behind:
             self._requested_at = now
 
     @handle.register
@@ -408,11 +477,23 @@
             self._hosts = updated
             self._announce_hosts(message)
 
+    @handle.register
+    def _(self, message: MembershipRequest, sender):
+        if message.version < self._fleet.membership.version:
+            sender.send(self._fleet.whole_update())
+
+    @handle.register
+    def _(self, message: MembershipUpdate, sender):
+        if not self._fleet.take_update(message):
+            sender.send(MembershipRequest(self._fleet.membership.version))
+
     @handle.register
     def _(self, message: EntryReport, sender):
         sender.report = message
         if message.generation < self._holder.generation:
             sender.send(self._newer_than(message.generation))
+        if message.membership_version < self._fleet.membership.version:
+            sender.send(self._fleet.whole_update())
 
     @handle.register
     def _(self, message: StatusRequest, sender):
@@ -440,6 +521,9 @@
                 if s.report is not None
             ],
             list(self._hosts.hosts_by_name.values()),
+            list(self._fleet.membership.records_by_name.values()),
+            self._fleet.is_planning,
+            self._fleet.membership.moves,
         )
 
 
--- a/sassafrasgrade/messages.py
+++ b/sassafrasgrade/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sassafrasgrade.configurations import Commit
+from sassafrasgrade.fleets import HostRecord
 from sassafrasgrade.systems.claims import ClaimRecord, ClaimVerdict
 from sassafrasgrade.tables import Configuration, Host, Pool, Route
 
@@ -20,6 +21,17 @@
     incarnation: int = 0
 
 
+class MembershipAck(Message, tag="mack"):
+    """What one entry said: the version it applies, and the hosts it still uses.
+
+    ``busy_hosts`` are only those that are not serving.
+    """
+
+    entry: str
+    version: int
+    busy_hosts: list[str]
+
+
 class Heartbeat(Message, tag="hb"):
     """Sent by a manager to its peers.
 
@@ -30,6 +42,10 @@
         platform_age_s: Seconds since the platform answered this manager.
         reading: Whether this manager reads the platform now.
         entry_state: State of the local entry: ready, stopping or down.
+        membership_version: Version of the membership held.
+        planning: Whether this manager plans the data centre.
+        entry_acks: What the entries linked here said of the membership.
+        burning_pools: Pools whose service level burns too fast.
     """
 
     generation: int
@@ -38,6 +54,10 @@
     platform_age_s: float
     reading: bool
     entry_state: str = "ready"
+    membership_version: int = 0
+    planning: bool = False
+    entry_acks: list[MembershipAck] = []
+    burning_pools: list[str] = []
 
 
 class ConfigurationRequest(Message, tag="creq"):
@@ -99,6 +119,22 @@
     removed: list[str] = []
 
 
+class MembershipRequest(Message, tag="memreq"):
+    """Asks for the membership if it is newer than the version held."""
+
+    version: int
+
+
+class MembershipUpdate(Message, tag="mem"):
+    """Membership of one data centre as changes to ``base_version`` (0: whole)."""
+
+    version: int
+    base_version: int
+    changed: list[HostRecord]
+    removed: list[str]
+    moves: int
+
+
 class PeersUpdate(Message, tag="peers"):
     """Manager to entry: the entry hosts known, as name/data_centre/address."""
 
@@ -111,6 +147,9 @@
     generation: int
     hosts_version: int
     state: str
+    membership_version: int = 0
+    busy_hosts: list[str] = []
+    burning_pools: list[str] = []
 
 
 class ManagerCounters(Message, tag="mcnt"):
@@ -155,6 +194,9 @@
     entry_hosts: list[EntryHostStatus]
     entries: list[EntryStatus]
     hosts: list[Host]
+    records: list[HostRecord]
+    planning: bool
+    moves: int
 
 
 class SlotRequest(Message, tag="sq"):
@@ -285,6 +327,8 @@
     | ConfigurationSnapshot
     | HostsRequest
     | HostsUpdate
+    | MembershipRequest
+    | MembershipUpdate
     | PeersUpdate
     | EntryReport
     | ManagerCounters
--- a/sassafrasgrade/owners.py
+++ b/sassafrasgrade/owners.py
@@ -6,6 +6,7 @@
 
 from sassafrasgrade.answers import Reason
 from sassafrasgrade.attempts import AttemptResult
+from sassafrasgrade.fleets import HostPhase
 from sassafrasgrade.messages import ClassWait, PoolLoad, SlotGrant, SlotRefusal
 from sassafrasgrade.systems.ownership import assign_owners, assign_split
 from sassafrasgrade.systems.shares import FifoQueue, ShareQueue, Waiting
@@ -42,22 +43,24 @@
         self.table = SlotTable(QUEUE_TYPES[settings.entry_admission_method])
         self.ejections = 0
 
-    def update(self, configuration, hosts_by_name, entry_names):
+    def update(self, configuration, hosts_by_name, entry_names, membership):
         """Recomputes which servers this entry host owns.
 
         Args:
             configuration: ``Configuration`` in force.
             hosts_by_name: Hosts of the own data centre.
             entry_names: Live entry hosts of the own data centre, with this one.
+            membership: ``Membership`` of the own data centre; while it is empty
+                the pools table itself says which hosts serve.
         """
         wanted = []
         budgets = {}
         for pool in configuration.pools_by_name.values():
             budgets[pool.name] = pool.out_at_most
-            names = pool.hosts_by_data_centre.get(self._data_centre, ())
+            names = self._pool_names(pool, membership)
             for name, slots in self._owned_slots(pool, names, entry_names).items():
                 host = hosts_by_name.get(name)
-                if host is not None and host.state is HostState.LIVE:
+                if _may_serve(host, membership.records_by_name.get(name)):
                     wanted.append((host, pool.name, slots))
         taken = self.table.set_servers(wanted, budgets, self._timers.now())
         for name in taken:
@@ -66,6 +69,11 @@
             if len(queue) and not self.table.serves(pool):
                 self._refuse_all(queue.drain(), Reason.NO_HOST)
 
+    def _pool_names(self, pool, membership):
+        if membership.version:
+            return [record.name for record in membership.of_pool(pool.name)]
+        return pool.hosts_by_data_centre.get(self._data_centre, ())
+
     def _owned_slots(self, pool, names, entry_names):
         if self._name not in entry_names:
             return {}
@@ -210,3 +218,10 @@
             waiting.request_id, str(reason), int(retry_after_s * MS_PER_S)
         )
         self._deliver(waiting.origin, refusal)
+
+
+def _may_serve(host, record):
+    """Whether a host gets work, by the host list and by its record."""
+    if host is None or host.state is not HostState.LIVE:
+        return False
+    return record is None or record.phase is HostPhase.SERVING
--- /dev/null
+++ b/sassafrasgrade/systems/burn.py
@@ -0,0 +1,49 @@
+"""Service-level burn: how fast answers use up what the service level allows."""
+
+from collections import defaultdict, deque
+
+# Share of answers that the service level allows to miss their deadline.
+ALLOWED_SHARE = 0.01
+# Burn rate (misses over allowed misses) at which maintenance pauses.
+PAUSE_RATE = 5.0
+WINDOW_S = 30.0
+SMALLEST_SAMPLE = 20
+
+
+def burn_rate(missed, total, allowed_share=ALLOWED_SHARE):
+    """Returns misses as a multiple of the allowed ones; 0 without answers."""
+    if not total:
+        return 0.0
+    return missed / total / allowed_share
+
+
+class BurnWindow:
+    """Counts answers of the last seconds by pool."""
+
+    def __init__(self):
+        self._seconds_by_pool = defaultdict(deque)
+
+    def note(self, pool, missed, now):
+        """Counts one answer."""
+        seconds = self._seconds_by_pool[pool]
+        second = int(now)
+        if not seconds or seconds[-1][0] != second:
+            seconds.append([second, 0, 0])
+        seconds[-1][1] += 1
+        seconds[-1][2] += missed
+
+    def counts(self, pool, now):
+        """Returns (answers, misses) of a pool in the window."""
+        seconds = self._seconds_by_pool[pool]
+        while seconds and seconds[0][0] < now - WINDOW_S:
+            seconds.popleft()
+        return sum(s[1] for s in seconds), sum(s[2] for s in seconds)
+
+    def burning_pools(self, now):
+        """Returns the pools that burn too fast for maintenance, sorted."""
+        burning = []
+        for pool in sorted(self._seconds_by_pool):
+            total, missed = self.counts(pool, now)
+            if total >= SMALLEST_SAMPLE and burn_rate(missed, total) >= PAUSE_RATE:
+                burning.append(pool)
+        return burning
--- /dev/null
+++ b/sassafrasgrade/systems/maintenance.py
@@ -0,0 +1,115 @@
+"""Maintenance waves: which hosts go out next, and what each phase waits for."""
+
+from collections import defaultdict
+
+from sassafrasgrade.fleets import HostPhase
+from sassafrasgrade.systems.budgets import domain_of, take_within_budget
+from sassafrasgrade.tables import HostState
+
+DRAIN_MARGIN_S = 1.0
+DRAIN_TIMEOUT_S = 120.0
+OUT_TIMEOUT_S = 900.0
+REBOOT_REPEAT_S = 60.0
+SKIP_S = 600.0
+MINUTES_A_DAY = 24 * 60
+S_PER_MINUTE = 60
+
+
+def is_live(view, name):
+    """Whether the platform lists a host as live."""
+    host = view.hosts_by_name.get(name)
+    return host is not None and host.state is HostState.LIVE
+
+
+def in_window(window, now):
+    """Whether ``now`` is in a maintenance window ``HH:MM-HH:MM`` (UTC)."""
+    if not window:
+        return True
+    start, end = (_minutes(part) for part in window.split("-"))
+    minute = int(now // S_PER_MINUTE) % MINUTES_A_DAY
+    if start <= end:
+        return start <= minute < end
+    return minute >= start or minute < end
+
+
+def _minutes(text):
+    hours, minutes = text.split(":")
+    return int(hours) * 60 + int(minutes)
+
+
+def needs_release(view, record, pool):
+    """Whether a serving host should be restarted with the pool's release."""
+    if not pool.release or record.phase is not HostPhase.SERVING:
+        return False
+    if view.membership.skipped_until.get(record.name, 0) > view.now:
+        return False
+    host = view.hosts_by_name.get(record.name)
+    return is_live(view, record.name) and host.release != pool.release
+
+
+def choose_batch(view, pool, most=None):
+    """Chooses the hosts of a pool to take out next.
+
+    Whole failure domains go first: the pool survives the loss of one anyway,
+    and a domain that is done needs no second visit.
+
+    Args:
+        view: ``FleetView``.
+        pool: The ``Pool``.
+        most: Fewer hosts out than the budget allows, for baselines.
+
+    Returns:
+        Names within the pool's budget; empty outside the window or on burn.
+    """
+    if pool.name in view.burning_pools or not in_window(pool.window, view.now):
+        return []
+    names_by_domain = defaultdict(list)
+    for record in view.membership.of_pool(pool.name):
+        if needs_release(view, record, pool):
+            names_by_domain[domain_of(view, record.name)].append(record.name)
+    ordered = []
+    # The smallest domains can be finished at once.
+    for _, names in sorted(names_by_domain.items(), key=lambda i: (len(i[1]), i[0])):
+        ordered.extend(sorted(names))
+    return take_within_budget(view, pool, ordered, most)
+
+
+def is_drained(view, record):
+    """Whether no entry host uses a draining or moving host any more.
+
+    Every entry host that the platform lists in the data centre has to apply the
+    version at which the phase began and hold nothing of the host. Leases that a
+    lost owner granted elsewhere end with the longest deadline.
+    """
+    longest_s = view.deadlines_by_pool.get(record.pool, 0.0) + DRAIN_MARGIN_S
+    if view.now - record.since < longest_s:
+        return False
+    for name in view.listed_entries:
+        ack = view.acks_by_entry.get(name)
+        if ack is None or ack.version < record.version:
+            return False
+        if record.name in ack.busy_hosts:
+            return False
+    return bool(view.listed_entries)
+
+
+def is_stuck(view, record):
+    """Whether a drain took too long and should be given up."""
+    longest_s = view.deadlines_by_pool.get(record.pool, 0.0) + DRAIN_TIMEOUT_S
+    return view.now - record.since > longest_s
+
+
+def predict_seconds(view, pool, host_s):
+    """Returns the predicted rest of a wave in seconds.
+
+    Args:
+        view: ``FleetView``.
+        pool: The ``Pool``.
+        host_s: Time that one host is out.
+    """
+    left = sum(
+        needs_release(view, record, pool)
+        for record in view.membership.of_pool(pool.name)
+    )
+    rounds = -(-left // max(1, pool.out_at_most))
+    return rounds * host_s
--- a/sassafrasgrade/systems/slots.py
+++ b/sassafrasgrade/systems/slots.py
@@ -110,6 +110,8 @@
         self._queue_type = queue_type
         self.servers_by_name = {}
         self._names_by_pool = {}
+        # Leases of servers given up, until their holders are done.
+        self._retired_by_name = {}
         self.queues_by_pool = {}
         self.budgets_by_pool = {}
         self.ejected_elsewhere = {}
@@ -128,6 +130,11 @@
         self.budgets_by_pool = budgets_by_pool
         servers = {}
         taken = []
+        names = {host.name for host, _, _ in wanted}
+        for name, server in self.servers_by_name.items():
+            if name not in names and server.leases_by_id:
+                leases = self._retired_by_name.setdefault(name, {})
+                leases.update(server.leases_by_id)
         for host, pool, slots in wanted:
             server = self.servers_by_name.get(host.name)
             if server is None or server.host != host or server.pool != pool:
@@ -205,7 +212,13 @@
     def release(self, request_id, host):
         """Frees a slot; returns its lease, or None if it was reclaimed."""
         server = self.servers_by_name.get(host)
-        return server.leases_by_id.pop(request_id, None) if server else None
+        if server is not None and request_id in server.leases_by_id:
+            return server.leases_by_id.pop(request_id)
+        return self._retired_by_name.get(host, {}).pop(request_id, None)
+
+    def retired_busy(self):
+        """Returns the hosts given up whose leases are not all done."""
+        return {name for name, leases in self._retired_by_name.items() if leases}
 
     def learn(self, lease, result, status, service_s, busy, leaving, now):
         """Learns from a finished attempt.
@@ -253,10 +266,11 @@
     def reclaim(self, now):
         """Frees leases whose holder was silent for too long."""
         reclaimed = []
-        for server in self.servers_by_name.values():
-            for lease in list(server.leases_by_id.values()):
+        held = [server.leases_by_id for server in self.servers_by_name.values()]
+        for leases in [*held, *self._retired_by_name.values()]:
+            for lease in list(leases.values()):
                 if lease.reclaim_at <= now:
-                    reclaimed.append(server.leases_by_id.pop(lease.waiting.request_id))
+                    reclaimed.append(leases.pop(lease.waiting.request_id))
         return reclaimed
 
     def load_reports(self, now):
--- a/sassafrasgrade/tables.py
+++ b/sassafrasgrade/tables.py
@@ -100,6 +100,7 @@
         port: TCP port of the backend server; 0 for entry hosts.
         state: Whether the host is live or leaving.
         kind: What the host runs.
+        release: Software release that it runs.
     """
 
     name: str
@@ -109,6 +110,7 @@
     port: int
     state: HostState = HostState.LIVE
     kind: HostKind = HostKind.BACKEND_SERVER
+    release: str = ""
 
 
 @dataclass(frozen=True)
--- a/sassafrasgrade/tools/operators.py
+++ b/sassafrasgrade/tools/operators.py
@@ -12,6 +12,7 @@
 from sassafrasgrade.commits import TablesCommitter, load_configuration
 from sassafrasgrade.configurations import compare_configurations
 from sassafrasgrade.errors import RolloutIncomplete
+from sassafrasgrade.fleets import HostPhase
 from sassafrasgrade.peers import merge_peers, parse_peer
 from sassafrasgrade.platforms import PlatformClient
 from sassafrasgrade.readers import read_tables
@@ -23,11 +24,15 @@
 )
 from sassafrasgrade.routers import Router
 from sassafrasgrade.settings import require_settings
+from sassafrasgrade.systems.budgets import buffer_needs
 from sassafrasgrade.tools.formats import describe_change, print_json, print_table
 
 EXIT_FAILED = 1
 EXIT_INCOMPLETE = 3
 WAIT_S = 30.0
+PHASES = [str(phase) for phase in HostPhase]
+# Minutes that one host is out for maintenance, for the prediction shown.
+HOST_MINUTES = 3
 COMMIT_TIMEOUT_S = 10.0
 
 
@@ -326,9 +331,11 @@
 def _print_status(configuration, replies):
     rows = []
     hosts_by_name = {}
+    records_by_name = {}
+    moves_by_centre = {}
     for name, reply in sorted(replies.items()):
         if reply is None:
-            rows.append((name, "?", "no answer", "-", "-", "-"))
+            rows.append((name, "?", "no answer", "-", "-", "-", "-"))
             continue
         row = own_row(reply)
         rows.append(
@@ -339,33 +346,49 @@
                 row.generation,
                 row.entry_generation,
                 "yes" if row.reading else "no",
+                "yes" if reply.planning else "no",
             )
         )
         hosts_by_name.update({host.name: host for host in reply.hosts})
+        records_by_name.update({record.name: record for record in reply.records})
+        known = moves_by_centre.get(reply.data_centre, 0)
+        moves_by_centre[reply.data_centre] = max(known, reply.moves)
     print_table(
-        ["entry host", "data centre", "state", "manager gen", "entry gen", "reads"],
+        ["entry host", "data centre", "state", "manager gen", "entry gen"]
+        + ["reads", "plans"],
         rows,
     )
     if configuration is None:
         print("\nthe platform does not answer; pools are not shown")
         return
     print()
-    print_table(
-        ["pool", "hosts", "live", "leaving", "missing", "out at most"],
-        [
-            _pool_row(pool, hosts_by_name)
-            for pool in configuration.pools_by_name.values()
-        ],
+    headings = ["pool", "hosts", "out at most", *PHASES, "release", "done", "rest"]
+    pools = configuration.pools_by_name.values()
+    rows = [_pool_row(pool, hosts_by_name, records_by_name.values()) for pool in pools]
+    print_table(headings, rows)
+    print(f"\n{sum(moves_by_centre.values())} hosts moved between pools so far")
+    needs, shared = buffer_needs(
+        pools, {host.name: host.rack for host in hosts_by_name.values()}
+    )
+    print(
+        f"buffer to lose any one rack: {shared} hosts shared through the spare pool, "
+        f"{sum(needs.values())} if each pool kept its own"
     )
 
 
-def _pool_row(pool, hosts_by_name):
-    names = [name for hosts in pool.hosts_by_data_centre.values() for name in hosts]
-    states = [hosts_by_name[name].state for name in names if name in hosts_by_name]
-    live = sum(state == "live" for state in states)
-    leaving = len(states) - live
-    missing = len(names) - len(states)
-    return pool.name, len(names), live, leaving, missing, pool.out_at_most
+def _pool_row(pool, hosts_by_name, records):
+    own = [record for record in records if record.pool == pool.name]
+    counts = [sum(record.phase == phase for record in own) for phase in PHASES]
+    done = sum(
+        hosts_by_name[record.name].release == pool.release
+        for record in own
+        if record.name in hosts_by_name
+    )
+    rounds = -(-(len(own) - done) // max(1, pool.out_at_most))
+    rest = f"{rounds * HOST_MINUTES} min" if rounds else "-"
+    release = pool.release or "-"
+    done_text = f"{done}/{len(own)}"
+    return pool.name, len(own), pool.out_at_most, *counts, release, done_text, rest
 
 
 def main():
--- a/sassafrasgrade/tools/standins/backends.py
+++ b/sassafrasgrade/tools/standins/backends.py
@@ -70,13 +70,16 @@
         self.most_connections = 0
         self.runs_by_id = Counter()
         self.runs_by_key = Counter()
+        self.mixed = 0
+        self.first_segments = []
+        self._busy_by_segment = Counter()
 
     def set_faults(self, faults):
         """Takes a new fault plan and starts its draws afresh."""
         self.faults = faults
         self._random = random.Random(faults.seed)
 
-    def begin(self, request_id, key):
+    def begin(self, request_id, key, path):
         """Counts a run; returns False when every slot is busy."""
         if self.busy >= self.slots or self.faults.is_leaving:
             self.refused += 1
@@ -84,10 +87,24 @@
         self.busy += 1
         self.most_busy = max(self.most_busy, self.busy)
         self.runs_by_id[request_id] += 1
+        self._note_segment(path.split("/")[1])
         if key:
             self.runs_by_key[key] += 1
         return True
 
+    def _note_segment(self, segment):
+        """Counts work of different services that runs at the same time."""
+        if segment not in self.first_segments:
+            self.first_segments.append(segment)
+        self._busy_by_segment[segment] += 1
+        services = sum(count > 0 for count in self._busy_by_segment.values())
+        self.mixed += services > 1
+
+    def end(self, path):
+        """Frees the slot of a run."""
+        self.busy -= 1
+        self._busy_by_segment[path.split("/")[1]] -= 1
+
     def draw_fault(self):
         """Returns the name of the fault that this request gets, or None."""
         draw = self._random.random()
@@ -105,6 +122,8 @@
             "refused": self.refused,
             "runs": sum(self.runs_by_id.values()),
             "busy": self.busy,
+            "mixed": self.mixed,
+            "first_segments": self.first_segments,
         }
 
 
@@ -172,7 +191,8 @@
     async def _work(self):
         server = self._server
         request_id = self._headers.get(REQUEST_ID_HEADER, "")
-        if not server.begin(request_id, self._headers.get(KEY_HEADER)):
+        path = self._start_line.path.partition("?")[0]
+        if not server.begin(request_id, self._headers.get(KEY_HEADER), path):
             closing = {"Connection": "close"} if server.faults.is_leaving else {}
             refused = {OUTCOME_HEADER: str(Outcome.NOT_RUN)}
             self._answer(503, b"refused", refused | closing)
@@ -181,7 +201,7 @@
             fault = server.draw_fault()
             await self._serve(fault)
         finally:
-            server.busy -= 1
+            server.end(path)
         self._reply(request_id, fault)
 
     async def _serve(self, fault):
--- a/sassafrasgrade/tools/standins/clusters.py
+++ b/sassafrasgrade/tools/standins/clusters.py
@@ -100,6 +100,12 @@
                 hosts.append(EntryHost(f"entry-{number}", centre, address))
         return hosts
 
+    def _release_of(self, host):
+        for pool in self.configuration.pools_by_name.values():
+            if any(host in names for names in pool.hosts_by_data_centre.values()):
+                return pool.release
+        return ""
+
     def _plan_backend_hosts(self):
         hosts = []
         pools = self.configuration.pools_by_name.values()
@@ -111,5 +117,8 @@
             for number, name in enumerate(names):
                 rack = f"{centre}-rack-{number // HOSTS_PER_RACK + 1}"
                 address = f"127.{self.octet}.{position + 2}.{number + 1}"
-                hosts.append(Host(name, centre, rack, address, BACKEND_PORT))
+                release = self._release_of(name)
+                hosts.append(
+                    Host(name, centre, rack, address, BACKEND_PORT, release=release)
+                )
         return hosts
--- a/sassafrasgrade/tools/standins/platforms.py
+++ b/sassafrasgrade/tools/standins/platforms.py
@@ -8,7 +8,7 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.ioloop import PeriodicCallback
+from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.web import Application, HTTPError, RequestHandler
 
 from sassafrasgrade.platforms import (
@@ -24,6 +24,7 @@
 
 LONGEST_VALUE_BYTES = 1_000_000
 LEASE_TICK_MS = 100
+REBOOT_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -69,7 +70,8 @@
         self.published = {}
         self.published_versions = {}
         self.pending_lists = []
-        self.releases_by_host = {}
+        self.rebooting = set()
+        self.reboot_s = REBOOT_S
 
     def write(self, key, value, expected, lease):
         """Stores a value; returns the new revision or None on a conflict."""
@@ -121,6 +123,19 @@
             self.hosts_by_name[host.name] = host
         self._note_hosts()
 
+    def reboot(self, host, release):
+        """Plays a reboot: the host leaves and comes back with a release."""
+        if host.name in self.rebooting:
+            return
+        self.rebooting.add(host.name)
+        self.put_hosts([replace(host, state=HostState.LEAVING)])
+        back = replace(host, state=HostState.LIVE, release=release)
+        IOLoop.current().call_later(self.reboot_s, self._come_back, back)
+
+    def _come_back(self, host):
+        self.rebooting.discard(host.name)
+        self.put_hosts([host])
+
     def remove_hosts(self, names):
         """Removes hosts from the list, after the lag."""
         for name in names:
@@ -312,7 +327,7 @@
             self.state.put_hosts([replace(host, state=HostState.LIVE)])
         elif command == "reboot":
             release = json.loads(self.request.body).get("release", "")
-            self.state.releases_by_host[name] = release
+            self.state.reboot(host, release)
 
 
 class ControlHandler(RequestHandler):
