--- a/benches/overheads.py
+++ b/benches/overheads.py
@@ -135,6 +135,46 @@
     }
 
 
+def measure_charges(cluster, rate=200):
+    """Sends keyed charges in one data centre; returns the platform calls of each."""
+    centre = cluster.plan.entry_hosts[0].data_centre
+    targets = [h.url for h in cluster.plan.entry_hosts if h.data_centre == centre]
+    before = total_calls(cluster)
+    rest(SECONDS)
+    at_rest = (total_calls(cluster) - before) / SECONDS
+    before = total_calls(cluster)
+    figures = {}
+    for keyed in (True, False):
+        load = cluster.start_load(
+            f"charges-{keyed}",
+            targets=targets,
+            classes=[
+                {
+                    "name": "charge",
+                    "path": "/fees/charges",
+                    "method": "POST",
+                    "rate": rate,
+                    "service_ms": SERVICE_MS,
+                    "body_bytes": 200,
+                    "keyed": keyed,
+                }
+            ],
+            duration_s=SECONDS,
+        )
+        found = load.result()
+        calls = total_calls(cluster) - before - at_rest * found["seconds"]
+        before = total_calls(cluster)
+        charge = found["classes"]["charge"]
+        figures["keyed" if keyed else "not keyed"] = {
+            "sent": charge["sent"],
+            "in_time": charge["in_time"],
+            "p50_ms": charge["p50_ms"],
+            "p99_ms": charge["p99_ms"],
+            "platform_calls_each": round(calls / charge["sent"], 3),
+        }
+    return figures
+
+
 def main():
     """Runs all measurements at Kapu's size and saves them."""
     cluster = ProcessCluster("kapu", service_ms=SERVICE_MS).start()
@@ -143,6 +183,7 @@
             "latency": [measure_latency(cluster, rate) for rate in (100, 400)],
             "one_entry": [measure_entry(cluster, rate) for rate in (200, 400, 800)],
             "refusals": [measure_refusal(cluster, rate) for rate in (400, 800, 1600)],
+            "charges": measure_charges(cluster),
             "platform_calls": measure_platform_calls(cluster),
         }
     finally:
--- a/features/steps/flood_steps.py
+++ b/features/steps/flood_steps.py
@@ -4,8 +4,10 @@
 
 from features.support.clusters import ProcessCluster
 from features.support.floods import SERVICE_MS, TABLES, kept_shares, run_flood
+from sassafrasgrade.systems.admission import ProcessorAdmission, share_rate
 
 SEED = 1
+WINDOW_S = 0.2
 
 
 @given("a cluster of kapu with the flood tables")
@@ -42,3 +44,69 @@
 def check_flood_whole(context):
     for found in context.flooded.values():
         assert found.get("wrong", 0) + found.get("cut", 0) == 0, context.flooded
+
+
+@given('classes that demand "{demands}" with the weights "{weights}"')
+def set_demands(context, demands, weights):
+    pairs = zip(numbers(demands), numbers(weights))
+    context.demands = {key: pair for key, pair in enumerate(pairs)}
+
+
+def numbers(text):
+    """Parses numbers separated by commas."""
+    return [float(part) for part in text.split(",")]
+
+
+@when("a rate of {rate:d} is divided")
+def divide(context, rate):
+    context.granted = share_rate(rate, context.demands)
+
+
+@then('they are granted "{granted}"')
+def check_granted(context, granted):
+    found = [round(context.granted[key], 6) for key in sorted(context.demands)]
+    assert found == numbers(granted), found
+
+
+@given(
+    'an admission where "{loud}" sends {loud_rate:d} '
+    'and "{calm}" {calm_rate:d} requests a second'
+)
+def make_admission(context, loud, loud_rate, calm, calm_rate):
+    context.admission = ProcessorAdmission()
+    context.rates = {loud: loud_rate, calm: calm_rate}
+
+
+def run_window(context, most):
+    """Plays one window; busy if more than ``most`` a second are admitted."""
+    admitted = {name: 0 for name in context.rates}
+    for name, rate in context.rates.items():
+        for _ in range(int(rate * WINDOW_S)):
+            admitted[name] += context.admission.admits(name, 1)
+    busy = sum(admitted.values()) > most * WINDOW_S
+    context.admission.tick(1.0 if busy else 0.5, WINDOW_S)
+    return admitted
+
+
+@when(
+    "the processor is busy for {count:d} windows "
+    "while more than {most:d} a second are admitted"
+)
+def run_windows(context, count, most):
+    for _ in range(count):
+        context.admitted = run_window(context, most)
+
+
+@then('"{calm}" is admitted whole and "{loud}" at less than {most:d} a second')
+def check_admitted(context, calm, loud, most):
+    assert context.admitted[calm] == int(context.rates[calm] * WINDOW_S)
+    assert 0 < context.admitted[loud] < most * WINDOW_S, context.admitted
+
+
+@then("once the flood ends everything is admitted within {seconds:d} seconds")
+def check_recovery(context, seconds):
+    context.rates = {name: 20 for name in context.rates}
+    for _ in range(int(seconds / WINDOW_S)):
+        run_window(context, 200)
+    assert not context.admission.is_shedding
+    assert run_window(context, 200) == {name: 4 for name in context.rates}
--- a/features/support/clusters.py
+++ b/features/support/clusters.py
@@ -13,6 +13,7 @@
 from features.support.calls import call
 from features.support.waiting import wait_until
 from sassafrasgrade.tools.standins.clusters import (
+    ENTRY_HOSTS_BY_POSITION,
     ENTRY_STREAM_PORT,
     MANAGER_STREAM_PORT,
     PLATFORM_PORT,
@@ -42,6 +43,7 @@
         tables: Folder with other tables than the samples.
         slots: Slots of each backend server stand-in.
         service_ms: Their service time.
+        entry_counts: Entry hosts of each data centre, in order.
     """
 
     def __init__(
@@ -52,8 +54,9 @@
         tables=None,
         slots=8,
         service_ms=10.0,
+        entry_counts=ENTRY_HOSTS_BY_POSITION,
     ):
-        self.plan = ClusterPlan(user, free_octet(), tables)
+        self.plan = ClusterPlan(user, free_octet(), tables, entry_counts)
         self.folder = Path(tempfile.mkdtemp(prefix="sassafrasgrade-"))
         self.processes_by_name = {}
         self._proxied = proxied
--- a/sassafrasgrade/answers.py
+++ b/sassafrasgrade/answers.py
@@ -27,6 +27,7 @@
     BODY_TOO_LONG = "body-too-long"
     BAD_REQUEST = "bad-request"
     OVERLOADED = "overloaded"
+    BUSY = "busy"
     DEADLINE_PASSED = "deadline-passed"
     NO_HOST = "no-host"
     STOPPING = "stopping"
@@ -62,6 +63,7 @@
     Reason.NO_CONFIGURATION: "Try again later; the system has no tables yet.",
     Reason.BODY_TOO_LONG: "Send a shorter body.",
     Reason.BAD_REQUEST: "Correct the request's headers.",
+    Reason.BUSY: "Send the request again after Retry-After seconds.",
     Reason.OVERLOADED: "Send the request again after Retry-After seconds.",
     Reason.DEADLINE_PASSED: "Send the request again after Retry-After seconds.",
     Reason.NO_HOST: "Send the request again after Retry-After seconds.",
--- a/sassafrasgrade/entries.py
+++ b/sassafrasgrade/entries.py
@@ -2,6 +2,7 @@
 
 import logging
 import signal
+import time
 from functools import singledispatchmethod
 
 import fire
@@ -47,8 +48,10 @@
 from sassafrasgrade.peers import parse_peer
 from sassafrasgrade.platforms import PlatformClient
 from sassafrasgrade.routers import Router
-from sassafrasgrade.seekers import SlotSeeker
+from sassafrasgrade.seekers import SlotSeeker, class_of
 from sassafrasgrade.settings import require_settings
+from sassafrasgrade.streams import TRAFFIC
+from sassafrasgrade.systems.admission import ProcessorAdmission
 from sassafrasgrade.tables import HostList
 from sassafrasgrade.timers import TimerService
 
@@ -56,6 +59,8 @@
 
 TICK_S = 0.05
 BEAT_S = 0.25
+SHARE_S = 0.2
+SHED_RETRY_S = 1.0
 REPORT_S = 1.0
 PROBE_TIMEOUT_S = 0.5
 CLIENTS_AT_ONCE = 256
@@ -80,6 +85,10 @@
         self._holder = ConfigurationHolder()
         self._hosts = HostList()
         self._membership = Membership()
+        self._admission = ProcessorAdmission()
+        self._sheds = settings.entry_admission_method == "shares"
+        self._used_s = time.process_time()
+        self._shared_at = timers.now()
         self._router = Router(())
         self._http_client = create_http_client(CLIENTS_AT_ONCE)
         self._owner = SlotOwner(settings, timers, self._deliver, self._probe)
@@ -129,6 +138,7 @@
         )
         self.timers.subscribe(TICK_S, self._tick)
         self.timers.subscribe(BEAT_S, self._beat)
+        self.timers.subscribe(SHARE_S, self._share_processor)
         self.timers.subscribe(REPORT_S, self._report)
         logger.info("entry started")
 
@@ -179,6 +189,8 @@
         route = self._router.find(method, path)
         if route is None:
             return None, Reason.NO_ROUTE, 0
+        if self._sheds and not self._admission.admits(class_of(route), route.weight):
+            return route, Reason.BUSY, SHED_RETRY_S
         refused_s = self._seeker.refused_for(route)
         if refused_s:
             return route, Reason.OVERLOADED, refused_s
@@ -209,12 +221,22 @@
     def _metrics_page(self):
         self.counters.set_gauge("open_requests", self._runner.open_count)
         self.counters.set_gauge("waiting_requests", self._runner.waiting_count)
+        self.counters.set_gauge("stream_bytes_sent", TRAFFIC.sent)
+        self.counters.set_gauge("stream_bytes_received", TRAFFIC.received)
+        self.counters.set_gauge("sheds", int(self._admission.is_shedding))
         self.counters.set_gauge("ejections", self._owner.ejections)
         self.counters.set_gauge("generation", self._holder.generation)
         return Answer(200, PAGE_TYPE, self.counters.expose())
 
     # Ticks.
 
+    def _share_processor(self, now):
+        used_s = time.process_time()
+        window_s = max(now - self._shared_at, SHARE_S / 2)
+        busy_share = (used_s - self._used_s) / window_s
+        self._used_s, self._shared_at = used_s, now
+        self._admission.tick(busy_share, window_s)
+
     def _tick(self, now):
         self._links.tick(now)
         self._owner.tick(now)
--- a/sassafrasgrade/managers.py
+++ b/sassafrasgrade/managers.py
@@ -35,7 +35,7 @@
 from sassafrasgrade.peers import choose_links, merge_peers
 from sassafrasgrade.platforms import PlatformClient
 from sassafrasgrade.settings import require_settings
-from sassafrasgrade.streams import Link, MessageServer
+from sassafrasgrade.streams import TRAFFIC, Link, MessageServer
 from sassafrasgrade.systems.distribution import NEVER_S, ManagerView, should_read
 from sassafrasgrade.systems.host_lists import accept_hosts
 from sassafrasgrade.tables import HostList
@@ -266,6 +266,8 @@
             "reading": int(self._hosts_watcher.is_reading),
             "planning": int(self._fleet.is_planning),
             "moves": self._fleet.membership.moves,
+            "stream_bytes_sent": TRAFFIC.sent,
+            "stream_bytes_received": TRAFFIC.received,
         }
 
     # What the watchers found.
--- a/sassafrasgrade/seekers.py
+++ b/sassafrasgrade/seekers.py
@@ -61,7 +61,7 @@
 
     def note_refusal(self, owner, route, retry_after_s):
         """Remembers that a class was refused, to refuse its next ones early."""
-        key = _class_key(route)
+        key = class_of(route)
         in_row = self._refusals_in_row[key] = self._refusals_in_row.get(key, 0) + 1
         if in_row >= REFUSALS_TO_BELIEVE:
             until = self._timers.now() + min(retry_after_s, LONGEST_REFUSAL_S)
@@ -69,11 +69,11 @@
 
     def note_grant(self, route):
         """Notes that an owner had room for a class."""
-        self._refusals_in_row.pop(_class_key(route), None)
+        self._refusals_in_row.pop(class_of(route), None)
 
     def refused_for(self, route):
         """Returns the Retry-After seconds while a class is refused, else 0."""
-        found = self._refused_until.get(_class_key(route))
+        found = self._refused_until.get(class_of(route))
         if found is None or self._timers.now() >= found[0]:
             return 0.0
         return found[1]
@@ -137,5 +137,6 @@
         self._owner.finish(message)
 
 
-def _class_key(route):
+def class_of(route):
+    """Returns the class of a route over all pools."""
     return route.pool, URGENCY_RANKS[route.urgency], route.team
--- a/sassafrasgrade/streams.py
+++ b/sassafrasgrade/streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+from dataclasses import dataclass
 
 import msgpack
 import msgspec
@@ -19,6 +20,17 @@
 CONNECT_TIMEOUT_S = 2.0
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Bytes sent and received on all streams of the process."""
+
+    sent: int = 0
+    received: int = 0
+
+
+TRAFFIC = Traffic()
+
+
 class MessageStream:
     """One connection that carries typed messages both ways.
 
@@ -42,10 +54,10 @@
         """Queues a message; a peer too slow to read is disconnected."""
         if self._stream.closed():
             return
+        data = msgspec.msgpack.encode(message)
+        TRAFFIC.sent += len(data)
         try:
-            self._stream.write(msgspec.msgpack.encode(message)).add_done_callback(
-                _ignore_closed
-            )
+            self._stream.write(data).add_done_callback(_ignore_closed)
         except StreamClosedError:
             pass
 
@@ -54,6 +66,7 @@
         try:
             while True:
                 data = await self._stream.read_bytes(READ_BYTES, partial=True)
+                TRAFFIC.received += len(data)
                 self._unpacker.feed(data)
                 for value in self._unpacker:
                     on_message(msgspec.convert(value, self._types))
--- /dev/null
+++ b/sassafrasgrade/systems/admission.py
@@ -0,0 +1,123 @@
+"""Shares the entry's own processor time among classes when it runs short."""
+
+from dataclasses import dataclass
+
+# Share of one core above which requests are refused early.
+BUSY_SHARE = 0.85
+# How fast the admitted rate follows the load, each window.
+RATE_DECREASE = 0.9
+RATE_INCREASE = 1.1
+SMALLEST_RATE = 20.0
+
+
+@dataclass(slots=True)
+class ClassDemand:
+    """Arrivals of one class in this window and its admitted fraction."""
+
+    weight: int = 1
+    arrivals: int = 0
+    admitted_fraction: float = 1.0
+    credit: float = 0.0
+
+
+def share_rate(rate, demands):
+    """Divides a rate among classes by weight; unused shares go to the others.
+
+    Args:
+        rate: Requests a second to divide.
+        demands: (demanded rate, weight) by class.
+
+    Returns:
+        Granted rate by class, never above what it demands.
+    """
+    granted = {}
+    open_classes = dict(demands)
+    left = rate
+    while open_classes:
+        weights = sum(weight for _, weight in open_classes.values())
+        satisfied = {
+            key: demand
+            for key, (demand, weight) in open_classes.items()
+            if demand <= left * weight / weights
+        }
+        if not satisfied:
+            for key, (_, weight) in open_classes.items():
+                granted[key] = left * weight / weights
+            return granted
+        for key, demand in satisfied.items():
+            granted[key] = demand
+            left -= demand
+            del open_classes[key]
+    return granted
+
+
+class ProcessorAdmission:
+    """Admits requests by class so that the processor keeps up.
+
+    While the processor is not busy everything is admitted. When it is, the
+    admitted rate falls until it is not, and is divided by weight, so that a
+    flood is refused and the other classes are not.
+    """
+
+    def __init__(self):
+        self._demands_by_class = {}
+        self._rate = None
+
+    @property
+    def is_shedding(self):
+        """Whether some requests are refused."""
+        return self._rate is not None
+
+    def admits(self, class_key, weight):
+        """Counts an arrival; returns whether it is admitted.
+
+        Args:
+            class_key: Class of the request, over all pools.
+            weight: Guaranteed share of the class.
+        """
+        demand = self._demands_by_class.get(class_key)
+        if demand is None:
+            demand = self._demands_by_class[class_key] = ClassDemand(weight)
+        demand.arrivals += 1
+        demand.weight = weight
+        if demand.admitted_fraction >= 1.0:
+            return True
+        # Admits evenly: one each time the fractions add up to a whole.
+        demand.credit += demand.admitted_fraction
+        if demand.credit < 1.0:
+            return False
+        demand.credit -= 1.0
+        return True
+
+    def tick(self, busy_share, window_s):
+        """Ends a window: sets the fraction that each class is admitted.
+
+        Args:
+            busy_share: Share of one core that the process used in the window.
+            window_s: Length of the window in seconds.
+        """
+        rates = {
+            key: (demand.arrivals / window_s, demand.weight)
+            for key, demand in self._demands_by_class.items()
+        }
+        total = sum(rate for rate, _ in rates.values())
+        self._update_rate(busy_share, total, rates)
+        granted = None if self._rate is None else share_rate(self._rate, rates)
+        for key, demand in self._demands_by_class.items():
+            demand.admitted_fraction = 1.0
+            if granted is not None and demand.arrivals:
+                demand.admitted_fraction = granted[key] / rates[key][0]
+            demand.arrivals = 0
+
+    def _update_rate(self, busy_share, total, rates):
+        if busy_share >= BUSY_SHARE:
+            admitted = sum(
+                rate * self._demands_by_class[key].admitted_fraction
+                for key, (rate, _) in rates.items()
+            )
+            lowered = min(admitted, self._rate or admitted) * RATE_DECREASE
+            self._rate = max(SMALLEST_RATE, lowered)
+        elif self._rate is not None:
+            self._rate *= RATE_INCREASE
+            if self._rate >= total:
+                self._rate = None
--- a/sassafrasgrade/tools/standins/clusters.py
+++ b/sassafrasgrade/tools/standins/clusters.py
@@ -13,6 +13,10 @@
 PLATFORM_PORT = 7400
 BACKEND_PORT = 9000
 HOSTS_PER_RACK = 4
+# Backend addresses: third octet by block of hosts, some blocks a data centre.
+FIRST_BACKEND_BLOCK = 2
+BLOCKS_PER_DATA_CENTRE = 5
+HOSTS_PER_BLOCK = 200
 ENTRY_HOSTS_BY_POSITION = (3, 2, 2)
 
 
@@ -37,9 +41,13 @@
         user: ``kapu`` or ``authority``: whose sample tables to use.
         octet: Second octet of all addresses, so that clusters can coexist.
         tables: Folder with other tables than the user's samples.
+        entry_counts: Entry hosts of each data centre, in order.
     """
 
-    def __init__(self, user="kapu", octet=10, tables=None):
+    def __init__(
+        self, user="kapu", octet=10, tables=None, entry_counts=ENTRY_HOSTS_BY_POSITION
+    ):
+        self._entry_counts = entry_counts
         self.octet = octet
         self.tables = tables or files("sassafrasgrade") / "samples" / user
         self.configuration = read_tables(
@@ -93,7 +101,7 @@
 
     def _plan_entry_hosts(self):
         hosts = []
-        for centre, count in zip(self.data_centres, ENTRY_HOSTS_BY_POSITION):
+        for centre, count in zip(self.data_centres, self._entry_counts):
             for _ in range(count):
                 number = len(hosts) + 1
                 address = f"127.{self.octet}.1.{number}"
@@ -116,7 +124,9 @@
             names = [c[row] for row in range(longest) for c in columns if row < len(c)]
             for number, name in enumerate(names):
                 rack = f"{centre}-rack-{number // HOSTS_PER_RACK + 1}"
-                address = f"127.{self.octet}.{position + 2}.{number + 1}"
+                block = position * BLOCKS_PER_DATA_CENTRE + number // HOSTS_PER_BLOCK
+                last = number % HOSTS_PER_BLOCK + 1
+                address = f"127.{self.octet}.{FIRST_BACKEND_BLOCK + block}.{last}"
                 release = self._release_of(name)
                 hosts.append(
                     Host(name, centre, rack, address, BACKEND_PORT, release=release)
