Decide on jobs: learned sizes, urgent starts, verdicts, lost hosts, quotas

Cause: jobs were not placed at all. Change: pure systems that learn sizes, place best-fit by urgency and quota, throttle or checkpoint the least urgent, wait for lapsed leases and end what can never run. Measured on fake time: urgent jobs start within 1.5 s at p99 under floods and cancellations; sizes wrong by five keep at least 90 percent of the work.

--- /dev/null
+++ b/features/jobs.feature
@@ -0,0 +1,65 @@
+Feature: Jobs are placed, started in time and ended truthfully
+
+  Scenario Outline: urgent jobs start within 1.5 s under <flood>
+    Given a job fleet of <hosts> workers with seed <seed>
+    When urgent jobs arrive for 60 seconds under "<flood>"
+    Then 99 percent of the urgent jobs started within 1.5 seconds
+    And no job that may run once ran twice and no quota was exceeded
+
+    Examples:
+      | hosts | seed | flood                                        |
+      | 6     | 1    | a flood of background jobs                   |
+      | 6     | 2    | a flood of background jobs                   |
+      | 6     | 3    | a flood and a wave of cancellations          |
+      | 6     | 4    | a flood and a wave of cancellations          |
+      | 6     | 5    | a flood that fills the memory                |
+      | 60    | 6    | a flood and a wave of cancellations          |
+
+  Scenario Outline: declared sizes that are <wrong> cost little completed work
+    Then declared sizes "<wrong>" do at least 90 percent of what true sizes do with seed <seed>
+
+    Examples:
+      | wrong                 | seed |
+      | five times too large  | 1    |
+      | five times too small  | 1    |
+      | wrong by five at once | 1    |
+      | wrong by five at once | 2    |
+
+  Scenario: a job that can never run ends with a verdict
+    Given a job fleet of 6 workers with seed 1
+    When a job that fails on every worker and 50 that do not are submitted
+    Then the first ends as "failed" with the verdict "fails-everywhere"
+    And the other 50 are done
+    When jobs that turn out larger than any worker are submitted
+    Then the last of them ends as "failed" with the verdict "too-large"
+
+  Scenario: a worker that fails everything is ejected, and no job is condemned
+    Given a job fleet of 6 workers with seed 2
+    And the worker "worker-3" fails everything that it starts
+    When 200 jobs are submitted
+    Then all of them are done within 300 seconds
+    And "worker-3" failed at most 8 of them
+
+  Scenario Outline: a lost worker's jobs start again only after the lease lapsed
+    Given a job fleet of 6 workers with seed <seed>
+    When 60 jobs run, "<kind>", and "worker-2" is cut off
+    Then nothing of it starts again within <ttl> seconds
+    And in the end its jobs are "<end>"
+    And no job that may run once ran twice and no quota was exceeded
+
+    Examples:
+      | seed | kind           | ttl | end    |
+      | 1    | repeatable     | 59  | done   |
+      | 2    | not repeatable | 59  | failed |
+
+  Scenario: cancellations coalesce and win over starts
+    Given a job fleet of 6 workers with seed 1
+    When 400 jobs are submitted and all are cancelled after 5 seconds
+    Then all are cancelled within 4 seconds by at most 4 stop commands
+    And none started after its cancellation
+
+  Scenario: a team's quota holds
+    Given a job fleet of 6 workers with a quota of 100 cores for "team" and seed 1
+    When 200 jobs of the teams "team" and "other" run for 100 seconds
+    Then no job that may run once ran twice and no quota was exceeded
+    And "other" had more cores than "team"
--- /dev/null
+++ b/sassafrasgrade/jobs.py
@@ -0,0 +1,208 @@
+"""Tables of jobs: what was submitted, where it runs, how it ended."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+
+JOB_METHOD = "JOB"
+SUBMITTED_PREFIX = "jobs/{data_centre}/submitted/"
+RECORDS_KEY = "jobs/{data_centre}/records/{shard:02d}"
+RECORD_SHARDS = 8
+
+
+class JobState(StrEnum):
+    """State of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    CHECKPOINTING = "checkpointing"
+    STOPPING = "stopping"
+    LOST = "lost"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES = frozenset({JobState.DONE, JobState.FAILED, JobState.CANCELLED})
+PLACED_STATES = frozenset(
+    {JobState.RUNNING, JobState.CHECKPOINTING, JobState.STOPPING, JobState.LOST}
+)
+
+
+class JobVerdict(StrEnum):
+    """Why a job failed for good."""
+
+    NONE = ""
+    TOO_LARGE = "too-large"
+    FAILS_EVERYWHERE = "fails-everywhere"
+    MAY_HAVE_RUN = "may-have-run"
+    NO_ROUTE = "no-route"
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Processor cores and memory in MB."""
+
+    cores: float
+    memory_mb: float
+
+    def fits(self, other):
+        """Whether this size fits into another."""
+        return self.cores <= other.cores and self.memory_mb <= other.memory_mb
+
+    def plus(self, other):
+        """Returns the sum."""
+        return Size(self.cores + other.cores, self.memory_mb + other.memory_mb)
+
+    def minus(self, other):
+        """Returns the difference."""
+        return Size(self.cores - other.cores, self.memory_mb - other.memory_mb)
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """A job as submitted.
+
+    Attributes:
+        job_id: ``data_centre.digest``.
+        kind: Name of its route.
+        team: Quota account.
+        pool: Pool whose hosts run it.
+        urgency: Rank, 0 most urgent.
+        declared: Declared size.
+        seconds: Declared run time.
+        repeatable: Whether it may run more than once.
+        submitted_at: Seconds since the epoch.
+        payload: Text handed to the task.
+    """
+
+    job_id: str
+    kind: str
+    team: str
+    pool: str
+    urgency: int
+    declared: Size
+    seconds: float
+    repeatable: bool
+    submitted_at: float
+    payload: str = ""
+
+    @property
+    def size_key(self):
+        """Key under which sizes are learned."""
+        return self.team, self.kind
+
+
+@dataclass(frozen=True, slots=True)
+class JobRecord:
+    """A job's state; one record a job.
+
+    Attributes:
+        spec: What was submitted.
+        state: State.
+        attempt: Number of starts so far.
+        host: Host of the current attempt.
+        reserved: Size reserved there.
+        throttled: Whether it runs throttled in favour of more urgent work.
+        changed_at: When the state began.
+        failed_hosts: Hosts on which it failed.
+        verdict: Why it failed for good.
+        cancels: Whether its cancellation was asked for.
+    """
+
+    spec: JobSpec
+    state: JobState = JobState.QUEUED
+    attempt: int = 0
+    host: str = ""
+    reserved: Size = Size(0.0, 0.0)
+    throttled: bool = False
+    changed_at: float = 0.0
+    failed_hosts: tuple[str, ...] = ()
+    verdict: JobVerdict = JobVerdict.NONE
+    cancels: bool = False
+
+    @property
+    def task_id(self):
+        """Id of the current attempt's task on the platform."""
+        return f"{self.spec.job_id}.{self.attempt}"
+
+
+class TaskState(StrEnum):
+    """State of a task, as the platform reports it with a lag."""
+
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+
+
+class TaskReport(msgspec.Struct, frozen=True):
+    """One row of the platform's lagging task list.
+
+    Attributes:
+        task_id: Id of the task.
+        host: Where it runs or ran.
+        state: State.
+        cores: Cores used.
+        memory_mb: Memory used.
+    """
+
+    task_id: str
+    host: str
+    state: TaskState
+    cores: float
+    memory_mb: float
+
+
+class TaskStart(msgspec.Struct, frozen=True):
+    """A task to start; starting the same id twice starts it once."""
+
+    task_id: str
+    host: str
+    cores: float
+    memory_mb: float
+    payload: str
+
+
+class Submission(msgspec.Struct, frozen=True):
+    """Jobs and cancellations that one entry committed together."""
+
+    specs: list[JobSpec] = []
+    cancelled_ids: list[str] = []
+
+
+@dataclass(frozen=True)
+class JobsView:
+    """Everything that one tick of the job system decides on.
+
+    Attributes:
+        now: Seconds since the epoch.
+        records_by_id: All jobs of the data centre.
+        capacities_by_host: Size of every serving host.
+        pools_by_host: Pool of every serving host.
+        reports_by_task: Last task reports.
+        quotas_by_kind: Most cores at once by (team, kind); absent for no limit.
+        lapsed_at_by_host: When the task leases of a lost host surely lapse.
+        ejected_until_by_host: Hosts that fail what runs elsewhere.
+    """
+
+    now: float
+    records_by_id: dict
+    capacities_by_host: dict
+    pools_by_host: dict
+    reports_by_task: dict
+    quotas_by_kind: dict = field(default_factory=dict)
+    lapsed_at_by_host: dict = field(default_factory=dict)
+    ejected_until_by_host: dict = field(default_factory=dict)
+
+
+class RecordsShard(msgspec.Struct, frozen=True):
+    """One value of job records on the platform."""
+
+    records: list[JobRecord] = []
+
+
+def shard_of(job_id):
+    """Returns the number of the value that holds a job's record."""
+    return int(job_id.rsplit(".", 1)[1][:4], 16) % RECORD_SHARDS
--- /dev/null
+++ b/sassafrasgrade/systems/job_lifecycles.py
@@ -0,0 +1,204 @@
+"""One tick of the job system: reports, losses, cancellations, then placement."""
+
+from dataclasses import dataclass, replace
+
+from sassafrasgrade.jobs import (
+    FINAL_STATES,
+    PLACED_STATES,
+    JobState,
+    JobVerdict,
+    Size,
+    TaskState,
+)
+from sassafrasgrade.systems.job_placement import (
+    CheckpointTasks,
+    JobsPlacer,
+    StartTasks,
+    StopTasks,
+    ThrottleTasks,
+)
+
+# Distinct hosts on which a job fails before it can never run.
+HOSTS_TO_CONDEMN = 3
+# Attempts after which it is given up even if nothing succeeds anywhere.
+MOST_ATTEMPTS = 10
+# Different jobs that fail in a row on a host before it is ejected.
+FAILURES_TO_EJECT = 3
+EJECTION_S = 300.0
+# A task that the platform does not list this long after its start is lost.
+UNLISTED_S = 30.0
+
+
+@dataclass(frozen=True)
+class ChangeJobs:
+    """Writes job records, batched."""
+
+    records_by_id: dict
+
+
+class HostTrust:
+    """Finds hosts that fail everything that they start."""
+
+    def __init__(self):
+        self._failed_jobs_by_host = {}
+        self.ejected_until_by_host = {}
+        self._proven_hosts = set()
+
+    def note(self, host, job_id, failed, now):
+        """Learns from one finished task."""
+        if not failed:
+            self._failed_jobs_by_host.pop(host, None)
+            self._proven_hosts.add(host)
+            return
+        jobs = self._failed_jobs_by_host.setdefault(host, set())
+        jobs.add(job_id)
+        if len(jobs) >= FAILURES_TO_EJECT:
+            self.ejected_until_by_host[host] = now + EJECTION_S
+            self._failed_jobs_by_host.pop(host)
+            self._proven_hosts.discard(host)
+
+    def is_proven(self, host, now):
+        """Whether others succeed on the host, so that a failure is the job's."""
+        ejected = self.ejected_until_by_host.get(host, 0) > now
+        return host in self._proven_hosts and not ejected
+
+
+class JobsTick:
+    """Decides one tick.
+
+    Args:
+        view: ``JobsView``.
+        sizes: ``LearnedSizes``, learned from the reports.
+        trust: ``HostTrust``, learned from the reports.
+    """
+
+    def __init__(self, view, sizes, trust):
+        self._view = view
+        self._sizes = sizes
+        self._trust = trust
+        self._records = dict(view.records_by_id)
+        self._changed = {}
+        self._stopped = []
+
+    def commands(self):
+        """Returns the commands of this tick, in the order to carry them out."""
+        for record in list(self._records.values()):
+            if record.state not in FINAL_STATES:
+                self._advance(record)
+        view = replace(
+            self._view, ejected_until_by_host=self._trust.ejected_until_by_host
+        )
+        placement = JobsPlacer(view, self._records, self._sizes).place()
+        self._changed.update(placement.changed)
+        commands = []
+        if self._changed:
+            # Records first: a task never runs without a record that says so.
+            commands.append(ChangeJobs(self._changed))
+        lists = (
+            (StopTasks, self._stopped),
+            (CheckpointTasks, placement.checkpointed),
+            (StartTasks, placement.started),
+        )
+        for command, job_ids in lists:
+            if job_ids:
+                commands.append(command(tuple(job_ids)))
+        if placement.throttled:
+            commands.insert(1, ThrottleTasks(tuple(placement.throttled), True))
+        if placement.resumed:
+            commands.append(ThrottleTasks(tuple(placement.resumed), False))
+        return commands
+
+    def _change(self, record, state, **fields):
+        changed = replace(record, state=state, changed_at=self._view.now, **fields)
+        self._records[record.spec.job_id] = changed
+        self._changed[record.spec.job_id] = changed
+
+    def _advance(self, record):
+        if record.state is JobState.QUEUED:
+            if record.cancels:
+                self._change(record, JobState.CANCELLED)
+            return
+        report = self._view.reports_by_task.get(record.task_id)
+        if report is not None and report.state is not TaskState.RUNNING:
+            self._finish(record, report)
+        elif record.host not in self._view.capacities_by_host:
+            self._lose(record)
+        elif record.state is JobState.LOST:
+            self._change(record, JobState.RUNNING)
+        elif record.cancels and record.state is not JobState.STOPPING:
+            self._change(record, JobState.STOPPING)
+            self._stopped.append(record.spec.job_id)
+        elif report is None:
+            self._check_unlisted(record)
+        else:
+            used = Size(report.cores, report.memory_mb)
+            if record.state is JobState.RUNNING and not record.throttled:
+                self._sizes.learn(record.spec, used)
+
+    def _finish(self, record, report):
+        """Takes a task's end, as the platform reports it."""
+        failed = report.state is TaskState.FAILED
+        if report.state is not TaskState.STOPPED:
+            self._trust.note(record.host, record.spec.job_id, failed, self._view.now)
+        if report.state is TaskState.DONE:
+            self._change(record, JobState.DONE)
+        elif record.cancels:
+            self._change(record, JobState.CANCELLED)
+        elif report.state is TaskState.STOPPED:
+            # Checkpointed, so that going on is not a second run.
+            self._change(record, JobState.QUEUED, host="")
+        else:
+            self._retry_failed(record)
+
+    def _retry_failed(self, record):
+        if not record.spec.repeatable:
+            verdict = JobVerdict.MAY_HAVE_RUN
+            self._change(record, JobState.FAILED, verdict=verdict)
+            return
+        failed_hosts = record.failed_hosts
+        if self._trust.is_proven(record.host, self._view.now):
+            failed_hosts = tuple(dict.fromkeys((*failed_hosts, record.host)))
+        condemned = len(failed_hosts) >= HOSTS_TO_CONDEMN
+        if condemned or record.attempt >= MOST_ATTEMPTS:
+            self._change(
+                record,
+                JobState.FAILED,
+                failed_hosts=failed_hosts,
+                verdict=JobVerdict.FAILS_EVERYWHERE,
+            )
+            return
+        self._change(record, JobState.QUEUED, host="", failed_hosts=failed_hosts)
+
+    def _lose(self, record):
+        """Waits until a lost host's task leases surely lapsed."""
+        lapsed_at = self._view.lapsed_at_by_host.get(record.host)
+        if record.state is not JobState.LOST:
+            self._change(record, JobState.LOST)
+        elif lapsed_at is not None and self._view.now > lapsed_at:
+            self._end_lost(record)
+
+    def _check_unlisted(self, record):
+        if self._view.now - record.changed_at <= UNLISTED_S:
+            return
+        lapsed_at = self._view.lapsed_at_by_host.get(record.host)
+        if lapsed_at is not None and self._view.now > lapsed_at:
+            self._end_lost(record)
+
+    def _end_lost(self, record):
+        if record.cancels:
+            self._change(record, JobState.CANCELLED)
+        elif record.spec.repeatable:
+            self._change(record, JobState.QUEUED, host="")
+        else:
+            verdict = JobVerdict.MAY_HAVE_RUN
+            self._change(record, JobState.FAILED, verdict=verdict)
+
+
+def plan_jobs(view, sizes, trust):
+    """Returns the commands of one tick of the job system."""
+    return JobsTick(view, sizes, trust).commands()
+
+
+def placed_hosts(records):
+    """Returns the hosts whose task leases must be kept."""
+    return {r.host for r in records if r.state in PLACED_STATES and r.host}
