Run jobs over HTTP: submissions in batches, records, tasks under leases

Cause: the job decisions had no interface, store or tasks. Change: /jobs on the entries commits submissions and cancellations in groups, the planning manager keeps the records conditionally, starts, stops and throttles tasks idempotently and renews the task leases of the hosts in use.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -63,3 +63,25 @@
     When 200 jobs of the teams "team" and "other" run for 100 seconds
     Then no job that may run once ran twice and no quota was exceeded
     And "other" had more cores than "team"
+
+  Scenario: jobs over HTTP with real processes
+    Given a cluster of kapu whose planners work
+    When a job "/encode" with the key "j-1" is submitted to "entry-1" and again to "entry-6"
+    Then both answers name the same job
+    And it is done within 20 seconds after one start
+    When a job "/encode" that runs for 600 seconds is submitted to "entry-2" and cancelled
+    Then it is cancelled within 10 seconds
+    And bad submissions are refused
+      | body                                                          | status |
+      | {"kind": "/unknown", "cores": 1, "memory_mb": 1, "seconds": 1} | 404    |
+      | {"kind": "/encode", "cores": 0, "memory_mb": 1, "seconds": 1}  | 400    |
+      | {"kind": "/encode"                                             | 400    |
+      | {"kind": "/encode", "cores": 1, "memory_mb": 1, "colour": 1}   | 400    |
+    And an unknown job is answered with status 404
+
+  Scenario: urgent jobs start while background ones fill the pool, and a planner dies
+    Given a cluster of kapu whose planners work
+    And 120 background jobs of 24 cores fill the pool
+    When the manager that plans "szeged" dies and urgent jobs are submitted there
+    Then each urgent job starts within 1.5 seconds once another one plans
+    And no task was started twice
--- a/sassafrasgrade/answers.py
+++ b/sassafrasgrade/answers.py
@@ -35,6 +35,8 @@
     KEY_IN_USE = "key-in-use"
     ALREADY_RUN = "already-run"
     KEY_UNSETTLED = "key-unsettled"
+    NOT_FOUND = "not-found"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
     ANSWER_LATE = "answer-late"
     ANSWER_CUT = "answer-cut"
     ANSWER_CROSSED = "answer-crossed"
@@ -45,6 +47,7 @@
 
 STATUS_BY_REASON = {
     Reason.NO_ROUTE: 404,
+    Reason.NOT_FOUND: 404,
     Reason.BODY_TOO_LONG: 413,
     Reason.BAD_REQUEST: 400,
     Reason.DEADLINE_PASSED: 504,
@@ -71,6 +74,8 @@
     Reason.KEY_UNCLAIMED: "Send the request again with the same key.",
     Reason.KEY_IN_USE: "Wait for the first request with this key.",
     Reason.ALREADY_RUN: "Do not repeat; look up the result of the first request.",
+    Reason.NOT_FOUND: "Check the job's id; ended jobs are kept for ten minutes.",
+    Reason.PLATFORM_UNAVAILABLE: "Send the request again with the same key.",
     Reason.KEY_UNSETTLED: "Do not repeat; look up whether the first request ran.",
     Reason.ANSWER_LATE: "Look up whether the work was done before repeating it.",
     Reason.ANSWER_CUT: "Look up whether the work was done before repeating it.",
--- a/sassafrasgrade/delegates.py
+++ b/sassafrasgrade/delegates.py
@@ -4,6 +4,7 @@
 import uuid
 
 from tornado import httputil
+from tornado.ioloop import IOLoop
 
 from sassafrasgrade.answers import (
     REQUEST_ID_HEADER,
@@ -52,7 +53,7 @@
         "_method",
         "_is_answered",
         "_page",
-        "_keeps_open",
+        "_headers",
     )
 
     def __init__(self, entry, connection):
@@ -65,12 +66,12 @@
         self._method = ""
         self._is_answered = False
         self._page = None
-        self._keeps_open = True
+        self._headers = None
 
     def headers_received(self, start_line, headers):
         """Routes and admits; called when the headers were read."""
         self._method = start_line.method
-        self._keeps_open = headers.get("Connection", "").lower() != "close"
+        self._headers = headers
         path = start_line.path
         self._page = self._entry.page(start_line.method, path)
         if self._page is not None:
@@ -113,13 +114,23 @@
         if self._is_answered:
             return
         if self._page is not None:
-            self._respond(self._page())
+            self._serve_page()
         elif self._answer is not None:
             self._respond(self._answer)
         elif self._exchange is not None:
             self._exchange.body = b"".join(self._chunks)
             self._entry.start_exchange(self._exchange)
 
+    def _serve_page(self):
+        answer = self._page(self._headers, b"".join(self._chunks))
+        if isinstance(answer, Answer):
+            self._respond(answer)
+        else:
+            IOLoop.current().add_callback(self._await_page, answer)
+
+    async def _await_page(self, awaitable):
+        self._respond(await awaitable)
+
     def on_connection_close(self):
         """Called when the caller closed before it was answered."""
         self._is_answered = True
--- a/sassafrasgrade/entries.py
+++ b/sassafrasgrade/entries.py
@@ -27,6 +27,7 @@
     fetch_response,
     prepare_direct,
 )
+from sassafrasgrade.job_pages import JOBS_PATH, JobPages
 from sassafrasgrade.logs import configure_logs
 from sassafrasgrade.manager_links import ManagerLink
 from sassafrasgrade.messages import (
@@ -104,6 +105,7 @@
         self._platform = PlatformClient(
             settings.platform_url, settings.host_name, settings.platform_timeout_s
         )
+        self._jobs = JobPages(settings, timers, self._platform, self._configuration)
         self._claims = ClaimsKeeper(settings, timers, self._platform, self._links)
         self._runner = ExchangesRunner(
             settings,
@@ -172,10 +174,15 @@
         self._http_client.close()
         self._platform.close()
 
+    def _configuration(self):
+        return self._holder.configuration
+
     # Callers' requests.
 
     def page(self, method, path):
-        """Returns the function that makes a reserved page, or None."""
+        """Returns the function (headers, body) that makes a reserved page, or None."""
+        if path.startswith(JOBS_PATH):
+            return self._jobs.page(method, path)
         return self._pages_by_path.get(path) if method == "GET" else None
 
     def admit(self, method, path, headers):
@@ -208,17 +215,17 @@
 
     # Pages.
 
-    def _health_page(self):
+    def _health_page(self, headers, body):
         return Answer(200, PAGE_TYPE, b"ok\n")
 
-    def _ready_page(self):
+    def _ready_page(self, headers, body):
         if self.is_stopping:
             return Answer(503, PAGE_TYPE, b"stopping\n")
         if not self._holder.generation:
             return Answer(503, PAGE_TYPE, b"no configuration\n")
         return Answer(200, PAGE_TYPE, b"ready\n")
 
-    def _metrics_page(self):
+    def _metrics_page(self, headers, body):
         self.counters.set_gauge("open_requests", self._runner.open_count)
         self.counters.set_gauge("waiting_requests", self._runner.waiting_count)
         self.counters.set_gauge("stream_bytes_sent", TRAFFIC.sent)
--- a/sassafrasgrade/jobs.py
+++ b/sassafrasgrade/jobs.py
@@ -185,6 +185,7 @@
         quotas_by_kind: Most cores at once by (team, kind); absent for no limit.
         lapsed_at_by_host: When the task leases of a lost host surely lapse.
         ejected_until_by_host: Hosts that fail what runs elsewhere.
+        leaving_hosts: Hosts that drain: their tasks are checkpointed.
     """
 
     now: float
@@ -195,6 +196,7 @@
     quotas_by_kind: dict = field(default_factory=dict)
     lapsed_at_by_host: dict = field(default_factory=dict)
     ejected_until_by_host: dict = field(default_factory=dict)
+    leaving_hosts: frozenset = frozenset()
 
 
 class RecordsShard(msgspec.Struct, frozen=True):
--- a/sassafrasgrade/managers.py
+++ b/sassafrasgrade/managers.py
@@ -11,6 +11,7 @@
 from sassafrasgrade.configurations import ConfigurationHolder
 from sassafrasgrade.fleet_keepers import FleetKeeper, collect_acks
 from sassafrasgrade.host_updates import apply_hosts_update, compare_hosts
+from sassafrasgrade.job_keepers import JobKeeper
 from sassafrasgrade.logs import configure_logs
 from sassafrasgrade.messages import (
     AnyMessage,
@@ -45,6 +46,7 @@
 logger = logging.getLogger(__name__)
 
 HEARTBEAT_S = 1.0
+JOBS_S = 0.5
 # Other data centres get every fourth heartbeat only.
 REMOTE_HEARTBEAT_BEATS = 4
 LONGEST_JITTER_S = 1.0
@@ -109,6 +111,7 @@
             settings, timers, self._platform, self._announce_membership
         )
         self._jitter_s = random.uniform(0, LONGEST_JITTER_S)
+        self._jobs = JobKeeper(settings, timers, self._platform)
         self._requested_at = -NEVER_S
         self._beats = 0
         self._sessions = set()
@@ -142,6 +145,7 @@
         )
         self._update_links()
         self._timers.subscribe(HEARTBEAT_S, self._tick)
+        self._timers.subscribe(JOBS_S, self._tick_jobs)
         self._tick(self._timers.now())
         logger.info("manager started")
 
@@ -173,6 +177,15 @@
         self._send_heartbeats(now)
         IOLoop.current().add_callback(self._plan, now)
 
+    def _tick_jobs(self, now):
+        IOLoop.current().add_callback(
+            self._jobs.tick,
+            self._fleet.is_planning,
+            self._holder.configuration,
+            self._hosts.hosts_by_name,
+            self._fleet.membership,
+        )
+
     async def _plan(self, now):
         beats = self._local_heartbeats(now)
         acks = [ack for beat in beats for ack in beat.entry_acks]
--- a/sassafrasgrade/platforms.py
+++ b/sassafrasgrade/platforms.py
@@ -14,6 +14,7 @@
     fetch_response,
     prepare_direct,
 )
+from sassafrasgrade.jobs import TaskReport
 from sassafrasgrade.tables import Host, HostList
 
 CLIENT_HEADER = "X-Client"
@@ -127,6 +128,24 @@
         path = f"/hosts/{quote(name)}/{command}"
         return await self._call("POST", path, _json(**arguments))
 
+    async def start_tasks(self, data_centre, tasks):
+        """Starts tasks under the leases of their hosts; idempotent by task id."""
+        path = f"/tasks{_query(data_centre=data_centre)}"
+        return await self._call("POST", path, msgspec.json.encode(tasks))
+
+    async def command_tasks(self, command, task_ids):
+        """Asks to ``stop``, ``checkpoint``, ``throttle`` or ``resume`` tasks."""
+        return await self._call("POST", f"/tasks/{command}", _json(task_ids=task_ids))
+
+    async def renew_tasks(self, hosts, ttl_s):
+        """Renews the task leases of hosts; without it their tasks are stopped."""
+        return await self._call("POST", "/tasks/renew", _json(hosts=hosts, ttl_s=ttl_s))
+
+    async def read_tasks(self, data_centre):
+        """Reads the lagging task list as ``TaskReport`` by task id."""
+        found = await self._call("GET", f"/tasks{_query(data_centre=data_centre)}")
+        return found.map(_task_reports)
+
     async def _call(self, method, path, body=None, timeout_s=None):
         self.calls += 1
         request = HTTPRequest(
@@ -187,6 +206,11 @@
     return {key: Versioned(value, revision) for key, value, revision in rows}
 
 
+def _task_reports(response):
+    rows = msgspec.json.decode(response.body, type=list[TaskReport])
+    return {report.task_id: report for report in rows}
+
+
 def _host_list(response):
     if response.code == HTTP_NO_CONTENT:
         return None
--- a/sassafrasgrade/readers.py
+++ b/sassafrasgrade/readers.py
@@ -34,6 +34,7 @@
     repeatable: bool = False
     deadline_ms: Annotated[int, msgspec.Meta(ge=1, le=600_000)] = 2000
     longest_answer_bytes: Annotated[int, msgspec.Meta(ge=1, le=67_108_864)] = 1_048_576
+    quota_cores: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class PoolText(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/sassafrasgrade/systems/job_lifecycles.py
+++ b/sassafrasgrade/systems/job_lifecycles.py
@@ -79,6 +79,7 @@
         self._records = dict(view.records_by_id)
         self._changed = {}
         self._stopped = []
+        self._checkpointed = []
 
     def commands(self):
         """Returns the commands of this tick, in the order to carry them out."""
@@ -96,7 +97,7 @@
             commands.append(ChangeJobs(self._changed))
         lists = (
             (StopTasks, self._stopped),
-            (CheckpointTasks, placement.checkpointed),
+            (CheckpointTasks, self._checkpointed + placement.checkpointed),
             (StartTasks, placement.started),
         )
         for command, job_ids in lists:
@@ -128,6 +129,10 @@
         elif record.cancels and record.state is not JobState.STOPPING:
             self._change(record, JobState.STOPPING)
             self._stopped.append(record.spec.job_id)
+        elif record.host in self._view.leaving_hosts:
+            if record.state is JobState.RUNNING:
+                self._change(record, JobState.CHECKPOINTING)
+                self._checkpointed.append(record.spec.job_id)
         elif report is None:
             self._check_unlisted(record)
         else:
--- a/sassafrasgrade/systems/job_placement.py
+++ b/sassafrasgrade/systems/job_placement.py
@@ -153,7 +153,10 @@
             host
             for host in self._hosts_by_pool[spec.pool]
             if host not in record.failed_hosts
-            and spec.size_key not in self._unknown_by_host[host]
+            and (
+                spec.urgency == URGENT_RANK
+                or spec.size_key not in self._unknown_by_host[host]
+            )
         ]
         if not hosts:
             return False
--- a/sassafrasgrade/tables.py
+++ b/sassafrasgrade/tables.py
@@ -44,6 +44,8 @@
         repeatable: Whether a request may run more than once.
         deadline_ms: Longest time to the whole answer, in milliseconds.
         longest_answer_bytes: Largest answer body passed on, in bytes.
+        quota_cores: For job kinds (method ``JOB``), most cores at once, 0 for
+            no limit.
     """
 
     name: str
@@ -56,6 +58,7 @@
     repeatable: bool
     deadline_ms: int
     longest_answer_bytes: int
+    quota_cores: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +104,8 @@
         state: Whether the host is live or leaving.
         kind: What the host runs.
         release: Software release that it runs.
+        cores: Processor cores for jobs.
+        memory_mb: Memory for jobs in MB.
     """
 
     name: str
@@ -111,6 +116,8 @@
     state: HostState = HostState.LIVE
     kind: HostKind = HostKind.BACKEND_SERVER
     release: str = ""
+    cores: float = 0.0
+    memory_mb: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/sassafrasgrade/tools/standins/clusters.py
+++ b/sassafrasgrade/tools/standins/clusters.py
@@ -13,6 +13,8 @@
 PLATFORM_PORT = 7400
 BACKEND_PORT = 9000
 HOSTS_PER_RACK = 4
+HOST_CORES = 64.0
+HOST_MEMORY_MB = 131_072.0
 # Backend addresses: third octet by block of hosts, some blocks a data centre.
 FIRST_BACKEND_BLOCK = 2
 BLOCKS_PER_DATA_CENTRE = 5
@@ -129,6 +131,15 @@
                 address = f"127.{self.octet}.{FIRST_BACKEND_BLOCK + block}.{last}"
                 release = self._release_of(name)
                 hosts.append(
-                    Host(name, centre, rack, address, BACKEND_PORT, release=release)
+                    Host(
+                        name,
+                        centre,
+                        rack,
+                        address,
+                        BACKEND_PORT,
+                        release=release,
+                        cores=HOST_CORES,
+                        memory_mb=HOST_MEMORY_MB,
+                    )
                 )
         return hosts
