Admit a least rate while refusing alone keeps the processor busy

Cause: at 2,400 requests a second on one entry the refusals alone use the processor up, so the admitted rate fell to its floor of 20 a second and calm classes were refused too. Change: the floor is 200 a second, a fifth of a core; the scenario's limits moved above the floor for that reason.

--- a/features/floods.feature
+++ b/features/floods.feature
@@ -29,6 +29,6 @@
 
   Scenario: only the flooding class is refused while the processor is busy
     Given an admission where "flood" sends 900 and "calm" 30 requests a second
-    When the processor is busy for 20 windows while more than 200 a second are admitted
-    Then "calm" is admitted whole and "flood" at less than 250 a second
+    When the processor is busy for 20 windows while more than 300 a second are admitted
+    Then "calm" is admitted whole and "flood" at less than 350 a second
     And once the flood ends everything is admitted within 5 seconds
--- a/sassafrasgrade/systems/admission.py
+++ b/sassafrasgrade/systems/admission.py
@@ -7,7 +7,8 @@
 # How fast the admitted rate follows the load, each window.
 RATE_DECREASE = 0.9
 RATE_INCREASE = 1.1
-SMALLEST_RATE = 20.0
+# Refusing alone may keep the processor busy: this rate is admitted all the same.
+SMALLEST_RATE = 200.0
 
 
 @dataclass(slots=True)
