--- /dev/null
+++ b/sassafrasgrade/manager_peers.py
@@ -0,0 +1,164 @@
+"""What a manager knows of other managers, and its links to them."""
+
+from sassafrasgrade.messages import AnyMessage, EntryHostStatus
+from sassafrasgrade.peers import choose_links, merge_peers
+from sassafrasgrade.streams import Link
+from sassafrasgrade.systems.distribution import NEVER_S, ManagerView
+
+
+class PeerState:
+    """What this manager knows of another one, from its heartbeats."""
+
+    def __init__(self, data_centre):
+        self.data_centre = data_centre
+        self.heartbeat = None
+        self.heard_at = -NEVER_S
+
+    def hear(self, heartbeat, now):
+        """Stores a heartbeat."""
+        self.heartbeat = heartbeat
+        self.heard_at = now
+
+    def status(self, name, now, silence_s):
+        """Returns the ``EntryHostStatus`` for operators."""
+        heartbeat = self.heartbeat
+        age_s = now - self.heard_at
+        return EntryHostStatus(
+            name,
+            self.data_centre,
+            age_s <= silence_s,
+            heartbeat.generation,
+            heartbeat.entry_generation,
+            heartbeat.entry_state,
+            heartbeat.reading,
+            round(heartbeat.platform_age_s, 3),
+            round(age_s, 3),
+        )
+
+
+class PeerTable:
+    """States of the other managers by name.
+
+    Args:
+        settings: Checked ``Settings``.
+    """
+
+    def __init__(self, settings):
+        self._data_centre = settings.host_data_centre
+        self._silence_s = settings.manager_silence_s
+        self._states_by_name = {}
+
+    def add(self, hello):
+        """Notes a manager that introduced itself."""
+        self._states_by_name.setdefault(hello.name, PeerState(hello.data_centre))
+
+    def get(self, name):
+        """Returns the ``PeerState`` of a manager, or None."""
+        return self._states_by_name.get(name)
+
+    def lose(self, name):
+        """Counts a manager as gone whose stream closed."""
+        state = self._states_by_name.get(name)
+        if state is not None:
+            state.heard_at = -NEVER_S
+
+    def is_local(self, state):
+        """Whether a manager is in the own data centre."""
+        return state.data_centre == self._data_centre
+
+    def local_heartbeats(self, now):
+        """Returns the heartbeats of the live managers of the data centre."""
+        return [
+            state.heartbeat
+            for _, state in self._heard()
+            if self.is_local(state) and now - state.heard_at <= self._silence_s
+        ]
+
+    def views(self, now):
+        """Returns a ``ManagerView`` of each manager of the data centre."""
+        return [
+            ManagerView(
+                name,
+                now - state.heard_at,
+                state.heartbeat.platform_age_s,
+                state.heartbeat.reading,
+            )
+            for name, state in self._heard()
+            if self.is_local(state)
+        ]
+
+    def statuses(self, now):
+        """Returns the ``EntryHostStatus`` of each manager heard, by name."""
+        return [
+            state.status(name, now, self._silence_s) for name, state in self._heard()
+        ]
+
+    def _heard(self):
+        for name, state in sorted(self._states_by_name.items()):
+            if state.heartbeat is not None:
+                yield name, state
+
+
+class ManagerLinks:
+    """Outgoing links to the other managers.
+
+    Args:
+        settings: Checked ``Settings``.
+        greet: Function (link), called after each connect.
+        on_message: Function (message, link).
+    """
+
+    def __init__(self, settings, greet, on_message):
+        self._settings = settings
+        self._greet = greet
+        self._on_message = on_message
+        self._links_by_name = {}
+        self.peers_by_name = {}
+
+    @property
+    def open_count(self):
+        """Links that are up."""
+        return sum(link.is_open for link in self._links_by_name.values())
+
+    def update(self, hosts):
+        """Opens and closes links as the known entry hosts change."""
+        self.peers_by_name = merge_peers(self._settings.manager_peers, hosts)
+        chosen = {
+            peer.name: peer
+            for peer in choose_links(
+                self._settings.host_name,
+                self._settings.host_data_centre,
+                self.peers_by_name,
+            )
+        }
+        for name in self._links_by_name.keys() - chosen.keys():
+            self._links_by_name.pop(name).close()
+        for name in chosen.keys() - self._links_by_name.keys():
+            self._links_by_name[name] = self._open(chosen[name])
+
+    def close(self):
+        """Closes all links."""
+        for link in self._links_by_name.values():
+            link.close()
+
+    def send(self, message, remote_too=False):
+        """Sends to the managers of the data centre, or to all linked ones."""
+        for name, link in self._links_by_name.items():
+            if remote_too or self._is_local(name):
+                link.send(message)
+
+    def _is_local(self, name):
+        peer = self.peers_by_name.get(name)
+        return peer and peer.data_centre == self._settings.host_data_centre
+
+    def _open(self, peer):
+        link = Link(
+            peer.address,
+            self._settings.manager_stream_port,
+            AnyMessage,
+            self._greet,
+            lambda message: self._on_message(message, link),
+            lambda: None,
+        )
+        link.start()
+        return link
--- a/sassafrasgrade/managers.py
+++ b/sassafrasgrade/managers.py
@@ -13,31 +13,29 @@
 from sassafrasgrade.host_updates import apply_hosts_update, compare_hosts
 from sassafrasgrade.job_keepers import JobKeeper
 from sassafrasgrade.logs import configure_logs
+from sassafrasgrade.manager_peers import ManagerLinks, PeerState, PeerTable
+from sassafrasgrade.manager_sessions import ManagerSession, SessionTable
 from sassafrasgrade.messages import (
     AnyMessage,
     ConfigurationDelta,
     ConfigurationRequest,
     ConfigurationSnapshot,
-    EntryHostStatus,
     EntryReport,
-    EntryStatus,
     Heartbeat,
     Hello,
     HostsRequest,
     HostsUpdate,
     ManagerCounters,
-    MembershipAck,
     MembershipRequest,
     MembershipUpdate,
     PeersUpdate,
     StatusReply,
     StatusRequest,
 )
-from sassafrasgrade.peers import choose_links, merge_peers
 from sassafrasgrade.platforms import PlatformClient
 from sassafrasgrade.settings import require_settings
-from sassafrasgrade.streams import TRAFFIC, Link, MessageServer
-from sassafrasgrade.systems.distribution import NEVER_S, ManagerView, should_read
+from sassafrasgrade.streams import TRAFFIC, MessageServer
+from sassafrasgrade.systems.distribution import NEVER_S, should_read
 from sassafrasgrade.systems.host_lists import accept_hosts
 from sassafrasgrade.tables import HostList
 from sassafrasgrade.timers import TimerService
@@ -54,42 +52,6 @@
 ENTRY_DOWN = -1
 
 
-class PeerState:
-    """What this manager knows of another one, from its heartbeats."""
-
-    def __init__(self, data_centre):
-        self.data_centre = data_centre
-        self.heartbeat = None
-        self.heard_at = -NEVER_S
-
-    def hear(self, heartbeat, now):
-        """Stores a heartbeat."""
-        self.heartbeat = heartbeat
-        self.heard_at = now
-
-
-class ManagerSession:
-    """One accepted stream: a peer manager, the local entry or an operator."""
-
-    def __init__(self, manager, stream):
-        self._manager = manager
-        self.stream = stream
-        self.hello = Hello("", "", "")
-        self.report = None
-
-    def on_message(self, message):
-        """Hands a message to the manager."""
-        self._manager.handle(message, self)
-
-    def on_close(self):
-        """Tells the manager that the stream closed."""
-        self._manager.forget_session(self)
-
-    def send(self, message):
-        """Sends a message back on the stream."""
-        self.stream.send(message)
-
-
 class Manager:
     """Wires watchers, peers and the local entry of one entry host.
 
@@ -114,10 +76,9 @@
         self._jobs = JobKeeper(settings, timers, self._platform)
         self._requested_at = -NEVER_S
         self._beats = 0
-        self._sessions = set()
-        self._links_by_name = {}
-        self._peers_by_name = {}
-        self._states_by_name = {}
+        self._sessions = SessionTable(settings.host_name)
+        self._peers = PeerTable(settings)
+        self._links = ManagerLinks(settings, self._greet, self.handle)
         self._server = MessageServer(AnyMessage, self._accept)
         self._configuration_watcher = ConfigurationWatcher(
             self._platform,
@@ -143,7 +104,7 @@
         self._server.listen(
             self._settings.manager_stream_port, self._settings.host_address
         )
-        self._update_links()
+        self._links.update(())
         self._timers.subscribe(HEARTBEAT_S, self._tick)
         self._timers.subscribe(JOBS_S, self._tick_jobs)
         self._tick(self._timers.now())
@@ -155,8 +116,7 @@
         self._configuration_watcher.close()
         self._hosts_watcher.close()
         self._server.close()
-        for link in self._links_by_name.values():
-            link.close()
+        self._links.close()
         self._fleet.close()
         self._platform.close()
         logger.info("manager stopped")
@@ -166,7 +126,7 @@
     def _tick(self, now):
         reading = should_read(
             self._settings.host_name,
-            self._views(now),
+            self._peers.views(now),
             self._settings.manager_silence_s,
             self._jitter_s,
         )
@@ -187,7 +147,7 @@
         )
 
     async def _plan(self, now):
-        beats = self._local_heartbeats(now)
+        beats = self._peers.local_heartbeats(now)
         acks = [ack for beat in beats for ack in beat.entry_acks]
         await self._fleet.tick(
             not any(beat.planning for beat in beats),
@@ -195,66 +155,21 @@
             self._hosts.hosts_by_name,
             collect_acks(
                 (ack.entry, ack.version, ack.busy_hosts)
-                for ack in [*acks, *self._entry_acks()]
+                for ack in [*acks, *self._sessions.acks()]
             ),
             {pool for beat in beats for pool in beat.burning_pools}
-            | set(self._burning_pools()),
+            | set(self._sessions.burning_pools()),
         )
 
-    def _local_heartbeats(self, now):
-        """Returns the heartbeats of the live managers of the data centre."""
-        return [
-            state.heartbeat
-            for state in self._states_by_name.values()
-            if state.heartbeat is not None
-            and state.data_centre == self._settings.host_data_centre
-            and now - state.heard_at <= self._settings.manager_silence_s
-        ]
-
-    def _entry_acks(self):
-        return [
-            MembershipAck(
-                session.hello.name,
-                session.report.membership_version,
-                session.report.busy_hosts,
-            )
-            for session in self._entry_sessions()
-            if session.report is not None
-        ]
-
-    def _burning_pools(self):
-        pools = set()
-        for session in self._entry_sessions():
-            if session.report is not None:
-                pools.update(session.report.burning_pools)
-        return sorted(pools)
-
-    def _views(self, now):
-        return [
-            ManagerView(
-                name,
-                now - state.heard_at,
-                state.heartbeat.platform_age_s,
-                state.heartbeat.reading,
-            )
-            for name, state in self._states_by_name.items()
-            if state.heartbeat is not None
-            and state.data_centre == self._settings.host_data_centre
-        ]
-
     def _send_heartbeats(self, now):
         heartbeat = self._heartbeat(now)
         remote_too = self._beats % REMOTE_HEARTBEAT_BEATS == 0
         self._beats += 1
-        for name, link in self._links_by_name.items():
-            if remote_too or self._is_local(name):
-                link.send(heartbeat)
-        counters = ManagerCounters(self.counters())
-        for session in self._entry_sessions():
-            session.send(counters)
+        self._links.send(heartbeat, remote_too)
+        self._sessions.send_entries(ManagerCounters(self.counters()))
 
     def _heartbeat(self, now):
-        report = self._entry_report()
+        report = self._sessions.own_report()
         return Heartbeat(
             self._holder.generation,
             self._hosts.version,
@@ -264,8 +179,8 @@
             report.state if report else "down",
             self._fleet.membership.version,
             self._fleet.is_planning,
-            self._entry_acks(),
-            self._burning_pools(),
+            self._sessions.acks(),
+            self._sessions.burning_pools(),
         )
 
     def counters(self):
@@ -275,7 +190,7 @@
             "older_heads": self._configuration_watcher.older_heads,
             "generation": self._holder.generation,
             "hosts_version": self._hosts.version,
-            "links_open": sum(link.is_open for link in self._links_by_name.values()),
+            "links_open": self._links.open_count,
             "reading": int(self._hosts_watcher.is_reading),
             "planning": int(self._fleet.is_planning),
             "moves": self._fleet.membership.moves,
@@ -315,65 +230,24 @@
 
     def _announce_generation(self, message):
         logger.info("generation %d is in force", self._holder.generation)
-        for session in self._entry_sessions():
-            session.send(message)
+        self._sessions.send_entries(message)
         if self._hosts_watcher.is_reading:
-            self._send_locally(message)
-
-    def _send_locally(self, message):
-        for name, link in self._links_by_name.items():
-            if self._is_local(name):
-                link.send(message)
+            self._links.send(message)
 
     def _announce_membership(self, update):
-        for session in self._entry_sessions():
-            session.send(update)
+        self._sessions.send_entries(update)
         if self._fleet.is_planning:
-            self._send_locally(update)
+            self._links.send(update)
 
     def _announce_hosts(self, update):
-        self._update_links()
-        for session in self._entry_sessions():
-            session.send(update)
-            session.send(self._peers_update())
+        self._links.update(self._hosts.hosts_by_name.values())
+        self._sessions.send_entries(update)
+        self._sessions.send_entries(self._peers_update())
         if self._hosts_watcher.is_reading:
-            self._send_locally(update)
+            self._links.send(update)
 
     # Peers.
 
-    def _is_local(self, name):
-        peer = self._peers_by_name.get(name)
-        return peer and peer.data_centre == self._settings.host_data_centre
-
-    def _update_links(self):
-        self._peers_by_name = merge_peers(
-            self._settings.manager_peers, self._hosts.hosts_by_name.values()
-        )
-        chosen = {
-            peer.name: peer
-            for peer in choose_links(
-                self._settings.host_name,
-                self._settings.host_data_centre,
-                self._peers_by_name,
-            )
-        }
-        for name in self._links_by_name.keys() - chosen.keys():
-            self._links_by_name.pop(name).close()
-        for name in chosen.keys() - self._links_by_name.keys():
-            self._links_by_name[name] = self._open_link(chosen[name])
-
-    def _open_link(self, peer):
-        link = Link(
-            peer.address,
-            self._settings.manager_stream_port,
-            AnyMessage,
-            self._greet,
-            lambda message: self.handle(message, link),
-            lambda: None,
-        )
-        link.start()
-        return link
-
     def _greet(self, link):
         link.send(
             Hello(self._settings.host_name, self._settings.host_data_centre, "manager")
@@ -384,34 +258,20 @@
     # Streams accepted.
 
     def _accept(self, stream):
-        session = ManagerSession(self, stream)
+        session = ManagerSession(stream, self.handle, self._forget_session)
         self._sessions.add(session)
         return session.on_message, session.on_close
 
-    def forget_session(self, session):
-        """Drops a closed stream; a manager that closed it counts as gone."""
+    def _forget_session(self, session):
         self._sessions.discard(session)
-        state = self._states_by_name.get(session.hello.name)
-        if session.hello.role == "manager" and state is not None:
-            state.heard_at = -NEVER_S
-
-    def _entry_sessions(self):
-        return [s for s in self._sessions if s.hello.role == "entry"]
-
-    def _entry_report(self):
-        """Returns the last report of this host's own entry, or None."""
-        reports = [
-            session.report
-            for session in self._entry_sessions()
-            if session.hello.name == self._settings.host_name
-        ]
-        return reports[-1] if reports else None
+        if session.hello.role == "manager":
+            self._peers.lose(session.hello.name)
 
     def _snapshot(self):
         return ConfigurationSnapshot.of(self._holder.configuration)
 
     def _peers_update(self):
-        return PeersUpdate([str(peer) for peer in self._peers_by_name.values()])
+        return PeersUpdate([str(peer) for peer in self._links.peers_by_name.values()])
 
     def _newer_than(self, generation):
         commits = self._holder.commits_after(generation)
@@ -435,13 +295,11 @@
             sender.send(self._peers_update())
             sender.send(self._fleet.whole_update())
         elif message.role == "manager":
-            self._states_by_name.setdefault(
-                message.name, PeerState(message.data_centre)
-            )
+            self._peers.add(message)
 
     @handle.register
     def _(self, message: Heartbeat, sender):
-        state = self._states_by_name.get(sender.hello.name)
+        state = self._peers.get(sender.hello.name)
         if state is None:
             return
         now = self._timers.now()
@@ -451,7 +309,7 @@
         if now - self._requested_at < REQUEST_SPACING_S:
             return
         behind = message.generation > self._holder.generation
-        local = state.data_centre == self._settings.host_data_centre
+        local = self._peers.is_local(state)
         hosts_behind = local and message.hosts_version > self._hosts.version
         if behind:
             sender.send(ConfigurationRequest(self._holder.generation))
@@ -516,25 +374,18 @@
 
     def _status(self):
         now = self._timers.now()
-        rows = [
-            _entry_host_status(name, state, now, self._settings.manager_silence_s)
-            for name, state in sorted(self._states_by_name.items())
-            if state.heartbeat is not None
-        ]
         own = PeerState(self._settings.host_data_centre)
         own.hear(self._heartbeat(now), now)
-        rows.append(_entry_host_status(self._settings.host_name, own, now, 1.0))
+        silence_s = self._settings.manager_silence_s
+        rows = self._peers.statuses(now)
+        rows.append(own.status(self._settings.host_name, now, silence_s))
         return StatusReply(
             self._settings.host_name,
             self._settings.host_data_centre,
             self._holder.generation,
             self._hosts.version,
             rows,
-            [
-                EntryStatus(s.hello.name, s.report.generation, s.report.state)
-                for s in self._entry_sessions()
-                if s.report is not None
-            ],
+            self._sessions.statuses(),
             list(self._hosts.hosts_by_name.values()),
             list(self._fleet.membership.records_by_name.values()),
             self._fleet.is_planning,
@@ -542,22 +393,6 @@
         )
 
 
-def _entry_host_status(name, state, now, silence_s):
-    heartbeat = state.heartbeat
-    age_s = now - state.heard_at
-    return EntryHostStatus(
-        name,
-        state.data_centre,
-        age_s <= silence_s,
-        heartbeat.generation,
-        heartbeat.entry_generation,
-        heartbeat.entry_state,
-        heartbeat.reading,
-        round(heartbeat.platform_age_s, 3),
-        round(age_s, 3),
-    )
-
-
 def run_manager(settings):
     """Runs one manager until it is told to stop.
 
