--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -40,7 +40,7 @@
       | seed | seconds | pause |
       | 1    | 5       | 12    |
       | 2    | 40      | 12    |
-      | 3    | 150     | 30    |
+      | 3    | 60      | 30    |
 
   Scenario Outline: what the host list says
     Given a fleet of 2 hosts a pool and data centre in 5 pools with seed <seed>
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -265,6 +265,8 @@
 
     fleet.run_until(is_moved, seconds)
     assert HostPhase.MOVING in seen, seen
+    # Until the slowest entry host applied it and its last request ended.
+    fleet.run(SETTLE_S)
 
 
 def current_view(context):
