Decode stream messages straight into their types; send loads only on change

Cause: at the target size a manager held 58 MB private, where the slopes of rows, hosts and peers add up to 35, and an entry used 2.5 percent of a core at rest. Change: a message travels as one binary value; loads are compared once a beat; empty queues are passed over each tick. Before: manager 58.1 MB private, 78.1 resident; entry 2.5 percent at rest, 3.1 under changes.

--- a/sassafrasgrade/entry_links.py
+++ b/sassafrasgrade/entry_links.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from sassafrasgrade.messages import AnySlotMessage, EntryHeartbeat, EntryHello
+from sassafrasgrade.messages import AnySlotMessage, EntryHeartbeat, EntryHello, PoolLoad
 from sassafrasgrade.peers import choose_links
 from sassafrasgrade.streams import Link, MessageServer
 
@@ -71,6 +71,7 @@
         self._on_lost = on_lost
         self._peers_by_name = {}
         self.sessions_by_name = {}
+        self._loads_by_pool = {}
         self._server = MessageServer(AnySlotMessage, self._accept)
 
     def start(self):
@@ -135,24 +136,20 @@
     def beat(self, generation, stopping, loads):
         """Sends a heartbeat to each entry host linked here, with changed loads."""
         loads_by_pool = {load.pool: load for load in loads}
+        if loads_by_pool == self._loads_by_pool:
+            # Sessions that got these already are told by identity.
+            loads_by_pool = self._loads_by_pool
+        self._loads_by_pool = loads_by_pool
         for session in list(self.sessions_by_name.values()):
-            sent = session.sent_loads_by_pool
-            changed = [
-                load for pool, load in loads_by_pool.items() if sent.get(pool) != load
-            ]
-            gone = [
-                type(load)(pool, 0, 0, 0, 0)
-                for pool, load in sent.items()
-                if pool not in loads_by_pool
-            ]
-            session.sent_loads_by_pool = dict(loads_by_pool)
+            changed = _changed_loads(session.sent_loads_by_pool, loads_by_pool)
+            session.sent_loads_by_pool = loads_by_pool
             session.stream.send(
                 EntryHeartbeat(
                     self._settings.host_name,
                     self._settings.host_data_centre,
                     generation,
                     stopping,
-                    changed + gone,
+                    changed,
                 )
             )
 
@@ -200,3 +197,12 @@
     def _accept(self, stream):
         session = EntrySession(self, stream)
         return session.on_message, session.on_close
+
+
+def _changed_loads(sent, loads_by_pool):
+    """Returns the loads to send: changed ones, and empty ones for pools gone."""
+    if sent is loads_by_pool:
+        return []
+    changed = [load for pool, load in loads_by_pool.items() if sent.get(pool) != load]
+    gone = [PoolLoad(pool, 0, 0, 0, 0) for pool in sent if pool not in loads_by_pool]
+    return changed + gone
--- a/sassafrasgrade/owners.py
+++ b/sassafrasgrade/owners.py
@@ -159,14 +159,16 @@
             logger.warning("was paused for %.1f s", now - self._ticked_at)
             self._give_up_all()
         self._ticked_at = now
-        self.table.reclaim(now)
         for pool, queue in self.table.queues_by_pool.items():
+            if not len(queue):
+                continue
             for waiting in queue.expire(now):
                 self._refuse(waiting, Reason.DEADLINE_PASSED, 1.0)
             self._grant(pool)
 
     def loads(self):
-        """Returns a ``PoolLoad`` for each pool with servers here."""
+        """Frees lost slots; returns a ``PoolLoad`` for each pool with servers here."""
+        self.table.reclaim(self._timers.now())
         return [
             PoolLoad(
                 report.pool,
--- a/sassafrasgrade/streams.py
+++ b/sassafrasgrade/streams.py
@@ -4,6 +4,7 @@
 import logging
 import socket
 from dataclasses import dataclass
+from functools import cache
 
 import msgpack
 import msgspec
@@ -41,7 +42,7 @@
 
     def __init__(self, stream, message_types):
         self._stream = stream
-        self._types = message_types
+        self._decoder = _decoder_of(message_types)
         self._unpacker = msgpack.Unpacker(max_buffer_size=LONGEST_MESSAGE_BYTES)
         stream.set_nodelay(True)
 
@@ -54,7 +55,9 @@
         """Queues a message; a peer too slow to read is disconnected."""
         if self._stream.closed():
             return
-        data = msgspec.msgpack.encode(message)
+        # A message travels as one binary value, so that it is decoded straight
+        # into its type, without lists and dicts in between.
+        data = msgpack.packb(msgspec.msgpack.encode(message))
         TRAFFIC.sent += len(data)
         try:
             self._stream.write(data).add_done_callback(_ignore_closed)
@@ -69,10 +72,15 @@
                 TRAFFIC.received += len(data)
                 self._unpacker.feed(data)
                 for value in self._unpacker:
-                    on_message(msgspec.convert(value, self._types))
+                    on_message(self._decoder.decode(value))
         except StreamClosedError:
             return
-        except (msgspec.ValidationError, msgpack.UnpackException, ValueError) as error:
+        except (
+            msgspec.DecodeError,
+            msgpack.UnpackException,
+            TypeError,
+            ValueError,
+        ) as error:
             logger.warning("closing a stream that sent a bad message: %s", error)
             self.close()
 
@@ -81,6 +89,11 @@
         self._stream.close()
 
 
+@cache
+def _decoder_of(message_types):
+    return msgspec.msgpack.Decoder(message_types)
+
+
 def _ignore_closed(future):
     if not future.cancelled():
         future.exception()
