Remove what nothing used; prove that a peak moves no host

Cause: leftovers of earlier shapes (seven unused names) and no scenario for peaks and moves. Change: removed; one scenario with real processes.

--- a/features/steps/maintenance_steps.py
+++ b/features/steps/maintenance_steps.py
@@ -14,6 +14,8 @@
 
 NEW_RELEASE = "2026.12"
 LOAD_RATE = 200.0
+POOL_SLOTS = 48
+PEAK_SERVICE_MS = 200
 
 
 def replies(cluster):
@@ -143,3 +145,36 @@
 def check_after_return(context, name, pool, seconds):
     context.cluster.start_program("entry", name)
     check_host_moved(context, context.host, pool, seconds)
+
+
+@when('the pool "{pool}" gets twice its capacity for {seconds:d} seconds')
+def send_peak(context, pool, seconds):
+    cluster = context.cluster
+    wait_until(lambda: records(cluster), 20, "the planners wrote the membership")
+    load = cluster.start_load(
+        "peak",
+        classes=[
+            {
+                "name": "check",
+                "path": f"/{pool}",
+                "rate": 2 * POOL_SLOTS * 1000 / PEAK_SERVICE_MS,
+                "service_ms": PEAK_SERVICE_MS,
+                "deadline_ms": 1000,
+            }
+        ],
+        duration_s=seconds,
+    )
+    context.result = load.result()
+
+
+@then("some of it was refused as not run")
+def check_refused(context):
+    assert context.result["classes"]["check"]["not-run"] > 0, context.result
+
+
+@then("no host was moved and every host still serves")
+def check_no_moves(context):
+    found = replies(context.cluster).values()
+    assert found and all(reply.moves == 0 for reply in found)
+    phases = {record.phase for record in records(context.cluster).values()}
+    assert phases == {HostPhase.SERVING}, phases
--- a/sassafrasgrade/attempts.py
+++ b/sassafrasgrade/attempts.py
@@ -47,9 +47,6 @@
     TOO_LONG = "too-long"
 
 
-FINAL_RESULTS = frozenset({AttemptResult.WHOLE, AttemptResult.TOO_LONG})
-
-
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt to send.
--- a/sassafrasgrade/entry_links.py
+++ b/sassafrasgrade/entry_links.py
@@ -21,7 +21,6 @@
         self.heard_at = 0.0
         self.is_alive = False
         self.is_stopping = False
-        self.sent_loads = {}
 
 
 class EntrySession:
--- a/sassafrasgrade/fleet_keepers.py
+++ b/sassafrasgrade/fleet_keepers.py
@@ -4,7 +4,7 @@
 
 from tornado.httpclient import HTTPRequest
 
-from sassafrasgrade.fleets import EntryAck, HostPhase, Membership
+from sassafrasgrade.fleets import EntryAck, Membership
 from sassafrasgrade.http_clients import (
     create_http_client,
     fetch_response,
@@ -152,15 +152,6 @@
     return Membership(update.version, 0, records, {}, update.moves)
 
 
-def serving_names(membership):
-    """Returns the names of the hosts that may get work."""
-    return {
-        record.name
-        for record in membership.records_by_name.values()
-        if record.phase is HostPhase.SERVING
-    }
-
-
 def collect_acks(reports):
     """Returns ``EntryAck`` by entry host.
 
--- a/sassafrasgrade/jobs.py
+++ b/sassafrasgrade/jobs.py
@@ -37,7 +37,6 @@
     TOO_LARGE = "too-large"
     FAILS_EVERYWHERE = "fails-everywhere"
     MAY_HAVE_RUN = "may-have-run"
-    NO_ROUTE = "no-route"
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgrade/owners.py
+++ b/sassafrasgrade/owners.py
@@ -123,12 +123,8 @@
             return
         self._grant(message.pool)
 
-    def cancel(self, pool, request_id):
+    def cancel(self, request_id):
         """Forgets a waiting request."""
-        self.table.queue(pool).remove(request_id)
-
-    def cancel_anywhere(self, request_id):
-        """Forgets a waiting request whose pool is not known."""
         for queue in self.table.queues_by_pool.values():
             queue.remove(request_id)
 
--- a/sassafrasgrade/seekers.py
+++ b/sassafrasgrade/seekers.py
@@ -130,7 +130,7 @@
 
     @serve.register
     def _(self, message: SlotCancel, origin):
-        self._owner.cancel_anywhere(message.request_id)
+        self._owner.cancel(message.request_id)
 
     @serve.register
     def _(self, message: SlotDone, origin):
--- a/sassafrasgrade/settings.py
+++ b/sassafrasgrade/settings.py
@@ -3,6 +3,7 @@
 import configparser
 import ipaddress
 import re
+import sys
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -42,6 +43,7 @@
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 
+EXIT_BAD_SETTINGS = 2
 PEER_PATTERN = r"^[a-z0-9.-]+/[a-z0-9.-]+/[0-9a-f.:]+$"
 
 
@@ -176,12 +178,6 @@
     """Reads settings at program start; exits with status 2 if they are wrong."""
     result = read_settings(Path(path))
     if isinstance(result, Failure):
-        raise SystemExit(_report(result.failure()))
+        print(str(result.failure()), file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS)
     return result.unwrap()
-
-
-def _report(error):
-    import sys
-
-    print(str(error), file=sys.stderr)
-    return 2
--- a/sassafrasgrade/systems/maintenance.py
+++ b/sassafrasgrade/systems/maintenance.py
@@ -99,17 +99,6 @@
     return view.now - record.since > longest_s
 
 
-def predict_seconds(view, pool, host_s):
-    """Returns the predicted rest of a wave in seconds.
-
-    Args:
-        view: ``FleetView``.
-        pool: The ``Pool``.
-        host_s: Time that one host is out.
-    """
-    left = sum(
-        needs_release(view, record, pool)
-        for record in view.membership.of_pool(pool.name)
-    )
-    rounds = -(-left // max(1, pool.out_at_most))
-    return rounds * host_s
+def predict_rounds(left, out_at_most):
+    """Returns the rounds that the rest of a wave takes at best."""
+    return -(-left // max(1, out_at_most))
--- a/sassafrasgrade/timers.py
+++ b/sassafrasgrade/timers.py
@@ -1,11 +1,8 @@
 """Timer service that parts of a process subscribe to."""
 
-import logging
 import time
 
-from tornado.ioloop import IOLoop, PeriodicCallback
-
-logger = logging.getLogger(__name__)
+from tornado.ioloop import PeriodicCallback
 
 MS_PER_S = 1000.0
 
@@ -33,14 +30,6 @@
         self._callbacks.append(periodic)
         return periodic
 
-    def call_later(self, delay_s, callback, *args):
-        """Calls once after a delay in seconds; returns a handle to cancel."""
-        return IOLoop.current().call_later(delay_s, callback, *args)
-
-    def cancel(self, handle):
-        """Cancels a ``call_later`` handle."""
-        IOLoop.current().remove_timeout(handle)
-
     def stop(self):
         """Stops all periodic calls."""
         for periodic in self._callbacks:
--- a/sassafrasgrade/tools/operators.py
+++ b/sassafrasgrade/tools/operators.py
@@ -25,6 +25,7 @@
 from sassafrasgrade.routers import Router
 from sassafrasgrade.settings import require_settings
 from sassafrasgrade.systems.budgets import buffer_needs
+from sassafrasgrade.systems.maintenance import predict_rounds
 from sassafrasgrade.tools.formats import describe_change, print_json, print_table
 
 EXIT_FAILED = 1
@@ -384,7 +385,7 @@
         for record in own
         if record.name in hosts_by_name
     )
-    rounds = -(-(len(own) - done) // max(1, pool.out_at_most))
+    rounds = predict_rounds(len(own) - done, pool.out_at_most)
     rest = f"{rounds * HOST_MINUTES} min" if rounds else "-"
     release = pool.release or "-"
     done_text = f"{done}/{len(own)}"
