--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -159,9 +159,10 @@
 def stream_changes(context, count, rate, centre):
     cluster = context.cluster
 
+    reader = find_reader(cluster, centre)
+
     def kill_reader():
-        context.killed = find_reader(cluster, centre)
-        cluster.kill(f"manager-{context.killed}")
+        cluster.kill(f"manager-{reader}")
 
     context.rollouts = commit_stream(cluster, count, rate, kill_reader)
 
