--- a/benches/overheads.py
+++ b/benches/overheads.py
@@ -48,9 +48,7 @@
 def measure_latency(cluster, rate):
     """Compares the same load through the entries and straight to the servers."""
     urls = [f"http://{h.address}:{h.port}" for h in cluster.plan.backend_hosts]
-    direct = run_load(
-        cluster, f"direct-{rate}", rate, targets=urls, checks_ready=False
-    )
+    direct = run_load(cluster, f"direct-{rate}", rate, targets=urls, checks_ready=False)
     through = run_load(cluster, f"through-{rate}", rate)
     return {
         "direct": direct,
--- a/sassafrasgrade/entries.py
+++ b/sassafrasgrade/entries.py
@@ -7,26 +7,22 @@
 
 import fire
 from tornado import gen
-from tornado.httpclient import HTTPRequest
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
 
-from sassafrasgrade.answers import Answer, Reason
+from sassafrasgrade.answers import Reason
 from sassafrasgrade.attempts import AttemptSender, busy_slots
 from sassafrasgrade.claims import ClaimsKeeper
 from sassafrasgrade.configurations import ConfigurationHolder
 from sassafrasgrade.counters import EntryCounters
 from sassafrasgrade.delegates import CallersDelegate
 from sassafrasgrade.entry_links import EntryLinks
+from sassafrasgrade.entry_pages import EntryPages
 from sassafrasgrade.exchanges import ExchangesRunner
 from sassafrasgrade.fleet_keepers import apply_membership_update
 from sassafrasgrade.fleets import HostPhase, Membership
 from sassafrasgrade.host_updates import apply_hosts_update
-from sassafrasgrade.http_clients import (
-    create_http_client,
-    fetch_response,
-    prepare_direct,
-)
+from sassafrasgrade.http_clients import create_http_client, fetch_health
 from sassafrasgrade.job_pages import JOBS_PATH, JobPages
 from sassafrasgrade.logs import configure_logs
 from sassafrasgrade.manager_links import ManagerLink
@@ -67,7 +63,6 @@
 CLIENTS_AT_ONCE = 256
 STOP_GRACE_S = 1.0
 SETTLE_TIMEOUT_S = 2.0
-PAGE_TYPE = (("Content-Type", "text/plain; charset=utf-8"),)
 
 
 class Entry:
@@ -124,11 +119,7 @@
         self._manager_link = ManagerLink(
             settings, timers, self._greet_manager, self.handle
         )
-        self._pages_by_path = {
-            "/healthz": self._health_page,
-            "/readyz": self._ready_page,
-            "/metrics": self._metrics_page,
-        }
+        self._pages = EntryPages(self)
 
     def start(self):
         """Listens and starts the ticks."""
@@ -179,12 +170,6 @@
 
     # Callers' requests.
 
-    def page(self, method, path):
-        """Returns the function (headers, body) that makes a reserved page, or None."""
-        if path.startswith(JOBS_PATH):
-            return self._jobs.page(method, path)
-        return self._pages_by_path.get(path) if method == "GET" else None
-
     def admit(self, method, path, headers):
         """Decides on a request in its header phase.
 
@@ -213,27 +198,29 @@
         """Forgets an exchange whose caller is gone."""
         self._runner.abandon(exchange)
 
-    # Pages.
-
-    def _health_page(self, headers, body):
-        return Answer(200, PAGE_TYPE, b"ok\n")
+    def page(self, method, path):
+        """Returns the function (headers, body) that makes a reserved page, or None."""
+        if path.startswith(JOBS_PATH):
+            return self._jobs.page(method, path)
+        return self._pages.page(method, path)
 
-    def _ready_page(self, headers, body):
+    def state(self):
+        """Returns ``ready``, ``stopping`` or ``no-configuration``."""
         if self.is_stopping:
-            return Answer(503, PAGE_TYPE, b"stopping\n")
-        if not self._holder.generation:
-            return Answer(503, PAGE_TYPE, b"no configuration\n")
-        return Answer(200, PAGE_TYPE, b"ready\n")
-
-    def _metrics_page(self, headers, body):
-        self.counters.set_gauge("open_requests", self._runner.open_count)
-        self.counters.set_gauge("waiting_requests", self._runner.waiting_count)
-        self.counters.set_gauge("stream_bytes_sent", TRAFFIC.sent)
-        self.counters.set_gauge("stream_bytes_received", TRAFFIC.received)
-        self.counters.set_gauge("sheds", int(self._admission.is_shedding))
-        self.counters.set_gauge("ejections", self._owner.ejections)
-        self.counters.set_gauge("generation", self._holder.generation)
-        return Answer(200, PAGE_TYPE, self.counters.expose())
+            return "stopping"
+        return "ready" if self._holder.generation else "no-configuration"
+
+    def gauges(self):
+        """Returns the gauges of the metrics page by name."""
+        return {
+            "open_requests": self._runner.open_count,
+            "waiting_requests": self._runner.waiting_count,
+            "sheds": int(self._admission.is_shedding),
+            "ejections": self._owner.ejections,
+            "generation": self._holder.generation,
+            "stream_bytes_sent": TRAFFIC.sent,
+            "stream_bytes_received": TRAFFIC.received,
+        }
 
     # Ticks.
 
@@ -254,16 +241,11 @@
 
     def _report(self, now):
         self._manager_link.tick(now)
-        state = "ready"
-        if self.is_stopping:
-            state = "stopping"
-        elif not self._holder.generation:
-            state = "no-configuration"
         self._manager_link.send(
             EntryReport(
                 self._holder.generation,
                 self._hosts.version,
-                state,
+                self.state(),
                 self._membership.version,
                 self._busy_hosts(),
                 self.counters.burn.burning_pools(now),
@@ -320,13 +302,8 @@
 
     async def _probe(self, host):
         """Asks a backend server for its busy slots; -1 if it does not say."""
-        request = HTTPRequest(
-            f"http://{host.address}:{host.port}/healthz",
-            connect_timeout=PROBE_TIMEOUT_S,
-            request_timeout=PROBE_TIMEOUT_S,
-            prepare_curl_callback=prepare_direct,
-        )
-        return busy_slots(await fetch_response(self._http_client, request))
+        response = await fetch_health(self._http_client, host, PROBE_TIMEOUT_S)
+        return busy_slots(response)
 
     # The local manager.
 
--- a/sassafrasgrade/fleet_keepers.py
+++ b/sassafrasgrade/fleet_keepers.py
@@ -2,14 +2,8 @@
 
 import logging
 
-from tornado.httpclient import HTTPRequest
-
 from sassafrasgrade.fleets import EntryAck, Membership
-from sassafrasgrade.http_clients import (
-    create_http_client,
-    fetch_response,
-    prepare_direct,
-)
+from sassafrasgrade.http_clients import create_http_client, fetch_health
 from sassafrasgrade.messages import MembershipUpdate
 from sassafrasgrade.planners import FleetPlanner, PlannerLease
 from sassafrasgrade.tables import HostKind
@@ -118,13 +112,7 @@
         return compare_memberships(Membership(), self.membership)
 
     async def _probe(self, host):
-        request = HTTPRequest(
-            f"http://{host.address}:{host.port}/healthz",
-            connect_timeout=PROBE_TIMEOUT_S,
-            request_timeout=PROBE_TIMEOUT_S,
-            prepare_curl_callback=prepare_direct,
-        )
-        response = await fetch_response(self._http, request)
+        response = await fetch_health(self._http, host, PROBE_TIMEOUT_S)
         return response.code == HTTP_OK
 
 
--- a/sassafrasgrade/http_clients.py
+++ b/sassafrasgrade/http_clients.py
@@ -44,3 +44,23 @@
         return await client.fetch(request, raise_error=False)
     except (CurlError, OSError, ValueError) as error:
         return HTTPResponse(request, HTTP_TRANSPORT_FAILURE, error=error)
+
+
+async def fetch_health(client, host, timeout_s):
+    """Asks a backend server for ``/healthz``.
+
+    Args:
+        client: A ``CurlClient``.
+        host: ``Host`` of the server.
+        timeout_s: Longest wait in seconds.
+
+    Returns:
+        ``HTTPResponse``, as of ``fetch_response``.
+    """
+    request = HTTPRequest(
+        f"http://{host.address}:{host.port}/healthz",
+        connect_timeout=timeout_s,
+        request_timeout=timeout_s,
+        prepare_curl_callback=prepare_direct,
+    )
+    return await fetch_response(client, request)
--- a/sassafrasgrade/tools/operators.py
+++ b/sassafrasgrade/tools/operators.py
@@ -12,28 +12,18 @@
 from sassafrasgrade.commits import TablesCommitter, load_configuration
 from sassafrasgrade.configurations import compare_configurations
 from sassafrasgrade.errors import RolloutIncomplete
-from sassafrasgrade.fleets import HostPhase
 from sassafrasgrade.peers import merge_peers, parse_peer
 from sassafrasgrade.platforms import PlatformClient
 from sassafrasgrade.readers import read_tables
-from sassafrasgrade.rollouts import (
-    ask_all,
-    entry_generations,
-    own_row,
-    wait_in_force,
-)
+from sassafrasgrade.rollouts import ask_all, entry_generations, wait_in_force
 from sassafrasgrade.routers import Router
 from sassafrasgrade.settings import require_settings
-from sassafrasgrade.systems.budgets import buffer_needs
-from sassafrasgrade.systems.maintenance import predict_rounds
-from sassafrasgrade.tools.formats import describe_change, print_json, print_table
+from sassafrasgrade.tools.formats import describe_change, print_json
+from sassafrasgrade.tools.views import print_outcome, print_status, print_tables
 
 EXIT_FAILED = 1
 EXIT_INCOMPLETE = 3
 WAIT_S = 30.0
-PHASES = [str(phase) for phase in HostPhase]
-# Minutes that one host is out for maintenance, for the prediction shown.
-HOST_MINUTES = 3
 COMMIT_TIMEOUT_S = 10.0
 
 
@@ -165,7 +155,7 @@
         if json:
             print_json({"commit": outcome, "rollout": rollout})
         else:
-            _print_outcome(outcome, rollout)
+            print_outcome(outcome, rollout)
         if rollout is not None and rollout.behind:
             _fail(_incomplete(rollout), EXIT_INCOMPLETE)
 
@@ -186,7 +176,7 @@
         elif json:
             print_json(current)
         else:
-            _print_tables(current)
+            print_tables(current)
 
     def explain(self, method, path, settings=None, tables=None, json=False):
         """Says which route, pool and hosts a request gets.
@@ -241,7 +231,7 @@
         if json:
             print_json({"configuration": configuration, "managers": replies})
             return
-        _print_status(configuration, replies)
+        print_status(configuration, replies)
 
     def demo(self, seconds=8):
         """Runs the whole system in one process over the Kapu tables.
@@ -276,122 +266,6 @@
     )
 
 
-def _print_outcome(outcome, rollout):
-    if not outcome.changes:
-        print(f"nothing to change; generation {outcome.generation} is committed")
-    else:
-        print(
-            f"committed generation {outcome.generation} "
-            f"in {outcome.seconds:.2f} s: {len(outcome.changes)} rows"
-        )
-    for change in outcome.changes:
-        print(describe_change(change))
-    if rollout is None:
-        return
-    print(f"in force on {len(rollout.in_force)} hosts after {rollout.seconds:.2f} s")
-    if rollout.unreachable:
-        print(f"no answer from: {', '.join(rollout.unreachable)}")
-
-
-def _print_tables(configuration):
-    print(f"generation {configuration.generation}\n")
-    print_table(
-        ["route", "method", "prefix", "pool", "urgency", "weight", "team", "repeat"],
-        [
-            (
-                route.name,
-                route.method,
-                route.prefix,
-                route.pool,
-                route.urgency,
-                route.weight,
-                route.team,
-                "yes" if route.repeatable else "no",
-            )
-            for route in configuration.routes_by_name.values()
-        ],
-    )
-    print()
-    print_table(
-        ["pool", "hosts", "slots", "out at most", "a domain", "spare", "release"],
-        [
-            (
-                pool.name,
-                sum(len(hosts) for hosts in pool.hosts_by_data_centre.values()),
-                pool.slots,
-                pool.out_at_most,
-                pool.out_at_most_per_domain,
-                pool.spare_pool or "-",
-                pool.release or "-",
-            )
-            for pool in configuration.pools_by_name.values()
-        ],
-    )
-
-
-def _print_status(configuration, replies):
-    rows = []
-    hosts_by_name = {}
-    records_by_name = {}
-    moves_by_centre = {}
-    for name, reply in sorted(replies.items()):
-        if reply is None:
-            rows.append((name, "?", "no answer", "-", "-", "-", "-"))
-            continue
-        row = own_row(reply)
-        rows.append(
-            (
-                name,
-                row.data_centre,
-                row.entry_state,
-                row.generation,
-                row.entry_generation,
-                "yes" if row.reading else "no",
-                "yes" if reply.planning else "no",
-            )
-        )
-        hosts_by_name.update({host.name: host for host in reply.hosts})
-        records_by_name.update({record.name: record for record in reply.records})
-        known = moves_by_centre.get(reply.data_centre, 0)
-        moves_by_centre[reply.data_centre] = max(known, reply.moves)
-    print_table(
-        ["entry host", "data centre", "state", "manager gen", "entry gen"]
-        + ["reads", "plans"],
-        rows,
-    )
-    if configuration is None:
-        print("\nthe platform does not answer; pools are not shown")
-        return
-    print()
-    headings = ["pool", "hosts", "out at most", *PHASES, "release", "done", "rest"]
-    pools = configuration.pools_by_name.values()
-    rows = [_pool_row(pool, hosts_by_name, records_by_name.values()) for pool in pools]
-    print_table(headings, rows)
-    print(f"\n{sum(moves_by_centre.values())} hosts moved between pools so far")
-    needs, shared = buffer_needs(
-        pools, {host.name: host.rack for host in hosts_by_name.values()}
-    )
-    print(
-        f"buffer to lose any one rack: {shared} hosts shared through the spare pool, "
-        f"{sum(needs.values())} if each pool kept its own"
-    )
-
-
-def _pool_row(pool, hosts_by_name, records):
-    own = [record for record in records if record.pool == pool.name]
-    counts = [sum(record.phase == phase for record in own) for phase in PHASES]
-    done = sum(
-        hosts_by_name[record.name].release == pool.release
-        for record in own
-        if record.name in hosts_by_name
-    )
-    rounds = predict_rounds(len(own) - done, pool.out_at_most)
-    rest = f"{rounds * HOST_MINUTES} min" if rounds else "-"
-    release = pool.release or "-"
-    done_text = f"{done}/{len(own)}"
-    return pool.name, len(own), pool.out_at_most, *counts, release, done_text, rest
-
-
 def main():
     """Entry point of ``sassafrasgrade``."""
     fire.Fire(OperatorCommands, name="sassafrasgrade")
--- a/tasks.py
+++ b/tasks.py
@@ -2,7 +2,7 @@
 
 from invoke import task
 
-CODE = "sassafrasgrade features tasks.py"
+CODE = "sassafrasgrade features benches tasks.py"
 
 
 @task
@@ -22,3 +22,9 @@
 def test(context):
     """Runs every scenario but those in KNOWN-RED.txt."""
     context.run("bash .ci/run")
+
+
+@task
+def bench(context, name="overheads"):
+    """Runs a bench: overheads, floods, peaks, processors, rollouts or slopes."""
+    context.run(f"python -m benches.{name}")
