Catch curl's own errors; note a try to make refusals cheaper

Cause: an error of pycurl itself while a request is set up would have left its exchange open. Change: it counts as a failed transfer; the counter of unrouted refusals is cached.

--- a/sassafrasgrade/counters.py
+++ b/sassafrasgrade/counters.py
@@ -74,6 +74,7 @@
         )
         self._gauges_by_name = {}
         self._answer_children = {}
+        self._unrouted_children = {}
 
     def _counter(self, name, text):
         return Counter(f"{PREFIX}_{name}", text, registry=self._registry)
@@ -96,7 +97,11 @@
         if route is not None:
             self.note_answer(route, answer, 0.0)
             return
-        self._unrouted.labels(str(answer.reason)).inc()
+        child = self._unrouted_children.get(answer.reason)
+        if child is None:
+            child = self._unrouted.labels(str(answer.reason))
+            self._unrouted_children[answer.reason] = child
+        child.inc()
 
     def note_repeat(self):
         """Counts one repeated attempt."""
--- a/sassafrasgrade/http_clients.py
+++ b/sassafrasgrade/http_clients.py
@@ -42,7 +42,7 @@
         request = HTTPRequest(request, prepare_curl_callback=prepare_direct)
     try:
         return await client.fetch(request, raise_error=False)
-    except (CurlError, OSError, ValueError) as error:
+    except (CurlError, pycurl.error, OSError, ValueError) as error:
         return HTTPResponse(request, HTTP_TRANSPORT_FAILURE, error=error)
 
 
