Never claim a key elsewhere after its writer was asked and stayed silent

An entry whose writer did not answer in 0.5 s claimed the key in its own log with the same token; when the platform came back the writer, which had given its copy of the claim up, released that token, and the key was free while the request ran. Ruled out: the conditional create itself, and late settlements (they carry the token of the claim that holds the key). Change: a claim that was sent and not answered is refused as not-run and released through the same writer; the wait covers the writer's own limit. A cut link, on which nothing was sent, still lets the entry claim by itself.

--- a/features/once.feature
+++ b/features/once.feature
@@ -35,6 +35,17 @@
     And a charge without a key is answered with status 200
     And the key "k-3" ran 0 times
 
+  Scenario Outline: a claim whose writer <does> is not made elsewhere with its token
+    Given a claims keeper whose writer <does>
+    When a key is claimed through it
+    Then the claim is "<verdict>" and its own log holds "<own>"
+    And the writer was sent "<sent>"
+
+    Examples:
+      | does             | verdict     | own     | sent              |
+      | does not answer  | unavailable | nothing | claimed, released |
+      | is cut off       | granted     | claimed | nothing           |
+
   Scenario Outline: claims are decided by the log
     Given a claim index with "<history>"
     When the key is claimed with token "<token>" after <seconds> seconds
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -1,14 +1,27 @@
 """Steps on requests that may run only once."""
 
+import asyncio
+import random
 import signal
 from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
 from behave import given, then, when
+from returns.result import Success
 
 from features.support.calls import call
+from features.support.fleets import FakePlatform
 from features.support.waiting import wait_until
 from sassafrasgrade.claim_logs import CLAIMS_PREFIX
-from sassafrasgrade.systems.claims import ClaimIndex, ClaimRecord, ClaimState
+from sassafrasgrade.claims import ClaimsKeeper, create_claim
+from sassafrasgrade.systems.claims import (
+    ClaimBatch,
+    ClaimIndex,
+    ClaimRecord,
+    ClaimState,
+)
+from sassafrasgrade.timers import FakeTimerService
+from sassafrasgrade.tools.standins.clusters import ClusterPlan
 
 HOLD_MS = 5000
 CHARGES_A_SECOND = 200.0
@@ -183,3 +196,72 @@
 @then('the verdict is "{verdict}"')
 def check_verdict(context, verdict):
     assert str(context.verdict) == verdict, context.verdict
+
+
+class SilentLinks:
+    """Links to one other entry host that never answers or is cut off."""
+
+    def __init__(self, is_cut):
+        self._is_cut = is_cut
+        self.sent = []
+
+    def live_names_by_data_centre(self):
+        """Names the other entry host only, so that it is always the writer."""
+        return {"elsewhere": ["writer"]}
+
+    def send(self, name, message):
+        """Takes a message, unless the link is cut."""
+        if not self._is_cut:
+            self.sent.append(str(message.record.state))
+        return not self._is_cut
+
+
+class ListingPlatform(FakePlatform):
+    """Fake platform that also lists values."""
+
+    async def list_values(self, prefix):
+        """Lists nothing: the log is empty."""
+        return Success({})
+
+
+@given("a claims keeper whose writer {does}")
+def make_keeper(context, does):
+    timers = FakeTimerService()
+    context.links = SilentLinks(does == "is cut off")
+    context.platform = ListingPlatform(timers, random.Random(1))
+    plan = ClusterPlan("kapu")
+    settings = plan.settings(plan.entry_hosts[0])
+    context.keeper = ClaimsKeeper(settings, timers, context.platform, context.links)
+    context.route = plan.configuration.routes_by_name["fees-charge"]
+
+
+@when("a key is claimed through it")
+def claim_key(context):
+    async def claim():
+        found = await context.keeper.claim(create_claim(context.route, "k"), 2.0)
+        # Lets the release start that a refused claim leaves behind.
+        await asyncio.wait_for(asyncio.shield(asyncio.ensure_future(_turn())), 1.0)
+        return found
+
+    context.found = asyncio.run(claim())
+
+
+async def _turn():
+    """Runs one turn of the event loop."""
+
+
+@then('the claim is "{verdict}" and its own log holds "{own}"')
+def check_keeper(context, verdict, own):
+    assert str(context.found[0]) == verdict, context.found
+    states = [
+        str(record.state)
+        for key, (value, _, _) in context.platform.values_by_key.items()
+        if key.startswith(CLAIMS_PREFIX)
+        for record in msgspec.msgpack.decode(value, type=ClaimBatch).records
+    ]
+    assert (", ".join(states) or "nothing") == own, states
+
+
+@then('the writer was sent "{sent}"')
+def check_sent(context, sent):
+    assert (", ".join(context.links.sent) or "nothing") == sent, context.links.sent
--- a/sassafrasgrade/claims.py
+++ b/sassafrasgrade/claims.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from sassafrasgrade.answers import Outcome
-from sassafrasgrade.claim_logs import ClaimLog, LeaseKeeper
+from sassafrasgrade.claim_logs import LONGEST_COMMIT_S, ClaimLog, LeaseKeeper
 from sassafrasgrade.messages import ClaimReply, ClaimRequest
 from sassafrasgrade.rendezvous import rank_names
 from sassafrasgrade.systems.claims import (
@@ -25,7 +25,8 @@
 MS_PER_S = 1000
 # Added to a request's deadline before a claim without settlement counts as lost.
 HOLD_MARGIN_S = 1.0
-REMOTE_TIMEOUT_S = 0.5
+# Longer than a writer takes to commit a claim or to give it up.
+REMOTE_TIMEOUT_S = LONGEST_COMMIT_S + 0.25
 LONGEST_HOPS = 1
 LONGEST_STORED_BYTES = 1024
 SETTLED_STATES = {
@@ -106,9 +107,7 @@
         if whole and len(answer.body) <= LONGEST_STORED_BYTES:
             status, headers, body = answer.status, answer.headers, answer.body
         settled = ClaimRecord(claim.key, claim.token, state, 0, status, headers, body)
-        task = asyncio.ensure_future(self._commit(claim.shard, settled, 0))
-        self._settling.add(task)
-        task.add_done_callback(self._settling.discard)
+        self._settle(claim.shard, settled)
 
     async def drain(self, timeout_s):
         """Waits until the settlements under way are durable."""
@@ -130,12 +129,27 @@
     async def _commit(self, shard, record, hops):
         writer = self._choose_writer(shard) if hops <= LONGEST_HOPS else self._name
         if writer != self._name:
-            reply = await self._ask(writer, shard, record, hops)
+            was_sent, reply = await self._ask(writer, shard, record, hops)
             if reply is not None:
                 return reply
+            if was_sent and record.state is ClaimState.CLAIMED:
+                # The writer may still commit the claim, or give it up and
+                # release it: claiming elsewhere with this token is not safe.
+                self._release(shard, record)
+                return ClaimReply(0, ClaimVerdict.UNAVAILABLE)
         verdict, stored = await self._logs[shard].submit(record)
         return ClaimReply(0, verdict, stored if verdict is ClaimVerdict.RAN else None)
 
+    def _release(self, shard, record):
+        """Frees a key whose claim was refused but may be committed."""
+        released = ClaimRecord(record.key, record.token, ClaimState.RELEASED)
+        self._settle(shard, released)
+
+    def _settle(self, shard, record):
+        task = asyncio.ensure_future(self._commit(shard, record, 0))
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+
     def _choose_writer(self, shard):
         """Returns the entry host to ask: the writer, or one on the way to it."""
         names_by_centre = self._links.live_names_by_data_centre()
@@ -143,15 +157,16 @@
         return rank_names(names_by_centre[centre], f"claims-{shard}")[0]
 
     async def _ask(self, writer, shard, record, hops):
+        """Returns whether the request was sent, and the ``ClaimReply`` or None."""
         self._number += 1
         number = self._number
         future = asyncio.get_running_loop().create_future()
         self._replies_by_number[number] = future
         if not self._links.send(writer, ClaimRequest(number, shard, record, hops)):
             self._replies_by_number.pop(number, None)
-            return None
+            return False, None
         try:
-            return await asyncio.wait_for(future, REMOTE_TIMEOUT_S)
+            return True, await asyncio.wait_for(future, REMOTE_TIMEOUT_S)
         except TimeoutError:
             self._replies_by_number.pop(number, None)
-            return None
+            return True, None
