--- /dev/null
+++ b/sassafrasgrade/client_requests.py
@@ -0,0 +1,116 @@
+"""Server side of callers' HTTP, below the web layer."""
+
+import logging
+
+import msgspec
+from tornado import httputil
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.intakes import Reply
+from sassafrasgrade.platform.names import DEADLINE_HEADER
+from sassafrasgrade.works import MS_PER_S
+
+logger = logging.getLogger(__name__)
+
+_encode = msgspec.json.Encoder().encode
+KINDS_BY_METHOD = {"POST": "submit", "GET": "show", "DELETE": "cancel"}
+
+
+class ClientsDelegate(httputil.HTTPServerConnectionDelegate):
+    """Creates a ``ClientRequest`` for each request of a connection.
+
+    Args:
+        node: The ``Node``.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    def start_request(self, server_conn, request_conn):
+        """Called by tornado for each request."""
+        return ClientRequest(self._node, request_conn)
+
+    def on_close(self, server_conn):
+        """Called by tornado when a connection closed."""
+
+
+class ClientRequest(httputil.HTTPMessageDelegate):
+    """Reads one request and answers it."""
+
+    __slots__ = ("_node", "_connection", "_start", "_headers", "_chunks", "_size",
+                 "_is_over", "_began_at")  # fmt: skip
+
+    def __init__(self, node, connection):
+        self._node = node
+        self._connection = connection
+        self._start = None
+        self._headers = None
+        self._chunks = []
+        self._size = 0
+        self._is_over = False
+        self._began_at = 0.0
+
+    def headers_received(self, start_line, headers):
+        """Called by tornado when the headers were read."""
+        self._start = start_line
+        self._headers = headers
+        self._began_at = self._node.timers.now()
+        self._node.requests_under_way += 1
+
+    def data_received(self, chunk):
+        """Called by tornado for each piece of the body."""
+        self._size += len(chunk)
+        if self._size <= self._node.longest_body_bytes():
+            self._chunks.append(chunk)
+
+    def finish(self):
+        """Called by tornado when the whole request was read."""
+        IOLoop.current().add_callback(self._answer)
+
+    def on_connection_close(self):
+        """Called by tornado when the caller closed before its answer."""
+        if not self._is_over:
+            self._is_over = True
+            self._node.requests_under_way -= 1
+
+    async def _answer(self):
+        path = self._start.path.partition("?")[0]
+        if self._size > self._node.longest_body_bytes():
+            reply = Reply(413, {"error": "the body is too long"})
+        else:
+            reply = await self._node.intake.handle(
+                self._start.method,
+                self._headers.get("Host", ""),
+                path,
+                b"".join(self._chunks),
+                _deadline_s(self._headers),
+            )
+        self._respond(reply)
+
+    def _respond(self, reply):
+        seconds = self._node.timers.now() - self._began_at
+        kind = KINDS_BY_METHOD.get(self._start.method, "other")
+        self._node.counters.note_request(kind, reply.status, seconds)
+        if self._is_over:
+            return
+        self._is_over = True
+        self._node.requests_under_way -= 1
+        body = b"" if reply.body is None else _encode(reply.body)
+        headers = httputil.HTTPHeaders({"Content-Type": "application/json"})
+        headers["Content-Length"] = str(len(body))
+        if reply.retry_after_s:
+            headers["Retry-After"] = str(reply.retry_after_s)
+        if self._node.is_stopping:
+            headers["Connection"] = "close"
+        reason = httputil.responses.get(reply.status, "Unknown")
+        start_line = httputil.ResponseStartLine("HTTP/1.1", reply.status, reason)
+        self._connection.write_headers(start_line, headers, body or None)
+        self._connection.finish()
+
+
+def _deadline_s(headers):
+    """Returns how long the caller waits in seconds, or None if not given."""
+    try:
+        return float(headers[DEADLINE_HEADER]) / MS_PER_S
+    except (KeyError, ValueError):
+        return None
--- /dev/null
+++ b/sassafrasgrade/dispatchers.py
@@ -0,0 +1,545 @@
+"""The leader: runs the scheduling systems and carries their commands out."""
+
+import logging
+import time
+from functools import singledispatchmethod
+
+import msgspec
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.directories import PrefixFollower
+from sassafrasgrade.job_records import (
+    CANCEL,
+    JOBS_PREFIX,
+    PROGRESS,
+    REQUEST,
+    add_job,
+    apply_progress,
+    decode_progress,
+    decode_submitted,
+    split_key,
+)
+from sassafrasgrade.platform import names
+from sassafrasgrade.platform.workers import OrderOutcome
+from sassafrasgrade.progress_writers import ProgressWriter
+from sassafrasgrade.systems.lengths import LearnedLengths
+from sassafrasgrade.systems.run_views import (
+    apply_view,
+    cancel_job,
+    expire_leases,
+    forget_run,
+    lose_worker,
+    restart_worker,
+)
+from sassafrasgrade.systems.task_placement import is_usable, place_tasks
+from sassafrasgrade.work_commands import (
+    Note,
+    PaceRun,
+    StartRun,
+    StopRun,
+    StopUnknownRun,
+)
+from sassafrasgrade.worker_directories import apply_item, apply_range
+from sassafrasgrade.worker_sessions import CLOCK_DRIFT, WorkerSession
+from sassafrasgrade.works import MS_PER_S, RunState, WorkState, WorkTables
+
+logger = logging.getLogger(__name__)
+
+# Lease of runs in steady state, in seconds: running work outlives the change
+# of a leader, and work on a silent worker is soon free to start elsewhere.
+WORKER_LEASE_S = 4.5
+# Silence of the store after which leases are extended to the most allowed.
+STORE_SILENT_S = 1.0
+# Pause between looks for jobs whose message from their node was lost.
+JOBS_PAUSE_S = 1.0
+# How long placement waits for other changes, in seconds.
+PLACE_GATHER_S = 0.003
+TICK_S = 0.1
+# Pause before a stop without an answer is repeated, in seconds.
+STOP_REPEAT_S = 0.6
+# Time without work for a worker that refused a start as unhealthy or full.
+REFUSED_PAUSE_S = 0.3
+# Time after which a worker that is neither listed nor answering is dropped.
+MISSING_S = 2.5
+
+
+class Dispatcher:
+    """Owns the tables while this node leads.
+
+    Args:
+        services: ``NodeServices`` with store, HTTP client, timers, settings.
+        leadership: ``Leadership``.
+        token: Fencing token.
+        epoch: Number of the leadership.
+        counters: ``NodeCounters``.
+    """
+
+    def __init__(self, services, leadership, token, epoch, counters):
+        self.timers = services.timers
+        self.token = token
+        self.settings = services.settings
+        self.counters = counters
+        self._services = services
+        self._leadership = leadership
+        self.tables = WorkTables(
+            epoch=epoch, remote_slowdown=services.settings.bounds_remote_slowdown
+        )
+        self.lengths = LearnedLengths()
+        self.is_loaded = False
+        self.barrier_until = 0.0
+        self._is_closed = False
+        self._sessions_by_id = {}
+        self._place_due = False
+        self._periodic = None
+        self._writer = ProgressWriter(
+            services.store, self.tables, token, self._note_stored, self._note_other
+        )
+        self._workers = PrefixFollower(
+            services.store,
+            names.WORKERS_PREFIX,
+            self._take_all_workers,
+            self._take_workers,
+            name="workers",
+        )
+        self._jobs = PrefixFollower(
+            services.store,
+            JOBS_PREFIX,
+            self._take_all_jobs,
+            self._take_jobs,
+            pause_s=JOBS_PAUSE_S,
+            name="jobs",
+        )
+
+    def start(self, configuration):
+        """Starts loading jobs and workers."""
+        if configuration is not None:
+            self.tables.adopt_configuration(configuration)
+        if self.tables.epoch > 1:
+            most_s = self.settings.bounds_hold_most_ms / MS_PER_S
+            self.barrier_until = self.timers.now() + most_s * CLOCK_DRIFT
+        self._periodic = self.timers.subscribe(TICK_S, self._tick)
+        self._jobs.start()
+        self._workers.start()
+
+    def close(self):
+        """Stops giving orders at once."""
+        self._is_closed = True
+        self._writer.close()
+        self._workers.close()
+        self._jobs.close()
+        if self._periodic is not None:
+            self._periodic.stop()
+        for session in self._sessions_by_id.values():
+            session.close()
+
+    async def flush(self):
+        """Stores what is dirty, once."""
+        if self.tables.dirty_job_ids:
+            await self._writer.flush()
+
+    def adopt_configuration(self, configuration):
+        """Takes a newer configuration."""
+        self.tables.adopt_configuration(configuration)
+        self.place_soon()
+
+    def take_waves(self, values_by_key):
+        """Takes in the operators' waves of maintenance."""
+
+    # What sessions ask and tell.
+
+    def lease_s(self):
+        """Returns the lease that runs get now, in seconds; 0 for none."""
+        if not self._leadership.has_authority():
+            return 0.0
+        if self._leadership.store_silent_s() > STORE_SILENT_S:
+            return self.settings.bounds_hold_most_ms / MS_PER_S
+        return WORKER_LEASE_S
+
+    def may_start(self, run):
+        """Whether a start may still be sent."""
+        worker = self.tables.workers_by_id.get(run.worker_id)
+        return (
+            self._leadership.has_authority()
+            and worker is not None
+            and is_usable(worker, self.timers.now())
+            and run.task.job.is_open
+            and not run.task.is_done
+        )
+
+    def take_view(self, session, view, sent_at):
+        """Takes in a worker's lists."""
+        worker, now = session.worker, self.timers.now()
+        if worker.born_ms is not None and view.born_ms not in (None, worker.born_ms):
+            restart_worker(self.tables, worker, view.born_ms, now)
+        if view.born_ms is not None:
+            worker.born_ms = view.born_ms
+        worker.last_answer_at = now
+        if worker.silent_since:
+            worker.silent_since = 0.0
+            logger.info("dependency regained", extra={"worker": worker.worker_id})
+        if not self.is_loaded:
+            return
+        was_fenced, worker.is_fenced = worker.is_fenced, True
+        self._learn(worker, view, now)
+        commands = apply_view(self.tables, worker, view, sent_at, now)
+        self._carry_out_all(commands)
+        if not was_fenced:
+            self._lift_barrier()
+        if commands or not was_fenced:
+            self.place_soon()
+        self._store_soon(worker)
+
+    def _learn(self, worker, view, now):
+        for row in view.ended:
+            run = worker.runs_by_key.get((row.task, row.run))
+            if run is None or row.how != "done" or run.task.saved:
+                continue
+            elapsed_s = now - run.started_at
+            task = run.task
+            self.lengths.note(task.job.queue_name, task.step.estimate_ms, elapsed_s)
+            self.counters.note_run(task.job.queue_name, elapsed_s)
+
+    def _store_soon(self, worker):
+        if self.tables.dirty_job_ids:
+            ends = any(
+                self.tables.jobs_by_id[job_id].pending_state is not None
+                for job_id in self.tables.dirty_job_ids
+            )
+            self._writer.schedule(ends)
+        else:
+            worker.stored_end = worker.seen_end
+
+    def note_start_reply(self, run, reply, nothing_done):
+        """Takes in the answer to a start."""
+        now = self.timers.now()
+        task, worker = run.task, self.tables.workers_by_id.get(run.worker_id)
+        fields = {
+            "job": task.job.job_id,
+            "task": task.name,
+            "run": run.number,
+            "worker": run.worker_id,
+            "outcome": reply.outcome.value,
+            "waited_ms": round((run.started_at - task.waiting_since) * MS_PER_S),
+            "answer_ms": round((now - run.started_at) * MS_PER_S),
+        }
+        if reply.detail:
+            fields["detail"] = reply.detail
+        logger.info("run started" if not nothing_done else "start refused", extra=fields)
+        self.counters.note_start(reply.outcome.value)
+        if reply.outcome is OrderOutcome.DONE:
+            run.answered_at = now
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+            if task.is_done or not task.job.is_open:
+                self.carry_out(StopRun(run, "no longer wanted"))
+            return
+        if not nothing_done:
+            run.state = RunState.UNCERTAIN
+            self.note_silent_start(worker, run)
+            return
+        forget_run(self.tables, run, now)
+        if reply.outcome is OrderOutcome.FENCED:
+            self.note_fenced(worker)
+        elif reply.outcome is OrderOutcome.WRONG_INSTANCE and worker is not None:
+            self.note_gone(worker)
+        elif worker is not None:
+            worker.trusted_after = now + REFUSED_PAUSE_S
+            if reply.outcome is OrderOutcome.UNHEALTHY:
+                worker.failures += 1
+        self.place_soon()
+
+    def note_silent_start(self, worker, run):
+        """Bars a start without an answer, so that the task is soon free."""
+        if worker is not None:
+            worker.failures += 1
+        self.carry_out(StopRun(run, "start without an answer"))
+
+    def note_not_started(self, run, reason):
+        """Drops a start that was never sent."""
+        forget_run(self.tables, run, self.timers.now())
+        logger.info("start dropped", extra={"task": run.task.name, "reason": reason})
+        self.place_soon()
+
+    def note_fenced(self, worker):
+        """A worker has seen a higher token: another node leads."""
+        logger.warning(
+            "fenced", extra={"worker": worker.worker_id if worker else None}
+        )
+        self._note_other()
+
+    def _note_other(self):
+        if not self._is_closed:
+            self._leadership.step_down("another node leads")
+
+    def note_gone(self, worker):
+        """Another incarnation answers at a worker's address."""
+        logger.info("worker gone", extra={"worker": worker.worker_id})
+        lose_worker(self.tables, worker, self.timers.now())
+        self._sync_sessions()
+        self.place_soon()
+
+    def note_silent(self, worker, detail):
+        """A worker did not answer."""
+        if not worker.silent_since:
+            worker.silent_since = self.timers.now()
+            logger.info(
+                "dependency lost",
+                extra={"worker": worker.worker_id, "detail": detail},
+            )
+
+    # Workers and jobs from the store.
+
+    def _take_all_workers(self, items):
+        apply_range(self.tables, items, self.timers.now())
+        self._sync_sessions()
+        self.place_soon()
+
+    def _take_workers(self, items):
+        for item in items:
+            apply_item(self.tables, item, self.timers.now())
+        self._sync_sessions()
+        self.place_soon()
+
+    def _sync_sessions(self):
+        if not self.is_loaded:
+            return
+        for worker_id, session in list(self._sessions_by_id.items()):
+            if self.tables.workers_by_id.get(worker_id) is not session.worker:
+                session.close()
+                del self._sessions_by_id[worker_id]
+        for worker_id, worker in self.tables.workers_by_id.items():
+            if worker_id not in self._sessions_by_id:
+                session = WorkerSession(worker, self._services.http, self)
+                self._sessions_by_id[worker_id] = session
+                session.start()
+
+    def _take_all_jobs(self, items):
+        parts = {}
+        for item in items:
+            job_id, part = split_key(item.key)
+            parts.setdefault(job_id, {})[part] = item.value
+        for job_id, values in parts.items():
+            self._load_job(job_id, values)
+        if not self.is_loaded:
+            self.is_loaded = True
+            logger.info(
+                "jobs loaded",
+                extra={
+                    "jobs": len(self.tables.jobs_by_id),
+                    "open": len(self.tables.open_jobs_by_id),
+                    "token": self.token,
+                    "epoch": self.tables.epoch,
+                },
+            )
+            self._sync_sessions()
+        self.place_soon()
+
+    def _load_job(self, job_id, values):
+        if job_id in self.tables.jobs_by_id or REQUEST not in values:
+            if CANCEL in values:
+                self.cancel(job_id)
+            return
+        try:
+            submitted = decode_submitted(values[REQUEST])
+            progress = values.get(PROGRESS)
+            progress = decode_progress(progress) if progress else None
+        except msgspec.DecodeError as error:
+            logger.error("unreadable job", extra={"job": job_id, "error": str(error)})
+            return
+        job = add_job(self.tables, job_id, submitted, time.time())
+        if progress is not None:
+            apply_progress(self.tables, job, progress)
+        if not self.is_loaded and self.barrier_until:
+            for occurrence in job.occurrences.values():
+                for row in occurrence.steps:
+                    for task in row.tasks:
+                        task.held_until = self.barrier_until
+        if CANCEL in values:
+            self.cancel(job_id)
+
+    def _lift_barrier(self):
+        """Frees tasks held at take-over once all workers told what they run."""
+        if not self.barrier_until:
+            return
+        workers = self.tables.workers_by_id.values()
+        if not all(worker.is_fenced for worker in workers):
+            return
+        self.barrier_until = 0.0
+        for task in self.tables.tasks_by_name.values():
+            task.held_until = 0.0
+        logger.info("all workers told what they run")
+
+    def _take_jobs(self, items):
+        parts = {}
+        for item in items:
+            job_id, part = split_key(item.key)
+            if part != PROGRESS and item.value is not None:
+                parts.setdefault(job_id, {})[part] = item.value
+        for job_id, values in parts.items():
+            if values.keys() == {CANCEL}:
+                self.cancel(job_id)
+            else:
+                self._load_job(job_id, values)
+        if parts:
+            self.place_soon()
+
+    # What nodes tell and ask.
+
+    def accept(self, job_id, record):
+        """Takes in a job that was stored."""
+        if self.is_loaded and job_id not in self.tables.jobs_by_id:
+            add_job(self.tables, job_id, decode_submitted(record), time.time())
+            self.place_soon()
+
+    def cancel(self, job_id):
+        """Takes in a cancellation that was stored."""
+        job = self.tables.jobs_by_id.get(job_id)
+        if job is not None:
+            self._carry_out_all(cancel_job(self.tables, job))
+            self.place_soon()
+
+    def state_of(self, job_id):
+        """Returns the state of a job as text; empty if it is not known."""
+        job = self.tables.jobs_by_id.get(job_id)
+        if job is None or not self.is_loaded:
+            return ""
+        if job.state is WorkState.QUEUED and job.has_started:
+            return WorkState.RUNNING.value
+        return job.state.value
+
+    def waiting_by_queue(self):
+        """Counts accepted jobs without a started task, by queue."""
+        counts = {}
+        for job in self.tables.open_jobs_by_id.values():
+            if not job.has_started and job.request.repeats <= 0:
+                counts[job.queue_name] = counts.get(job.queue_name, 0) + 1
+        return counts
+
+    # Ticks.
+
+    def place_soon(self):
+        """Places tasks after the changes of this moment were taken in."""
+        if not self._place_due and not self._is_closed:
+            self._place_due = True
+            IOLoop.current().call_later(PLACE_GATHER_S, self._place)
+
+    def _place(self):
+        self._place_due = False
+        if self._is_closed or not self.is_loaded:
+            return
+        if not self._leadership.has_authority():
+            return
+        now = self.timers.now()
+        for pool in self.tables.pools_by_name:
+            commands = place_tasks(self.tables, pool, self.lengths, now, time.time())
+            self._carry_out_all(commands)
+        if self.tables.dirty_job_ids:
+            self._writer.schedule(False)
+
+    def _tick(self, now):
+        if self._is_closed or not self.is_loaded:
+            return
+        self._carry_out_all(expire_leases(self.tables, now))
+        self._repeat_stops(now)
+        self._drop_missing(now)
+        if self.barrier_until and now > self.barrier_until:
+            self.barrier_until = 0.0
+        if self.tables.dirty_job_ids:
+            self._writer.schedule(False)
+        self.place_soon()
+
+    def _repeat_stops(self, now):
+        for worker in self.tables.workers_by_id.values():
+            for run in worker.runs_by_key.values():
+                wants = run.stopped_at and not run.stop_answered_at
+                if wants and now - run.stopped_at > STOP_REPEAT_S:
+                    self._send_stop(run)
+
+    def _drop_missing(self, now):
+        for worker in list(self.tables.workers_by_id.values()):
+            if (
+                worker.missing_since
+                and now - worker.missing_since > MISSING_S
+                and worker.silent_since
+                and not worker.runs_by_key
+                and now > worker.lease_until
+            ):
+                logger.info("worker dropped", extra={"worker": worker.worker_id})
+                lose_worker(self.tables, worker, now)
+                self._sync_sessions()
+                self._lift_barrier()
+
+    def _note_stored(self, ends_by_worker):
+        for worker_id, seen_end in ends_by_worker.items():
+            worker = self.tables.workers_by_id.get(worker_id)
+            if worker is not None and seen_end <= worker.seen_end:
+                worker.stored_end = max(worker.stored_end, seen_end)
+                session = self._sessions_by_id.get(worker_id)
+                if session is not None:
+                    session.note_stored()
+        self.place_soon()
+
+    # Commands.
+
+    def _carry_out_all(self, commands):
+        for command in commands:
+            self.carry_out(command)
+
+    @singledispatchmethod
+    def carry_out(self, command):
+        """Carries a command out."""
+        raise TypeError(f"unknown command {type(command).__name__}")
+
+    @carry_out.register
+    def _(self, command: StartRun):
+        session = self._sessions_by_id.get(command.run.worker_id)
+        if session is None:
+            self.note_not_started(command.run, "no session with the worker")
+            return
+        IOLoop.current().add_callback(session.send_start, command.run)
+
+    @carry_out.register
+    def _(self, command: StopRun):
+        run = command.run
+        logger.info(
+            "run stopping",
+            extra={
+                "job": run.task.job.job_id,
+                "task": run.task.name,
+                "run": run.number,
+                "worker": run.worker_id,
+                "reason": command.reason,
+            },
+        )
+        if run.state is RunState.RUNNING:
+            run.state = RunState.STOPPING
+        self._send_stop(run)
+
+    def _send_stop(self, run):
+        run.stopped_at = self.timers.now()
+        session = self._sessions_by_id.get(run.worker_id)
+        if session is not None:
+            IOLoop.current().add_callback(
+                session.send_stop, run.task.name, run.number, run
+            )
+
+    @carry_out.register
+    def _(self, command: StopUnknownRun):
+        session = self._sessions_by_id.get(command.worker_id)
+        if session is not None:
+            IOLoop.current().add_callback(
+                session.send_stop, command.task, command.number
+            )
+
+    @carry_out.register
+    def _(self, command: PaceRun):
+        command.run.pace = command.percent
+        session = self._sessions_by_id.get(command.run.worker_id)
+        if session is not None:
+            IOLoop.current().add_callback(
+                session.send_pace, command.run, command.percent
+            )
+
+    @carry_out.register
+    def _(self, command: Note):
+        logger.info(command.event, extra=command.fields)
--- a/sassafrasgrade/errors.py
+++ b/sassafrasgrade/errors.py
@@ -44,11 +44,44 @@
 
 @dataclass(frozen=True)
 class RevisionConflict(SassafrasgradeError):
-    """A compare-and-swap found another revision than it expected."""
+    """A compare-and-swap found another revision than it expected.
 
+    Attributes:
+        items: Present items of the keys compared, if the store told them.
+    """
+
+    items: tuple = ()
     kind: ClassVar[str] = "revision-conflict"
 
 
+@dataclass(frozen=True)
+class StoreRefused(SassafrasgradeError):
+    """The store refused a call and did nothing."""
+
+    kind: ClassVar[str] = "store-refused"
+
+
+@dataclass(frozen=True)
+class LeaseGone(SassafrasgradeError):
+    """A lease of the store has ended."""
+
+    kind: ClassVar[str] = "lease-gone"
+
+
+@dataclass(frozen=True)
+class HistoryCompacted(SassafrasgradeError):
+    """The store no longer holds the history that a watch asked for."""
+
+    kind: ClassVar[str] = "history-compacted"
+
+
+@dataclass(frozen=True)
+class RequestInvalid(SassafrasgradeError):
+    """A caller's request cannot be read."""
+
+    kind: ClassVar[str] = "request-invalid"
+
+
 @dataclass(frozen=True)
 class ConfigurationConflict(SassafrasgradeError):
     """Another operator changed the same rows first."""
--- /dev/null
+++ b/sassafrasgrade/intakes.py
@@ -0,0 +1,194 @@
+"""Answers callers: submits jobs, shows their states, cancels them."""
+
+import logging
+import time
+
+import msgspec
+from returns.result import Failure
+
+from sassafrasgrade.job_records import (
+    CANCEL,
+    PROGRESS,
+    REQUEST,
+    SubmittedJob,
+    decode_progress,
+    encode,
+    job_key,
+    split_key,
+)
+from sassafrasgrade.job_requests import JOB_ID_PATTERN, read_job
+from sassafrasgrade.node_messages import JobAccepted, JobCancelled
+from sassafrasgrade.store_batches import CreateOutcome
+from sassafrasgrade.works import MS_PER_S, WorkState
+
+logger = logging.getLogger(__name__)
+
+# Time kept for the answer to travel back, in seconds.
+ANSWER_MARGIN_S = 0.15
+# Longest wait for the store when a caller names no deadline, in seconds.
+DEFAULT_DEADLINE_S = 3.0
+# Age of the leader's counts up to which they are shown, in seconds
+# (published limit: 2 s, stretched while a leader is replaced).
+COUNTS_FRESH_S = 2.5
+# Pause that callers are told when the store does not answer, in seconds.
+STORE_RETRY_S = 1
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Answer to a caller.
+
+    Attributes:
+        status: HTTP status.
+        body: JSON value, or None.
+        retry_after_s: When to come back; 0 for none.
+    """
+
+    status: int
+    body: dict | None = None
+    retry_after_s: int = 0
+
+
+class Intake:
+    """Handles requests to queues.
+
+    Args:
+        node: The ``Node``: configuration, store, batcher, link to the leader.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    async def handle(self, method, host, path, body, deadline_s):
+        """Answers one request.
+
+        Args:
+            method: HTTP method.
+            host: ``Host`` header.
+            path: Path without query.
+            body: Bytes of the body.
+            deadline_s: Time that the caller waits, in seconds, or None.
+
+        Returns:
+            ``Reply``.
+        """
+        router = self._node.router
+        if router is None:
+            return Reply(503, {"error": "no configuration yet"}, STORE_RETRY_S)
+        queue = router.find(host, path)
+        if queue is None:
+            return Reply(404, {"error": "no such queue"})
+        job_id = path[len(queue.prefix) :]
+        give_up_s = (deadline_s or DEFAULT_DEADLINE_S) - ANSWER_MARGIN_S
+        give_up_at = self._node.timers.now() + max(0.05, give_up_s)
+        if not job_id:
+            return self._count_waiting(queue, method)
+        if not JOB_ID_PATTERN.match(job_id):
+            return Reply(404, {"error": "job ids have 16 hexadecimal digits"})
+        if method == "POST":
+            return await self._submit(queue, job_id, body, give_up_at)
+        if method == "GET":
+            return await self._show(job_id, give_up_at)
+        if method == "DELETE":
+            return await self._cancel(job_id, give_up_at)
+        return Reply(405, {"error": "use POST, GET or DELETE"})
+
+    async def _submit(self, queue, job_id, body, give_up_at):
+        request = read_job(body)
+        if isinstance(request, Failure):
+            return Reply(400, {"error": str(request.failure())})
+        record = encode(SubmittedJob(queue.name, time.time(), request.unwrap()))
+        key = job_key(job_id, REQUEST)
+        began = self._node.timers.now()
+        outcome = await self._node.batcher.create(key, record, give_up_at)
+        if outcome in (CreateOutcome.CREATED, CreateOutcome.EXISTS):
+            self._node.tell_leader(JobAccepted(job_id, record))
+            reply = Reply(200, {})
+        elif outcome is CreateOutcome.NOT_DONE:
+            reply = Reply(503, {"error": "the store is unavailable"}, STORE_RETRY_S)
+        else:
+            reply = Reply(504, {"error": "the store did not answer"})
+        logger.info(
+            "job submitted",
+            extra={
+                "job": job_id,
+                "queue": queue.name,
+                "version": self._node.configuration.version,
+                "outcome": outcome.value,
+                "status": reply.status,
+                "ms": round((self._node.timers.now() - began) * MS_PER_S),
+            },
+        )
+        return reply
+
+    async def _show(self, job_id, give_up_at):
+        state = await self._node.ask_state(job_id)
+        source = "leader"
+        if not state:
+            source = "store"
+            found = await self._read_parts(job_id, give_up_at)
+            if found is None:
+                return Reply(503, {"error": "the store is unavailable"}, STORE_RETRY_S)
+            state = _state_of(found)
+            if state and REQUEST in found:
+                self._node.tell_leader(JobAccepted(job_id, found[REQUEST]))
+        logger.info(
+            "state shown", extra={"job": job_id, "state": state, "source": source}
+        )
+        if not state:
+            return Reply(410, {"error": "no such job"})
+        return Reply(200, {"state": state})
+
+    async def _cancel(self, job_id, give_up_at):
+        state = await self._node.ask_state(job_id)
+        if not state:
+            found = await self._read_parts(job_id, give_up_at)
+            if found is None:
+                return Reply(503, {"error": "the store is unavailable"}, STORE_RETRY_S)
+            if not _state_of(found):
+                return Reply(410, {"error": "no such job"})
+        key = job_key(job_id, CANCEL)
+        outcome = await self._node.batcher.create(key, b"1", give_up_at)
+        status = 504
+        if outcome in (CreateOutcome.CREATED, CreateOutcome.EXISTS):
+            self._node.tell_leader(JobCancelled(job_id))
+            status = 200
+        elif outcome is CreateOutcome.NOT_DONE:
+            status = 503
+        logger.info(
+            "cancel requested",
+            extra={"job": job_id, "outcome": outcome.value, "status": status},
+        )
+        return Reply(status, {}, STORE_RETRY_S if status == 503 else 0)
+
+    async def _read_parts(self, job_id, give_up_at):
+        """Reads a job's parts from the store; None if the store does not answer."""
+        while True:
+            found = await self._node.store.read_range(job_key(job_id, ""))
+            if not isinstance(found, Failure):
+                items, _ = found.unwrap()
+                return {split_key(item.key)[1]: item.value for item in items}
+            if self._node.timers.now() + 0.2 > give_up_at:
+                return None
+            await self._node.pause_briefly()
+
+    def _count_waiting(self, queue, method):
+        if method != "GET":
+            return Reply(405, {"error": "use GET"})
+        count, age_s = self._node.waiting_of(queue.name)
+        if age_s > COUNTS_FRESH_S:
+            return Reply(503, {"error": "counts are not known yet"}, STORE_RETRY_S)
+        return Reply(200, {"pending": count})
+
+
+def _state_of(parts):
+    """Returns the state that stored parts show; empty for no job."""
+    if REQUEST not in parts:
+        return ""
+    if PROGRESS in parts:
+        progress = decode_progress(parts[PROGRESS])
+        if progress.state in (WorkState.COMPLETED, WorkState.FAILED):
+            return progress.state.value
+        if CANCEL not in parts:
+            started = progress.has_started
+            return (WorkState.RUNNING if started else WorkState.QUEUED).value
+    return (WorkState.CANCELLED if CANCEL in parts else WorkState.QUEUED).value
--- /dev/null
+++ b/sassafrasgrade/job_records.py
@@ -0,0 +1,127 @@
+"""Records of jobs in the store, and their keys."""
+
+import msgspec
+
+from sassafrasgrade.platform.messages import JobRequest
+from sassafrasgrade.works import Job, WorkState, WorkTables, create_occurrence
+
+JOBS_PREFIX = "jobs/"
+REQUEST = "request"
+PROGRESS = "progress"
+CANCEL = "cancel"
+
+
+class SubmittedJob(msgspec.Struct, frozen=True, array_like=True):
+    """A job as accepted: queue, Unix seconds of its arrival, request."""
+
+    queue_name: str
+    accepted_at: float
+    request: JobRequest
+
+
+class JobProgress(msgspec.Struct, frozen=True, array_like=True):
+    """What a successor has to know of a job.
+
+    Attributes:
+        state: State of the job.
+        has_started: Whether any task was ever started.
+        done: Indices of done tasks by ``occurrence.step``.
+        failures: Failed runs by task name without the job's id.
+        done_occurrences: Occurrences that are done.
+    """
+
+    state: WorkState
+    has_started: bool
+    done: dict[str, list[int]]
+    failures: dict[str, int]
+    done_occurrences: list[int]
+
+
+_submitted = msgspec.msgpack.Decoder(SubmittedJob)
+_progress = msgspec.msgpack.Decoder(JobProgress)
+encode = msgspec.msgpack.Encoder().encode
+
+
+def job_key(job_id, part):
+    """Returns the key of one part of a job."""
+    return f"{JOBS_PREFIX}{job_id}/{part}"
+
+
+def split_key(key):
+    """Returns (job id, part) of a key under ``JOBS_PREFIX``."""
+    job_id, _, part = key.removeprefix(JOBS_PREFIX).partition("/")
+    return job_id, part
+
+
+def decode_submitted(value):
+    """Decodes a ``SubmittedJob``; raises ``msgspec.DecodeError``."""
+    return _submitted.decode(value)
+
+
+def decode_progress(value):
+    """Decodes a ``JobProgress``; raises ``msgspec.DecodeError``."""
+    return _progress.decode(value)
+
+
+def progress_of(job: Job):
+    """Returns the record that a job's present state needs."""
+    done, failures = {}, {}
+    for occurrence in job.occurrences.values():
+        if occurrence.number in job.done_occurrences:
+            continue
+        for row in occurrence.steps:
+            indices = [task.index for task in row.tasks if task.is_done]
+            if indices:
+                done[f"{occurrence.number}.{row.number}"] = indices
+            for task in row.tasks:
+                if task.failures and not task.is_done and not row.step.is_perpetual:
+                    name = task.name.partition(".")[2]
+                    failures[name] = task.failures
+    return JobProgress(
+        job.pending_state or job.state,
+        job.has_started,
+        done,
+        failures,
+        sorted(job.done_occurrences),
+    )
+
+
+def add_job(tables: WorkTables, job_id, submitted: SubmittedJob, now_unix):
+    """Adds a job to the tables; returns it, or the one that is there."""
+    known = tables.jobs_by_id.get(job_id)
+    if known is not None:
+        return known
+    job = Job(job_id, submitted.queue_name, submitted.request, submitted.accepted_at)
+    tables.jobs_by_id[job_id] = job
+    tables.open_jobs_by_id[job_id] = job
+    if submitted.request.repeats <= 0:
+        add_occurrence(tables, job, 0)
+    return job
+
+
+def add_occurrence(tables, job, number):
+    """Creates the tasks of an occurrence in the tables."""
+    for task in create_occurrence(job, number):
+        tables.tasks_by_name[task.name] = task
+
+
+def apply_progress(tables, job, progress: JobProgress):
+    """Brings a job that was just loaded to its stored progress."""
+    job.state = progress.state
+    job.has_started = progress.has_started
+    job.done_occurrences = set(progress.done_occurrences)
+    for name, indices in progress.done.items():
+        number, step_number = (int(part) for part in name.split("."))
+        if number not in job.occurrences:
+            add_occurrence(tables, job, number)
+        row = job.occurrences[number].steps[step_number]
+        for index in indices:
+            if not row.tasks[index].is_done:
+                row.tasks[index].is_done = True
+                row.left -= 1
+    for name, count in progress.failures.items():
+        task = tables.tasks_by_name.get(f"{job.job_id}.{name}")
+        if task is not None:
+            task.failures = count
+    if not job.is_open:
+        tables.open_jobs_by_id.pop(job.job_id, None)
--- /dev/null
+++ b/sassafrasgrade/job_requests.py
@@ -0,0 +1,44 @@
+"""Reads and checks jobs that callers submit."""
+
+import re
+
+import msgspec
+from returns.result import Failure, Success
+
+from sassafrasgrade.errors import RequestInvalid
+from sassafrasgrade.platform.messages import JobRequest
+
+JOB_ID_PATTERN = re.compile(r"^[0-9a-fA-F]{16}$")
+# Longest text handed to tasks, in bytes (published limit).
+LONGEST_SPEC_BYTES = 4000
+# Most tasks of a job and most occurrences: beyond these a job is a mistake.
+MOST_TASKS = 10_000
+MOST_REPEATS = 100_000
+
+_requests = msgspec.json.Decoder(JobRequest)
+
+
+def read_job(body):
+    """Decodes and checks a job; ``Failure(RequestInvalid)`` if it is wrong."""
+    try:
+        request = _requests.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return _invalid(str(error))
+    if len(request.spec.encode()) > LONGEST_SPEC_BYTES:
+        return _invalid(f"spec is longer than {LONGEST_SPEC_BYTES} bytes")
+    if not request.steps:
+        return _invalid("steps is empty")
+    for number, step in enumerate(request.steps):
+        if step.count < 1:
+            return _invalid(f"step {number} has no tasks")
+        if any(before < 0 or before >= number for before in step.after):
+            return _invalid(f"step {number} comes after a step that is not earlier")
+    if sum(step.count for step in request.steps) > MOST_TASKS:
+        return _invalid(f"the job has more than {MOST_TASKS} tasks")
+    if not 0 <= request.repeats <= MOST_REPEATS:
+        return _invalid("repeats is out of range")
+    return Success(request)
+
+
+def _invalid(detail):
+    return Failure(RequestInvalid(detail, "Correct the body and submit it again."))
--- /dev/null
+++ b/sassafrasgrade/leaderships.py
@@ -0,0 +1,360 @@
+"""Membership and leadership of nodes, agreed through the platform's store."""
+
+import logging
+import time
+import uuid
+
+import msgspec
+from returns.result import Failure
+from tornado import gen
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.errors import (
+    HistoryCompacted,
+    LeaseGone,
+    PlatformUnavailable,
+    RevisionConflict,
+)
+from sassafrasgrade.platform.stores import Put
+from sassafrasgrade.rendezvous import rank_names
+from sassafrasgrade.watchers import Backoff
+
+logger = logging.getLogger(__name__)
+
+OWN_PREFIX = "own/"
+LEADER_KEY = "own/leader"
+NODES_PREFIX = "own/nodes/"
+# Life of a node's lease without renewal, in seconds: long enough that running
+# work outlives short store outages, short enough to replace a lost leader.
+LEASE_TTL_S = 3.0
+# Time between renewals, and after which an unanswered one is given up.
+KEEP_PERIOD_S = 0.6
+KEEP_TIMEOUT_S = 0.5
+# Part of the lease that is not relied on: clock drift and the time of calls.
+LEASE_MARGIN_S = 0.15
+# Delay between candidates of neighbouring rank, in seconds.
+CANDIDATE_STEP_S = 0.06
+# Longest wait of one watch call, in seconds.
+WATCH_S = 2.5
+
+
+class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A live node: name, incarnation, address of its streams, strength."""
+
+    name: str
+    incarnation: str
+    address: str
+    cores: float
+
+
+class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The present leader and the count of leaderships so far."""
+
+    name: str
+    incarnation: str
+    address: str
+    epoch: int
+
+
+_nodes = msgspec.msgpack.Decoder(NodeRecord)
+_leaders = msgspec.msgpack.Decoder(LeaderRecord)
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class Leadership:
+    """Keeps the node's lease and decides by conditional writes who leads.
+
+    Args:
+        store: ``StoreClient``.
+        timers: Timer service; its clock counts suspends.
+        settings: ``NodeSettings``.
+        on_gain: Called with (token, epoch) when this node begins to lead.
+        on_loss: Called with a reason when it no longer leads.
+        on_leader: Called with the ``LeaderRecord`` or None after each change.
+    """
+
+    def __init__(self, store, timers, settings, on_gain, on_loss, on_leader):
+        self._store = store
+        self._timers = timers
+        self._settings = settings
+        self._on_gain = on_gain
+        self._on_loss = on_loss
+        self._on_leader = on_leader
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.address = f"{settings.node_address}:{settings.listen_peers_port}"
+        self.lease = 0
+        self.token = 0
+        self.leader = None
+        self.leader_revision = 0
+        self._past_epoch = 0
+        self._lease_until = 0.0
+        self._records_by_name = {}
+        self._revision = None
+        self._is_closing = False
+        self._candidate = None
+        self._store_answer_at = timers.now()
+        self._dead_revision = 0
+
+    @property
+    def leads(self):
+        """Whether this node holds the leader's key, as far as it knows."""
+        return self.token > 0
+
+    def has_authority(self):
+        """Whether the lease surely lives, so that orders may be given."""
+        return self.leads and self._timers.now() < self._lease_until
+
+    def store_silent_s(self):
+        """Seconds since the store answered a renewal or a watch."""
+        return self._timers.now() - self._store_answer_at
+
+    def start(self):
+        """Starts the loops."""
+        IOLoop.current().add_callback(self._keep_loop)
+        IOLoop.current().add_callback(self._watch_loop)
+
+    def note_leader_dead(self, incarnation):
+        """Takes in proof that the leader's process has ended.
+
+        Args:
+            incarnation: Incarnation that was proved dead.
+        """
+        leader = self.leader
+        if leader is None or leader.incarnation != incarnation or self.leads:
+            return
+        if self._dead_revision != self.leader_revision:
+            self._dead_revision = self.leader_revision
+            logger.info("leader process ended", extra={"leader": leader.name})
+            self._stand_soon()
+
+    def take_hand_over(self, revision):
+        """Takes over from a leader that has stopped giving orders."""
+        if revision == self.leader_revision and not self.leads:
+            self._dead_revision = revision
+            self._stand_soon()
+
+    async def close(self):
+        """Gives the leadership up and removes the node's keys."""
+        self._is_closing = True
+        if self.leads:
+            self._lose("stopping")
+        if self.lease:
+            result = await self._store.end_lease(self.lease)
+            if isinstance(result, Failure):
+                logger.info("lease not ended", extra={"error": str(result.failure())})
+
+    def step_down(self, reason):
+        """Stops leading; the key stays until it is taken over or lapses."""
+        if self.leads:
+            self._lose(reason)
+
+    # The lease.
+
+    async def _keep_loop(self):
+        backoff = Backoff(0.05, 0.5)
+        while not self._is_closing:
+            if not self.lease:
+                if not await self._register():
+                    await gen.sleep(backoff.next_delay())
+                    continue
+                backoff.reset()
+            await gen.sleep(KEEP_PERIOD_S)
+            if self.lease and not self._is_closing:
+                await self._keep()
+
+    async def _keep(self):
+        sent_at = self._timers.now()
+        result = await self._store.keep_lease(self.lease, KEEP_TIMEOUT_S)
+        if not isinstance(result, Failure):
+            self._store_answer_at = self._timers.now()
+            self._lease_until = sent_at + LEASE_TTL_S - LEASE_MARGIN_S
+            return
+        error = result.failure()
+        if isinstance(error, LeaseGone):
+            logger.warning("lease lost", extra={"lease": self.lease})
+            self.lease = 0
+            if self.leads:
+                self._lose("lease ended")
+
+    async def _register(self):
+        sent_at = self._timers.now()
+        granted = await self._store.grant_lease(LEASE_TTL_S)
+        if isinstance(granted, Failure):
+            return False
+        lease = granted.unwrap()
+        record = NodeRecord(
+            self._settings.node_name,
+            self.incarnation,
+            self.address,
+            self._settings.node_cores,
+        )
+        put = Put(NODES_PREFIX + record.name, _encode(record), lease)
+        written = await self._store.commit(puts=(put,))
+        if isinstance(written, Failure):
+            return False
+        self.lease = lease
+        self._lease_until = sent_at + LEASE_TTL_S - LEASE_MARGIN_S
+        self._store_answer_at = self._timers.now()
+        logger.info("registered", extra={"lease": lease})
+        if self.leader is None and self._revision is not None:
+            self._stand_soon()
+        return True
+
+    # The view of all nodes.
+
+    async def _watch_loop(self):
+        backoff = Backoff(0.05, 0.5)
+        while not self._is_closing:
+            result = await self._watch_once()
+            if not isinstance(result, Failure):
+                self._store_answer_at = self._timers.now()
+                backoff.reset()
+                continue
+            if isinstance(result.failure(), HistoryCompacted):
+                self._revision = None
+            await gen.sleep(backoff.next_delay())
+
+    async def _watch_once(self):
+        if self._revision is None:
+            found = await self._store.read_range(OWN_PREFIX)
+            if isinstance(found, Failure):
+                return found
+            items, self._revision = found.unwrap()
+            self._records_by_name = {}
+            if not any(item.key == LEADER_KEY for item in items):
+                self._set_leader(None, 0)
+        else:
+            found = await self._store.watch(OWN_PREFIX, self._revision, WATCH_S)
+            if isinstance(found, Failure):
+                return found
+            items, self._revision = found.unwrap()
+        for item in items:
+            self._take_item(item)
+        if self.leader is None:
+            self._stand_soon()
+        return found
+
+    def _take_item(self, item):
+        if item.key == LEADER_KEY:
+            if item.revision < self.leader_revision:
+                return
+            record = _decode(_leaders, item)
+            if record is not None and record.incarnation == self.incarnation:
+                # A write without an answer that was carried out after all.
+                self._gain(record, item.revision)
+            else:
+                self._set_leader(record, item.revision)
+        elif item.key.startswith(NODES_PREFIX):
+            name = item.key.removeprefix(NODES_PREFIX)
+            record = _decode(_nodes, item)
+            if record is None:
+                self._records_by_name.pop(name, None)
+            else:
+                self._records_by_name[name] = record
+
+    def _set_leader(self, record, revision):
+        changed = record != self.leader
+        self.leader = record
+        self.leader_revision = revision
+        if record is not None:
+            self._past_epoch = max(self._past_epoch, record.epoch)
+        if self.leads and (record is None or record.incarnation != self.incarnation):
+            if record is not None or revision > self.token or revision == 0:
+                self._lose("the leader's key has another holder")
+        if changed:
+            name = record.name if record is not None else None
+            logger.info("leader seen", extra={"leader": name, "revision": revision})
+            self._on_leader(record)
+
+    # Standing for leader.
+
+    def _stand_soon(self):
+        if self._candidate is not None or self._is_closing or not self.lease:
+            return
+        delay_s = self._rank() * CANDIDATE_STEP_S
+        self._candidate = IOLoop.current().call_later(
+            delay_s, lambda: IOLoop.current().add_callback(self._stand)
+        )
+
+    def _rank(self):
+        """Rank of this node among the live ones: strong ones first."""
+        dead = self.leader.name if self.leader is not None else ""
+        names = [name for name in self._records_by_name if name != dead]
+        ranked = rank_names(names, str(self._past_epoch))
+        cores = {n: self._records_by_name[n].cores for n in names}
+        ranked.sort(key=lambda name: -cores[name])
+        own = self._settings.node_name
+        return ranked.index(own) if own in ranked else len(ranked)
+
+    async def _stand(self):
+        self._candidate = None
+        is_dead = self._dead_revision and self._dead_revision == self.leader_revision
+        if self.leads or self._is_closing or not self.lease:
+            return
+        if self.leader is not None and not is_dead:
+            return
+        epoch = self._past_epoch + 1
+        record = LeaderRecord(
+            self._settings.node_name, self.incarnation, self.address, epoch
+        )
+        expected = self.leader_revision if self.leader is not None else 0
+        put = Put(LEADER_KEY, _encode(record), self.lease)
+        began = time.monotonic()
+        result = await self._store.commit([(LEADER_KEY, expected)], [put])
+        logger.info(
+            "stood for leader",
+            extra={
+                "epoch": epoch,
+                "expected_revision": expected,
+                "outcome": _outcome(result),
+                "ms": round((time.monotonic() - began) * 1000, 1),
+            },
+        )
+        if not isinstance(result, Failure):
+            self._gain(record, result.unwrap())
+        elif isinstance(result.failure(), RevisionConflict):
+            for item in result.failure().items:
+                self._take_item(item)
+        elif isinstance(result.failure(), PlatformUnavailable):
+            await self._settle_stand()
+
+    async def _settle_stand(self):
+        """Finds out whether a write without an answer made this node leader."""
+        found = await self._store.read_key(LEADER_KEY)
+        if isinstance(found, Failure):
+            IOLoop.current().call_later(CANDIDATE_STEP_S, self._stand_soon)
+            return
+        item = found.unwrap()
+        if item is None:
+            self._stand_soon()
+            return
+        record = _decode(_leaders, item)
+        if record is not None and record.incarnation == self.incarnation:
+            self._gain(record, item.revision)
+        else:
+            self._take_item(item)
+
+    def _gain(self, record, revision):
+        if self.leads or self._is_closing or revision < self.leader_revision:
+            return
+        self.token = revision
+        self._set_leader(record, revision)
+        self._on_gain(revision, record.epoch)
+
+    def _lose(self, reason):
+        self.token = 0
+        self._on_loss(reason)
+
+
+def _decode(decoder, item):
+    if item.value is None:
+        return None
+    try:
+        return decoder.decode(item.value)
+    except msgspec.DecodeError as error:
+        logger.warning("unreadable entry", extra={"key": item.key, "error": str(error)})
+        return None
+
+
+def _outcome(result):
+    return result.failure().kind if isinstance(result, Failure) else "ok"
--- /dev/null
+++ b/sassafrasgrade/node_counters.py
@@ -0,0 +1,98 @@
+"""Metrics of a node."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+PREFIX = "sassafrasgrade_node"
+SECONDS_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+class NodeCounters:
+    """Counters and latency histograms of one node, in its own registry."""
+
+    def __init__(self):
+        self._registry = CollectorRegistry()
+        self._children_by_key = {}
+        self._requests = self._counter(
+            "requests", "Callers' requests by kind and answer.", ["kind", "status"]
+        )
+        self._request_seconds = self._histogram(
+            "request_seconds", "Time from headers to answer.", ["kind"]
+        )
+        self._store_calls = self._counter(
+            "store_calls", "Calls to the store by kind and outcome.", ["kind", "outcome"]
+        )
+        self._store_seconds = self._histogram(
+            "store_call_seconds", "Duration of calls to the store.", ["kind"]
+        )
+        self._starts = self._counter(
+            "starts", "Starts of runs by outcome.", ["outcome"]
+        )
+        self._runs = self._histogram(
+            "run_seconds", "Duration of runs that ended done.", ["queue"]
+        )
+        self._host_orders = self._counter(
+            "host_orders", "Orders on hosts by kind and outcome.", ["kind", "outcome"]
+        )
+        self._leads = Gauge(
+            f"{PREFIX}_leads", "Whether this node leads.", registry=self._registry
+        )
+        self._takeovers = self._counter("takeovers", "Leaderships gained.", [])
+        self._dropped_lines = self._counter(
+            "dropped_log_lines", "Log lines over the limit.", []
+        )
+
+    def _counter(self, name, text, labels):
+        return Counter(f"{PREFIX}_{name}", text, labels, registry=self._registry)
+
+    def _histogram(self, name, text, labels):
+        return Histogram(
+            f"{PREFIX}_{name}",
+            text,
+            labels,
+            buckets=SECONDS_BUCKETS,
+            registry=self._registry,
+        )
+
+    def _child(self, metric, *labels):
+        key = (metric, labels)
+        child = self._children_by_key.get(key)
+        if child is None:
+            child = self._children_by_key[key] = metric.labels(*labels)
+        return child
+
+    def note_request(self, kind, status, seconds):
+        """Counts an answer to a caller."""
+        self._child(self._requests, kind, str(status)).inc()
+        self._child(self._request_seconds, kind).observe(seconds)
+
+    def note_store_call(self, kind, outcome, seconds):
+        """Counts a call to the store."""
+        self._child(self._store_calls, kind, outcome).inc()
+        self._child(self._store_seconds, kind).observe(seconds or 0.0)
+
+    def note_start(self, outcome):
+        """Counts a start of a run."""
+        self._child(self._starts, outcome).inc()
+
+    def note_run(self, queue, seconds):
+        """Counts a run that ended ``done``."""
+        self._child(self._runs, queue).observe(seconds)
+
+    def note_host_order(self, kind, outcome):
+        """Counts an order on a host."""
+        self._child(self._host_orders, kind, outcome).inc()
+
+    def note_leads(self, leads):
+        """Notes whether this node leads."""
+        self._leads.set(int(leads))
+        if leads:
+            self._takeovers.inc()
+
+    def note_dropped_lines(self, count):
+        """Counts log lines that were dropped."""
+        self._dropped_lines.inc(count)
+
+    def expose(self):
+        """Returns the page of all metrics as bytes."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/sassafrasgrade/platform/messages.py
@@ -0,0 +1,306 @@
+"""Messages of the platform, decoded once into types with the project's names."""
+
+from enum import StrEnum
+
+import msgspec
+from msgspec import field
+
+
+class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Tasks of a job that are alike.
+
+    Attributes:
+        count: Number of tasks.
+        cpu_millis: Thousandths of a core that one task asks for.
+        memory_mb: Memory that one task asks for.
+        gpus: Accelerators that one task asks for.
+        estimate_ms: Declared duration of a task; often far off.
+        after: Numbers of earlier steps that must be done first.
+        checkpoints: Whether a task saves its progress.
+        is_gang: Whether all tasks must run at the same time.
+        same_rack: Whether tasks slow down when spread over racks.
+        label: Label that a worker must have; empty for any.
+        rack: Rack that holds the data; empty for none.
+        most_per_worker: Most tasks on one worker; 0 for no limit.
+        is_speculative: Whether copies of a task may run in parallel.
+        is_perpetual: Whether tasks run until the job is cancelled.
+        image: What a task runs; tasks of one image behave alike.
+        target_ms: Tail latency that a serving task must stay below; 0 for none.
+        is_filler: Whether the task uses only capacity that others leave.
+        may_miss: Tasks that orders may keep away at a time.
+    """
+
+    count: int = 0
+    cpu_millis: int = field(name="cpu", default=0)
+    memory_mb: int = field(name="memMb", default=0)
+    gpus: int = field(name="gpu", default=0)
+    estimate_ms: float = field(name="estimateMs", default=0)
+    after: tuple[int, ...] = ()
+    checkpoints: bool = field(name="checkpoint", default=False)
+    is_gang: bool = field(name="gang", default=False)
+    same_rack: bool = field(name="sameRack", default=False)
+    label: str = field(name="requirements", default="")
+    rack: str = field(name="affinity", default="")
+    most_per_worker: int = field(name="maxPerServer", default=0)
+    is_speculative: bool = field(name="speculative", default=False)
+    is_perpetual: bool = field(name="perpetual", default=False)
+    image: str = ""
+    target_ms: float = field(name="targetMs", default=0)
+    is_filler: bool = field(name="fills", default=False)
+    may_miss: int = field(name="mayMiss", default=0)
+
+
+class JobRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """A job as a caller submits it.
+
+    Attributes:
+        spec: Text that every start of a task carries.
+        steps: Steps in order.
+        repeats: Times that the steps run; 0 for a job without schedule.
+        first_ms: When the first occurrence is due, in Unix milliseconds.
+        interval_ms: Time between occurrences in milliseconds.
+    """
+
+    spec: str
+    steps: tuple[Step, ...]
+    repeats: int = 0
+    first_ms: float = field(name="firstMs", default=0)
+    interval_ms: float = field(name="intervalMs", default=0)
+
+
+class Advice(msgspec.Struct, frozen=True):
+    """Costs of asking the advice service about a step, in milliseconds."""
+
+    decide_ms: float = field(name="decideMs", default=0)
+    each_ms: float = field(name="eachMs", default=0)
+    valid_ms: float = field(name="validMs", default=0)
+
+
+class Queue(msgspec.Struct, frozen=True, kw_only=True):
+    """A route: a queue of jobs and the pool that runs them.
+
+    Attributes:
+        name: Name of the queue.
+        host: ``Host`` header that selects it.
+        prefix: Path prefix that selects it.
+        pool: Pool whose workers run its tasks (``service`` on the wire).
+        timeout_ms: Longest time a request on the route may take.
+        objective_ms: Time allowed beyond ``stretch`` times the work
+            (``targetDurationMs`` on the wire).
+        priority: 0 comes first and may preempt others.
+        most_attempts: Failed runs after which a task has failed for good.
+        stretch: Factor on the longest chain of work in the objective.
+        advice: Set if starts need a ticket of the advice service.
+    """
+
+    name: str
+    host: str = ""
+    prefix: str = "/"
+    pool: str = field(name="service", default="")
+    timeout_ms: float = field(name="timeoutMs", default=3000)
+    objective_ms: float = field(name="targetDurationMs", default=1000)
+    priority: int = 0
+    most_attempts: int = field(name="maxAttempts", default=1)
+    stretch: float = 1.0
+    advice: Advice | None = None
+
+
+class Pool(msgspec.Struct, frozen=True, kw_only=True):
+    """A pool of hosts (``services`` on the wire).
+
+    Attributes:
+        name: Name of the pool.
+        health_path: Path of the workers' health check.
+        most_connections: Connections that a worker accepts.
+        guards_capacity: Whether workers reject what does not fit.
+        is_standby: Whether the pool's hosts are switched off and free of charge.
+    """
+
+    name: str
+    health_path: str = field(name="healthPath", default="/health")
+    most_connections: int = field(name="maxConns", default=64)
+    guards_capacity: bool = field(name="enforcesCapacity", default=False)
+    is_standby: bool = field(name="standby", default=False)
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits on callers' connections."""
+
+    header_bytes: int = field(name="headerBytes", default=16384)
+    body_bytes: int = field(name="bodyBytes", default=262144)
+    header_timeout_ms: float = field(name="headerTimeoutMs", default=3000)
+    idle_timeout_ms: float = field(name="idleTimeoutMs", default=15000)
+
+
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
+    """The operators' whole configuration."""
+
+    version: int
+    queues: tuple[Queue, ...] = field(name="routes", default=())
+    pools: tuple[Pool, ...] = field(name="services", default=())
+    limits: Limits = Limits()
+
+
+class Capacity(msgspec.Struct, frozen=True):
+    """What fits on a worker, in thousandths of a core, MB and accelerators."""
+
+    cpu_millis: int = field(name="cpu", default=0)
+    memory_mb: int = field(name="memMb", default=0)
+    gpus: int = field(name="gpu", default=0)
+
+
+class WorkerEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """A worker's registration of itself.
+
+    Attributes:
+        pool: Pool it serves (``service`` on the wire).
+        address: IP address and port.
+        data_centre: Where it stands (``zone`` on the wire).
+        state: ``ready`` or ``draining``.
+        capacity: What fits on it.
+        labels: Its kind and its rack.
+        remaining_ms: Least time left while it drains.
+        warmup_ms: How much longer it stays slow after its start.
+        born_ms: Unix milliseconds of its start; tells its lives apart.
+    """
+
+    pool: str = field(name="service")
+    address: str
+    data_centre: str = field(name="zone")
+    state: str
+    capacity: Capacity
+    labels: tuple[str, ...] = ()
+    remaining_ms: float | None = field(name="remainingMs", default=None)
+    warmup_ms: float = field(name="warmupLeftMs", default=0)
+    born_ms: int | None = field(name="born", default=None)
+
+
+class RunningRow(msgspec.Struct, frozen=True, array_like=True):
+    """A run under way: task, run, saved progress, percent, recent figure.
+
+    ``figure`` is a tail in milliseconds for a serving task, and thousandths of
+    a core in use for any other.
+    """
+
+    task: str
+    run: int
+    saved: str = ""
+    percent: float = 0
+    figure: float = 0
+
+
+class RunEnd(StrEnum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class EndedRow(msgspec.Struct, frozen=True, array_like=True):
+    """An ended run: number, task, run, how it ended, saved progress."""
+
+    number: int
+    task: str
+    run: int
+    how: RunEnd
+    saved: str = ""
+
+
+class WorkerView(msgspec.Struct, frozen=True, kw_only=True):
+    """What a worker says it runs and what has ended there."""
+
+    clock_ms: float = field(name="timestampMs")
+    running: tuple[RunningRow, ...] = ()
+    ended: tuple[EndedRow, ...] = field(name="finished", default=())
+    born_ms: int | None = field(name="born", default=None)
+
+
+class OrderReply(msgspec.Struct, frozen=True, kw_only=True):
+    """A worker's answer to a start or stop."""
+
+    clock_ms: float = field(name="timestampMs", default=0)
+    reason: str = ""
+
+
+class MachineRow(msgspec.Struct, frozen=True, kw_only=True):
+    """A host of the platform (``machine`` on the wire).
+
+    Attributes:
+        name: Name of the host, kept over all lives of its workers.
+        pool: Pool it is in.
+        state: ``up``, ``moving``, ``upkeep`` or ``down``.
+        data_centre: Where it stands.
+        labels: Its kind and its rack.
+        capacity: What fits on it.
+        worker_id: Its present worker; empty if none.
+    """
+
+    name: str = field(name="machine")
+    pool: str
+    state: str
+    data_centre: str = field(name="zone", default="")
+    labels: tuple[str, ...] = ()
+    capacity: Capacity = Capacity()
+    worker_id: str | None = field(name="id", default=None)
+
+
+class MachinePage(msgspec.Struct, frozen=True):
+    """One page of hosts; ``next_page`` is None on the last."""
+
+    machines: tuple[MachineRow, ...] = ()
+    next_page: str | None = field(name="nextToken", default=None)
+
+
+class Wave(msgspec.Struct, frozen=True, kw_only=True):
+    """Hosts that are due for maintenance.
+
+    Attributes:
+        number: Number of the wave.
+        hosts: Names of the hosts (``machines`` on the wire).
+        duration_s: Time for the whole wave.
+        most_at_once: Most hosts down at a time (``cap`` on the wire).
+    """
+
+    number: int = field(name="wave")
+    hosts: tuple[str, ...] = field(name="machines", default=())
+    duration_s: float = field(name="durationS", default=0)
+    most_at_once: int = field(name="cap", default=1)
+
+
+class AdviceReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Workers that may run a step: rows of worker id and ticket."""
+
+    good: tuple[tuple[str, str], ...] = ()
+    valid_ms: float = field(name="validMs", default=0)
+
+
+class StoredItem(msgspec.Struct, frozen=True, kw_only=True):
+    """A key of the store as the platform writes it; ``value`` is base64."""
+
+    key: str
+    value: str = ""
+    revision: int = 0
+    created: int = 0
+    lease: int = 0
+    is_deleted: bool = field(name="deleted", default=False)
+
+
+class StorePage(msgspec.Struct, frozen=True, kw_only=True):
+    """A page of items, or the events of a watch."""
+
+    items: tuple[StoredItem, ...] = ()
+    events: tuple[StoredItem, ...] = ()
+    has_more: bool = field(name="hasMore", default=False)
+    revision: int = field(name="currentRev", default=0)
+
+
+class StoreReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a commit or a lease call."""
+
+    revision: int = 0
+    lease: int = 0
+    ttl_ms: float = field(name="ttlMs", default=0)
--- /dev/null
+++ b/sassafrasgrade/platform/stores.py
@@ -0,0 +1,214 @@
+"""Client of the platform's key-value store."""
+
+import base64
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+import msgspec
+from returns.result import Failure, Success
+
+from sassafrasgrade.errors import (
+    HistoryCompacted,
+    LeaseGone,
+    PlatformUnavailable,
+    RevisionConflict,
+    StoreRefused,
+)
+from sassafrasgrade.platform import names
+from sassafrasgrade.platform.calls import HTTP_OK, JsonCaller
+from sassafrasgrade.platform.messages import StoredItem, StorePage, StoreReply
+
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+HTTP_CONFLICT = 412
+HTTP_TOO_MANY = 429
+HTTP_UNAVAILABLE = 503
+# Margin over the store's own wait on a watch, in seconds.
+WATCH_MARGIN_S = 0.7
+
+_pages = msgspec.json.Decoder(StorePage)
+_replies = msgspec.json.Decoder(StoreReply)
+
+
+@dataclass(frozen=True)
+class Item:
+    """A key of the store.
+
+    Attributes:
+        key: The key.
+        value: Its bytes; None when the key was deleted.
+        revision: Revision of its last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True)
+class Put:
+    """A value to write, under a lease unless ``lease`` is 0."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+class StoreClient:
+    """Speaks with the store; every method returns a ``Result``.
+
+    Failures are ``StoreRefused`` (nothing was done), ``PlatformUnavailable``
+    (the outcome is unknown), ``RevisionConflict``, ``LeaseGone`` and
+    ``HistoryCompacted``.
+
+    Args:
+        caller: ``JsonCaller`` for the store's address.
+        timeout_s: Longest wait for an answer, in seconds.
+        on_call: Called with (kind, outcome, seconds) after each call.
+    """
+
+    def __init__(self, caller, timeout_s, on_call):
+        self._caller = caller
+        self._timeout_s = timeout_s
+        self._on_call = on_call
+
+    async def read_key(self, key):
+        """Reads one key; ``Success(None)`` if it does not exist."""
+        path = f"{names.STORE_KEY_PATH}?{urlencode({'key': key})}"
+        response = await self._call("GET", path, accepted=(HTTP_OK, HTTP_NOT_FOUND))
+        return response.map(_read_item)
+
+    async def read_range(self, prefix):
+        """Reads all items of a prefix; returns (items, revision of first page)."""
+        items, revision, after = [], None, ""
+        while True:
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            path = f"{names.STORE_RANGE_PATH}?{urlencode(query)}"
+            response = await self._call("GET", path)
+            if isinstance(response, Failure):
+                return response
+            page = _pages.decode(response.unwrap().body)
+            items.extend(_decode_item(item) for item in page.items)
+            revision = page.revision if revision is None else revision
+            if not page.has_more or not page.items:
+                return Success((items, revision))
+            after = page.items[-1].key
+
+    async def watch(self, prefix, after_revision, wait_s):
+        """Waits for changes; returns (items, revision to continue from)."""
+        query = urlencode(
+            {
+                "prefix": prefix,
+                "after": after_revision,
+                "waitMs": int(wait_s * 1000),
+            }
+        )
+        path = f"{names.STORE_WATCH_PATH}?{query}"
+        timeout_s = wait_s + WATCH_MARGIN_S
+        response = await self._call("GET", path, timeout_s=timeout_s)
+        return response.map(_read_events)
+
+    async def commit(self, conditions=(), puts=(), deletes=()):
+        """Applies all changes or none, if all revisions are as expected.
+
+        Args:
+            conditions: Pairs of key and expected revision (0: absent).
+            puts: ``Put`` values.
+            deletes: Keys.
+
+        Returns:
+            The new revision; ``RevisionConflict`` carries the present items.
+        """
+        body = {
+            "expectedRev": [{"key": k, "revision": r} for k, r in conditions],
+            "writes": [_encode_put(put) for put in puts],
+            "deletes": list(deletes),
+        }
+        path = names.STORE_COMMIT_PATH
+        response = await self._call("POST", path, body)
+        return response.map(lambda found: _replies.decode(found.body).revision)
+
+    async def grant_lease(self, ttl_s):
+        """Creates a lease; returns its id."""
+        body = {"ttlMs": int(ttl_s * 1000)}
+        response = await self._call("POST", names.STORE_LEASE_PATH, body)
+        return response.map(lambda found: _replies.decode(found.body).lease)
+
+    async def keep_lease(self, lease, timeout_s):
+        """Renews a lease; ``LeaseGone`` if it has ended."""
+        path = f"{names.STORE_KEEP_PATH}{lease}"
+        return await self._call("POST", path, {}, timeout_s=timeout_s)
+
+    async def end_lease(self, lease):
+        """Ends a lease and removes its keys."""
+        path = f"{names.STORE_LEASE_END_PATH}{lease}"
+        return await self._call("DELETE", path)
+
+    async def _call(self, method, path, body=None, timeout_s=None, accepted=(HTTP_OK,)):
+        kind = path.split("?")[0].removeprefix("/-/kv-").split("/")[0]
+        wait_s = timeout_s or self._timeout_s
+        response = await self._caller.fetch(method, path, body, timeout_s=wait_s)
+        result = _judge(kind, response, accepted)
+        outcome = "ok" if isinstance(result, Success) else result.failure().kind
+        self._on_call(kind, outcome, response.request_time)
+        return result
+
+
+def _judge(kind, response, accepted):
+    code = response.code
+    if code in accepted:
+        return Success(response)
+    if code == HTTP_CONFLICT:
+        page = _pages.decode(response.body)
+        items = tuple(_decode_item(item) for item in page.items)
+        return Failure(
+            RevisionConflict(
+                "the store holds other revisions than expected",
+                "Read the values again and repeat the change on top of them.",
+                items,
+            )
+        )
+    if code == HTTP_NOT_FOUND:
+        return Failure(LeaseGone(f"{kind} named a lease that ended", "Grant a new one."))
+    if code == HTTP_GONE:
+        return Failure(
+            HistoryCompacted("the watched history was discarded", "Read the range.")
+        )
+    if code in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
+        return Failure(
+            StoreRefused(f"{kind} was refused with {code}", "Repeat it after a pause.")
+        )
+    reason = str(response.error) if response.error else str(code)
+    return Failure(
+        PlatformUnavailable(
+            f"{kind} at the store failed ({reason})",
+            "Check the store's address and state; read before repeating a write.",
+        )
+    )
+
+
+def _encode_put(put):
+    row = {"key": put.key, "value": base64.b64encode(put.value).decode()}
+    return row | ({"lease": put.lease} if put.lease else {})
+
+
+def _decode_item(item: StoredItem):
+    if item.is_deleted:
+        return Item(item.key, None, item.revision)
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        # Another writer's bytes: they decode to no valid entry further on.
+        value = b""
+    return Item(item.key, value, item.revision)
+
+
+def _read_item(response):
+    if response.code == HTTP_NOT_FOUND:
+        return None
+    return _decode_item(msgspec.json.decode(response.body, type=StoredItem))
+
+
+def _read_events(response):
+    page = _pages.decode(response.body)
+    return tuple(_decode_item(event) for event in page.events), page.revision
--- /dev/null
+++ b/sassafrasgrade/platform/workers.py
@@ -0,0 +1,144 @@
+"""Client of the platform's workers: start, stop, hold and pace runs."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from sassafrasgrade.platform import names
+from sassafrasgrade.platform.calls import HTTP_OK, JsonCaller
+from sassafrasgrade.platform.messages import OrderReply, WorkerView
+
+HTTP_BAD_REQUEST = 400
+HTTP_CONFLICT = 409
+HTTP_WRONG_INSTANCE = 421
+HTTP_TOO_MANY = 429
+HTTP_UNAVAILABLE = 503
+
+_views = msgspec.json.Decoder(WorkerView)
+_replies = msgspec.json.Decoder(OrderReply)
+
+
+class OrderOutcome(Enum):
+    """What became of an order to a worker."""
+
+    DONE = "done"
+    FENCED = "fence"
+    OUTDATED = "old"
+    LATE = "late"
+    NO_ROOM = "room"
+    BAD_TICKET = "ticket"
+    INVALID = "invalid"
+    UNHEALTHY = "unhealthy"
+    WRONG_INSTANCE = "wrong-instance"
+    UNKNOWN = "unknown"
+
+
+# Outcomes that prove that the order changed nothing.
+NOTHING_DONE = frozenset(OrderOutcome) - {OrderOutcome.DONE, OrderOutcome.UNKNOWN}
+
+
+@dataclass(frozen=True)
+class WorkerReply:
+    """Answer of a worker.
+
+    Attributes:
+        outcome: What became of the order.
+        clock_ms: The worker's clock; 0 if it did not say.
+        view: Its lists of runs, for ``hold``.
+        detail: Status or transport error, for logs.
+    """
+
+    outcome: OrderOutcome
+    clock_ms: float = 0
+    view: WorkerView | None = None
+    detail: str = ""
+
+
+class WorkerClient:
+    """Gives orders to one worker.
+
+    Args:
+        http: ``CurlClient`` shared by the process.
+        worker_id: Expected incarnation.
+        address: IP address and port.
+    """
+
+    def __init__(self, http, worker_id, address):
+        self._caller = JsonCaller(http, address)
+        self._headers = {names.EXPECT_INSTANCE_HEADER: worker_id}
+
+    async def start(self, order, timeout_s):
+        """Starts a run.
+
+        Args:
+            order: ``StartOrder``.
+            timeout_s: Longest wait in seconds.
+        """
+        body = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.spec,
+            "deadlineMs": int(order.deadline_ms),
+            "fencingToken": order.token,
+        }
+        if order.saved:
+            body["saved"] = order.saved
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._order(names.RUN_START_PATH, body, timeout_s)
+
+    async def stop(self, task, run, token, timeout_s):
+        """Stops a run, or bars one that has not arrived yet."""
+        body = {"task": task, "run": run, "fencingToken": token}
+        return await self._order(names.RUN_STOP_PATH, body, timeout_s)
+
+    async def pace(self, task, run, percent, token, timeout_s):
+        """Lets a run work at a share of its speed, in percent."""
+        body = {"task": task, "run": run, "percent": percent, "fencingToken": token}
+        return await self._order(names.PACE_PATH, body, timeout_s)
+
+    async def hold(self, token, observed, deadline_ms, wait_s, timeout_s):
+        """Renews the lease of all runs and reads both lists.
+
+        Args:
+            token: Fencing token.
+            observed: Number of the last end that may be forgotten.
+            deadline_ms: New lease end on the worker's clock, or None.
+            wait_s: How long the worker may wait for an end.
+            timeout_s: Longest wait for the answer.
+        """
+        body = {"fencingToken": token, "observed": observed}
+        if deadline_ms is not None:
+            body["deadlineMs"] = int(deadline_ms)
+        if wait_s:
+            body["waitMs"] = int(wait_s * 1000)
+        return await self._order(names.HOLD_PATH, body, timeout_s, _views)
+
+    async def _order(self, path, body, timeout_s, decoder=None):
+        response = await self._caller.fetch(
+            "POST", path, body, timeout_s, self._headers
+        )
+        try:
+            return _reply(response, decoder)
+        except (msgspec.DecodeError, ValueError) as error:
+            return WorkerReply(OrderOutcome.UNKNOWN, detail=f"unreadable: {error}")
+
+
+def _reply(response, decoder):
+    code = response.code
+    if code == HTTP_OK and decoder is not None:
+        view = decoder.decode(response.body)
+        return WorkerReply(OrderOutcome.DONE, view.clock_ms, view)
+    if code == HTTP_OK:
+        return WorkerReply(OrderOutcome.DONE, _replies.decode(response.body).clock_ms)
+    if code == HTTP_CONFLICT:
+        reply = _replies.decode(response.body)
+        return WorkerReply(OrderOutcome(reply.reason), reply.clock_ms)
+    if code == HTTP_WRONG_INSTANCE:
+        return WorkerReply(OrderOutcome.WRONG_INSTANCE)
+    if code in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
+        return WorkerReply(OrderOutcome.UNHEALTHY, detail=str(code))
+    if code == HTTP_BAD_REQUEST:
+        return WorkerReply(OrderOutcome.INVALID, detail=str(code))
+    return WorkerReply(OrderOutcome.UNKNOWN, detail=str(response.error or code))
--- /dev/null
+++ b/sassafrasgrade/progress_writers.py
@@ -0,0 +1,127 @@
+"""Stores the progress of jobs, fenced by the leader's key."""
+
+import logging
+
+from returns.result import Failure
+from tornado import gen
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.errors import RevisionConflict
+from sassafrasgrade.job_records import PROGRESS, encode, job_key, progress_of
+from sassafrasgrade.leaderships import LEADER_KEY
+from sassafrasgrade.platform.stores import Put
+
+logger = logging.getLogger(__name__)
+
+# Records in one commit: 32 entries less the condition on the leader's key.
+MOST_IN_COMMIT = 31
+# How long changes wait for others: ends of jobs, and anything else, in seconds.
+GATHER_END_S = 0.008
+GATHER_S = 0.06
+# Pause before a failed commit is repeated, in seconds.
+RETRY_S = 0.15
+
+
+class ProgressWriter:
+    """Writes the progress of dirty jobs in few commits.
+
+    Args:
+        store: ``StoreClient``.
+        tables: ``WorkTables``.
+        token: Fencing token; the commit fails under any other leader.
+        on_stored: Called after each commit that left nothing dirty behind.
+        on_fenced: Called when another node leads.
+    """
+
+    def __init__(self, store, tables, token, on_stored, on_fenced):
+        self._store = store
+        self._tables = tables
+        self._token = token
+        self._on_stored = on_stored
+        self._on_fenced = on_fenced
+        self._due = None
+        self._is_writing = False
+        self._is_closed = False
+
+    def close(self):
+        """Stops writing; a commit under way may still take effect."""
+        self._is_closed = True
+
+    def schedule(self, ends_job):
+        """Plans a commit; sooner if callers wait for the end of a job."""
+        if self._is_closed or self._is_writing:
+            return
+        loop = IOLoop.current()
+        due_at = loop.time() + (GATHER_END_S if ends_job else GATHER_S)
+        if self._due is not None:
+            handle, planned_at = self._due
+            if planned_at <= due_at:
+                return
+            loop.remove_timeout(handle)
+        self._due = (loop.call_at(due_at, self._start), due_at)
+
+    def _start(self):
+        self._due = None
+        if not self._is_writing and not self._is_closed:
+            self._is_writing = True
+            IOLoop.current().add_callback(self._write)
+
+    async def flush(self):
+        """Writes what is dirty now, once; returns whether all is stored."""
+        return await self._write_once()
+
+    async def _write(self):
+        try:
+            while self._tables.dirty_job_ids and not self._is_closed:
+                if not await self._write_once():
+                    await gen.sleep(RETRY_S)
+        finally:
+            self._is_writing = False
+
+    async def _write_once(self):
+        tables = self._tables
+        ends_by_worker = {
+            worker.worker_id: worker.seen_end
+            for worker in tables.workers_by_id.values()
+        }
+        job_ids = sorted(tables.dirty_job_ids, key=self._urgency)[:MOST_IN_COMMIT]
+        is_all = len(job_ids) == len(tables.dirty_job_ids)
+        jobs = [tables.jobs_by_id[job_id] for job_id in job_ids]
+        versions = [job.version for job in jobs]
+        shown = [job.pending_state for job in jobs]
+        puts = [
+            Put(job_key(job.job_id, PROGRESS), encode(progress_of(job))) for job in jobs
+        ]
+        result = await self._store.commit([(LEADER_KEY, self._token)], puts)
+        if self._is_closed:
+            return False
+        if isinstance(result, Failure):
+            return self._note_failure(result.failure(), len(jobs))
+        for job, version, state in zip(jobs, versions, shown, strict=True):
+            self._note_stored(job, version, state)
+        if is_all:
+            self._on_stored(ends_by_worker)
+        return True
+
+    def _urgency(self, job_id):
+        return self._tables.jobs_by_id[job_id].pending_state is None
+
+    def _note_failure(self, error, count):
+        logger.warning(
+            "progress not stored",
+            extra={"jobs": count, "error": error.kind, "detail": error.detail},
+        )
+        if isinstance(error, RevisionConflict):
+            self._on_fenced()
+        return False
+
+    def _note_stored(self, job, version, state):
+        if job.version == version:
+            job.is_dirty = False
+            self._tables.dirty_job_ids.discard(job.job_id)
+        if state is not None and job.pending_state is state:
+            job.state, job.pending_state = state, None
+            logger.info(
+                "job ended",
+                extra={"job": job.job_id, "state": str(state), "version": version},
+            )
--- a/sassafrasgrade/settings.py
+++ b/sassafrasgrade/settings.py
@@ -75,12 +75,11 @@
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"]
 
 
-SECTIONS = sorted({key.split("_", 1)[0].lower() for key in DEFAULT_SETTINGS})
 FIELD_IN_MESSAGE = re.compile(r"`\$\.([a-z_]+)")
 
 
 def read_settings(path) -> Result[Settings, SettingInvalid]:
-    """Reads and checks an INI settings file.
+    """Reads and checks an INI settings file of an entry or manager.
 
     Args:
         path: The file's path.
@@ -89,6 +88,20 @@
         The checked settings, or ``SettingInvalid`` naming file, section, key,
         what was found and what to write.
     """
+    values = read_values(path, DEFAULT_SETTINGS)
+    return values.bind(lambda found: check_settings(found, source=path))
+
+
+def read_values(path, defaults) -> Result[dict, SettingInvalid]:
+    """Reads the text values of an INI file.
+
+    Args:
+        path: The file's path.
+        defaults: Known settings by upper-case ``SECTION_KEY``.
+
+    Returns:
+        Texts by upper-case name, or ``SettingInvalid``.
+    """
     parser = configparser.ConfigParser(interpolation=None)
     try:
         with open(path, encoding="utf-8") as stream:
@@ -111,10 +124,10 @@
     for section in parser.sections():
         for key, text in parser.items(section):
             name = f"{section}_{key}".upper()
-            if name not in DEFAULT_SETTINGS:
-                return Failure(_unknown_key(path, section, key))
+            if name not in defaults:
+                return Failure(_unknown_key(path, section, key, defaults))
             values[name] = text
-    return check_settings(values, source=path)
+    return Success(values)
 
 
 def check_settings(values, source="settings") -> Result[Settings, SettingInvalid]:
@@ -130,17 +143,26 @@
     merged = DEFAULT_SETTINGS | values
     if isinstance(merged["MANAGER_PEERS"], str):
         merged["MANAGER_PEERS"] = merged["MANAGER_PEERS"].split()
-    fields = {name.lower(): value for name, value in merged.items()}
+    converted = convert_values(merged, Settings, source)
+    return converted.bind(lambda settings: _check_addresses(settings, source))
+
+
+def convert_values(values, settings_type, source):
+    """Converts text values by upper-case name into a settings type."""
+    fields = {name.lower(): value for name, value in values.items()}
     try:
-        settings = msgspec.convert(fields, Settings, strict=False)
+        return Success(msgspec.convert(fields, settings_type, strict=False))
     except msgspec.ValidationError as error:
         return Failure(_wrong_value(source, fields, str(error)))
+
+
+def _check_addresses(settings, source):
     for name, address in _addresses(settings):
         try:
             ipaddress.ip_address(address)
         except ValueError:
             message = f"Expected an IP address - at `$.{name}`"
-            return Failure(_wrong_value(source, fields, message))
+            return Failure(_wrong_value(source, msgspec.structs.asdict(settings), message))
     return Success(settings)
 
 
@@ -150,13 +172,14 @@
         yield "manager_peers", peer.rsplit("/", 1)[1]
 
 
-def _unknown_key(path, section, key):
+def _unknown_key(path, section, key, defaults):
     known = sorted(
         name.split("_", 1)[1].lower()
-        for name in DEFAULT_SETTINGS
+        for name in defaults
         if name.startswith(f"{section.upper()}_")
     )
-    expected = ", ".join(known) or "one of the sections " + ", ".join(SECTIONS)
+    sections = sorted({name.split("_", 1)[0].lower() for name in defaults})
+    expected = ", ".join(known) or "one of the sections " + ", ".join(sections)
     return SettingInvalid(
         f"{path} [{section}] {key} is not a known setting",
         f"Remove it or write one of: {expected}.",
@@ -176,7 +199,11 @@
 
 def require_settings(path):
     """Reads settings at program start; exits with status 2 if they are wrong."""
-    result = read_settings(Path(path))
+    return exit_if_invalid(read_settings(Path(path)))
+
+
+def exit_if_invalid(result):
+    """Unwraps checked settings; exits with status 2 if they are wrong."""
     if isinstance(result, Failure):
         print(str(result.failure()), file=sys.stderr)
         raise SystemExit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/sassafrasgrade/systems/lengths.py
@@ -0,0 +1,54 @@
+"""Learns how long tasks run; declared durations are advice."""
+
+from dataclasses import dataclass, field
+
+from sassafrasgrade.works import MS_PER_S, Job
+
+# Weight of the newest run in the learned factor.
+LEARNING_RATE = 0.1
+# Bounds on the learned factor of real over declared durations.
+LEAST_FACTOR = 0.2
+MOST_FACTOR = 5.0
+
+
+@dataclass(slots=True)
+class LearnedLengths:
+    """Factors of real over declared durations, by queue."""
+
+    factors_by_queue: dict[str, float] = field(default_factory=dict)
+
+    def note(self, queue_name, declared_ms, real_s):
+        """Learns from a run that ended ``done``."""
+        if declared_ms <= 0:
+            return
+        seen = real_s * MS_PER_S / declared_ms
+        seen = min(MOST_FACTOR, max(LEAST_FACTOR, seen))
+        old = self.factors_by_queue.get(queue_name, 1.0)
+        self.factors_by_queue[queue_name] = old + LEARNING_RATE * (seen - old)
+
+    def task_s(self, queue_name, step):
+        """Returns the expected duration of a task, in seconds."""
+        factor = self.factors_by_queue.get(queue_name, 1.0)
+        return factor * step.estimate_ms / MS_PER_S
+
+    def chain_s(self, job: Job):
+        """Returns the longest chain of a job's steps, in seconds."""
+        return _longest_chain(job, lambda row: True, self)
+
+    def chain_left_s(self, job: Job):
+        """Returns the longest chain of steps that are not done, in seconds."""
+        if not job.occurrences:
+            return self.chain_s(job)
+        occurrence = max(job.occurrences.values(), key=lambda item: item.number)
+        return _longest_chain(
+            job, lambda number: occurrence.steps[number].left > 0, self
+        )
+
+
+def _longest_chain(job, counts, lengths):
+    ends = []
+    for number, step in enumerate(job.request.steps):
+        begins = max((ends[n] for n in step.after if n < number), default=0.0)
+        own = lengths.task_s(job.queue_name, step) if counts(number) else 0.0
+        ends.append(begins + own)
+    return max(ends, default=0.0)
--- /dev/null
+++ b/sassafrasgrade/systems/run_views.py
@@ -0,0 +1,268 @@
+"""Takes in what workers say of their runs: starts, progress and ends."""
+
+from sassafrasgrade.platform.messages import RunEnd, WorkerView
+from sassafrasgrade.work_commands import Note, StopRun, StopUnknownRun
+from sassafrasgrade.works import (
+    MS_PER_S,
+    Run,
+    RunState,
+    Task,
+    Worker,
+    WorkState,
+    WorkTables,
+    step_row_of,
+)
+
+# Pause before a lasting task that ended by itself is started again on the same
+# worker, in seconds; other workers take it at once.
+SHUN_LASTING_S = 2.0
+# Percent at which a lasting task is at work (published protocol).
+AT_WORK_PERCENT = 100
+# Slack on clock readings that travelled over the network, in milliseconds.
+CLOCK_SLACK_MS = 50.0
+
+
+def apply_view(tables: WorkTables, worker: Worker, view: WorkerView, sent_at, now):
+    """Brings the tables to a worker's lists.
+
+    Args:
+        tables: The tables.
+        worker: The worker that answered.
+        view: Its lists.
+        sent_at: When the call was sent, in seconds.
+        now: Present clock in seconds.
+
+    Returns:
+        Commands.
+    """
+    commands = []
+    for row in view.ended:
+        if row.number > worker.seen_end:
+            worker.seen_end = row.number
+            commands += _apply_end(tables, worker, row, now)
+    listed = set()
+    for row in view.running:
+        listed.add((row.task, row.run))
+        commands += _apply_running(tables, worker, row, now)
+    for key, run in list(worker.runs_by_key.items()):
+        if key not in listed and _is_surely_absent(run, view.clock_ms, sent_at):
+            forget_run(tables, run, now)
+            commands.append(
+                Note("run-absent", {"task": run.task.name, "run": run.number})
+            )
+    return commands
+
+
+def _is_surely_absent(run, clock_ms, sent_at):
+    """Whether a run that was not listed cannot appear any more."""
+    if run.stop_answered_at:
+        return run.stop_answered_at < sent_at
+    if run.state is RunState.RUNNING:
+        return run.answered_at < sent_at
+    if run.state is RunState.UNCERTAIN:
+        return clock_ms > run.deadline_ms + CLOCK_SLACK_MS
+    return False
+
+
+def forget_run(tables, run: Run, now):
+    """Removes a run that is known to be over; its task may start again."""
+    worker = tables.workers_by_id.get(run.worker_id)
+    if worker is not None:
+        worker.runs_by_key.pop((run.task.name, run.number), None)
+    run.task.runs_by_number.pop(run.number, None)
+    if not run.task.runs_by_number:
+        run.task.waiting_since = now
+
+
+def _apply_running(tables, worker, row, now):
+    run = worker.runs_by_key.get((row.task, row.run))
+    if run is None:
+        return _adopt_run(tables, worker, row, now)
+    if run.state in (RunState.STARTING, RunState.UNCERTAIN):
+        run.state = RunState.RUNNING
+        run.answered_at = now
+    _note_progress(run, row, now)
+    return []
+
+
+def _note_progress(run, row, now):
+    if row.saved:
+        run.task.saved = row.saved
+    if row.percent > run.percent or not run.changed_at:
+        run.changed_at = now
+    run.percent = row.percent
+    run.figure = row.figure
+    if row.percent >= AT_WORK_PERCENT and not run.at_work_at:
+        run.at_work_at = now
+
+
+def _adopt_run(tables, worker, row, now):
+    """Takes over a run that an earlier leadership started."""
+    task = tables.tasks_by_name.get(row.task)
+    if task is None or task.is_done or not task.job.is_open:
+        return [StopUnknownRun(worker.worker_id, row.task, row.run)]
+    run = Run(task, row.run, worker.worker_id, RunState.RUNNING, now, answered_at=now)
+    task.runs_by_number[row.run] = run
+    task.last_number = max(task.last_number, row.run)
+    worker.runs_by_key[(row.task, row.run)] = run
+    note_started(tables, task.job)
+    _note_progress(run, row, now)
+    return []
+
+
+def note_started(tables, job):
+    """Notes that a task of a job was started."""
+    if not job.has_started:
+        job.has_started = True
+        if job.state is WorkState.QUEUED:
+            job.state = WorkState.RUNNING
+        tables.mark_dirty(job)
+
+
+def _apply_end(tables, worker, row, now):
+    task = tables.tasks_by_name.get(row.task)
+    run = worker.runs_by_key.get((row.task, row.run))
+    if run is not None:
+        forget_run(tables, run, now)
+    if task is None:
+        return []
+    if row.saved:
+        task.saved = row.saved
+    fields = {
+        "job": task.job.job_id,
+        "task": row.task,
+        "run": row.run,
+        "worker": worker.worker_id,
+        "how": str(row.how),
+        "number": row.number,
+    }
+    if run is not None:
+        fields["ran_ms"] = round((now - run.started_at) * MS_PER_S)
+    commands = [Note("run-ended", fields)]
+    if row.how is RunEnd.DONE:
+        worker.successes += 1
+        commands += finish_task(tables, task, now)
+    elif row.how is RunEnd.FAILED:
+        commands += _fail_task(tables, worker, task, now)
+    return commands
+
+
+def finish_task(tables, task: Task, now):
+    """Marks a task done; a gang is done with any of its members."""
+    row = step_row_of(task)
+    members = row.tasks if row.step.is_gang else [task]
+    commands = []
+    for member in members:
+        if member.is_done:
+            continue
+        member.is_done = True
+        row.left -= 1
+        commands += [
+            StopRun(run, "another run finished")
+            for run in member.runs_by_number.values()
+            if run.state is not RunState.STOPPING and not row.step.is_gang
+        ]
+    tables.mark_dirty(task.job)
+    occurrence = task.job.occurrences[task.occurrence]
+    if occurrence.is_done:
+        task.job.done_occurrences.add(occurrence.number)
+        if len(task.job.done_occurrences) == task.job.occurrence_count:
+            end_job(tables, task.job, WorkState.COMPLETED)
+    else:
+        _note_ready(occurrence, now)
+    return commands
+
+
+def _note_ready(occurrence, now):
+    for row in occurrence.steps:
+        if row.left and all(occurrence.steps[n].left == 0 for n in row.step.after):
+            for task in row.tasks:
+                if not task.waiting_since:
+                    task.waiting_since = now
+
+
+def _fail_task(tables, worker, task, now):
+    worker.failures += 1
+    task.shunned.add(worker.worker_id)
+    if task.step.is_perpetual:
+        task.not_before = now
+        return []
+    row = step_row_of(task)
+    members = row.tasks if row.step.is_gang else [task]
+    for member in members:
+        member.failures += 1
+    tables.mark_dirty(task.job)
+    queue = tables.queues_by_name.get(task.job.queue_name)
+    most = queue.most_attempts if queue is not None else 1
+    if task.failures < most or task.is_done:
+        return []
+    end_job(tables, task.job, WorkState.FAILED)
+    note = Note(
+        "job-failed",
+        {"job": task.job.job_id, "task": task.name, "failures": task.failures},
+    )
+    return [note, *stop_job_runs(task.job, "job failed")]
+
+
+def end_job(tables, job, state):
+    """Ends a job; the state is shown once it is stored."""
+    if job.pending_state is None and job.is_open:
+        job.pending_state = state
+        tables.open_jobs_by_id.pop(job.job_id, None)
+        tables.mark_dirty(job)
+
+
+def stop_job_runs(job, reason):
+    """Returns commands that stop all runs of a job."""
+    return [
+        StopRun(run, reason)
+        for occurrence in job.occurrences.values()
+        for row in occurrence.steps
+        for task in row.tasks
+        for run in task.runs_by_number.values()
+    ]
+
+
+def cancel_job(tables, job):
+    """Cancels a job whose cancellation is stored; returns commands."""
+    if job.state is WorkState.CANCELLED or not job.is_open:
+        return []
+    job.state = WorkState.CANCELLED
+    tables.open_jobs_by_id.pop(job.job_id, None)
+    note = Note("job-cancelled", {"job": job.job_id})
+    return [note, *stop_job_runs(job, "job cancelled")]
+
+
+def lose_worker(tables, worker, now):
+    """Removes a worker whose runs are surely over."""
+    for run in list(worker.runs_by_key.values()):
+        forget_run(tables, run, now)
+    tables.workers_by_id.pop(worker.worker_id, None)
+
+
+def restart_worker(tables, worker, born_ms, now):
+    """Starts a worker's tables anew: it came back under the same id."""
+    for run in list(worker.runs_by_key.values()):
+        forget_run(tables, run, now)
+    worker.born_ms = born_ms
+    worker.seen_end = worker.stored_end = 0
+    worker.clock_offset_ms = None
+    worker.is_fenced = False
+    worker.failures = worker.successes = 0.0
+    worker.lease_until = 0.0
+
+
+def expire_leases(tables, now):
+    """Forgets runs on silent workers whose leases have surely lapsed."""
+    commands = []
+    for worker in tables.workers_by_id.values():
+        if not worker.runs_by_key or now < worker.lease_until:
+            continue
+        if worker.silent_since == 0:
+            continue
+        for run in list(worker.runs_by_key.values()):
+            # A start in flight may still arrive: its own deadline is earlier
+            # than the lease, so that it is void by now, too.
+            forget_run(tables, run, now)
+        commands.append(Note("worker-lapsed", {"worker": worker.worker_id}))
+    return commands
--- /dev/null
+++ b/sassafrasgrade/systems/task_placement.py
@@ -0,0 +1,258 @@
+"""Decides which waiting task starts next, and on which worker.
+
+Load pattern: each queue asks for several times its mean for some seconds, more
+than its pool holds, and for little in between.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from sassafrasgrade.platform.messages import Capacity
+from sassafrasgrade.systems.run_views import note_started
+from sassafrasgrade.work_commands import StartRun
+from sassafrasgrade.works import MS_PER_S, Job, Run, RunState, Task, Worker, WorkTables
+
+# Run numbers of one leadership; no task is started that often in its life.
+NUMBERS_PER_EPOCH = 100_000
+# Failed or hanging runs above the good ones after which a worker is suspect.
+SUSPECT_FAILURES = 2.0
+# Runs that a suspect worker gets at a time, to show whether it has recovered.
+PROBES_AT_ONCE = 1
+# Time that a start may take before the order is void, in ms; long enough for a
+# slow link and short enough that a late order cannot start a settled task.
+START_VALID_MS = 1500.0
+
+
+@dataclass(slots=True)
+class Room:
+    """What is left on a worker during one placement.
+
+    Attributes:
+        worker: The worker.
+        cpu_millis: Free thousandths of a core.
+        memory_mb: Free memory.
+        gpus: Free accelerators.
+        runs: Runs on it.
+    """
+
+    worker: Worker
+    cpu_millis: int
+    memory_mb: int
+    gpus: int
+    runs: int
+
+    def fits(self, step):
+        """Whether a task of the step fits."""
+        cpu_millis = 0 if step.is_filler else step.cpu_millis
+        return (
+            cpu_millis <= self.cpu_millis
+            and step.memory_mb <= self.memory_mb
+            and step.gpus <= self.gpus
+        )
+
+    def take(self, step):
+        """Takes a task's part away."""
+        if not step.is_filler:
+            self.cpu_millis -= step.cpu_millis
+        self.memory_mb -= step.memory_mb
+        self.gpus -= step.gpus
+        self.runs += 1
+
+
+def room_of(worker: Worker):
+    """Returns what is free on a worker; what is being stopped still counts."""
+    capacity = worker.capacity
+    room = Room(worker, capacity.cpu_millis, capacity.memory_mb, capacity.gpus, 0)
+    for run in worker.runs_by_key.values():
+        room.take(run.task.step)
+    return room
+
+
+def is_usable(worker: Worker, now):
+    """Whether a worker may get new work."""
+    return (
+        worker.is_fenced
+        and not worker.is_draining
+        and not worker.is_reserved
+        and worker.silent_since == 0
+        and worker.missing_since == 0
+        and now >= worker.trusted_after
+    )
+
+
+def is_suspect(worker: Worker):
+    """Whether a worker's recent runs fail more often than they succeed."""
+    return worker.failures >= SUSPECT_FAILURES and worker.failures > worker.successes
+
+
+def place_tasks(tables: WorkTables, pool_name, lengths, now, now_unix):
+    """Starts what fits into a pool.
+
+    Args:
+        tables: The tables; runs that are started are added to them.
+        pool_name: The pool.
+        lengths: ``LearnedLengths``.
+        now: Present clock in seconds.
+        now_unix: Present Unix time in seconds.
+
+    Returns:
+        ``StartRun`` commands.
+    """
+    rooms = [
+        room_of(worker)
+        for worker in tables.workers_by_id.values()
+        if worker.pool == pool_name and is_usable(worker, now)
+    ]
+    if not rooms:
+        return []
+    commands = []
+    for job in order_jobs(tables, pool_name, lengths, now_unix):
+        for group in _startable_groups(job, now, now_unix):
+            commands += _place_group(tables, group, rooms, now)
+    return commands
+
+
+def order_jobs(tables, pool_name, lengths, now_unix):
+    """Returns the pool's open jobs with tasks to start, most important first."""
+    ranked = []
+    for job in tables.open_jobs_by_id.values():
+        if tables.pool_of(job) == pool_name:
+            ranked.append((rank_job(tables, job, lengths, now_unix), job))
+    ranked.sort(key=lambda pair: pair[0])
+    return [job for _, job in ranked]
+
+
+def rank_job(tables, job: Job, lengths, now_unix):
+    """Returns the key by which jobs are served, smallest first."""
+    queue = tables.queues_by_name[job.queue_name]
+    if job.is_lasting:
+        return (0, job.accepted_at, job.job_id)
+    due_at = due_time(job, queue, lengths)
+    left_s = lengths.chain_left_s(job)
+    slack_s = due_at - now_unix - left_s
+    if slack_s < 0:
+        return (2, job.accepted_at, job.job_id)
+    return (1, slack_s, job.job_id)
+
+
+def due_time(job, queue, lengths):
+    """Returns the Unix time until which a job earns its whole worth."""
+    chain_s = lengths.chain_s(job)
+    return job.accepted_at + chain_s * queue.stretch + queue.objective_ms / MS_PER_S
+
+
+def _startable_groups(job, now, now_unix):
+    """Yields lists of tasks that must start together (one task, or a gang)."""
+    for occurrence in list(job.occurrences.values()):
+        if occurrence.number in job.done_occurrences:
+            continue
+        steps = occurrence.steps
+        for row in steps:
+            if row.left == 0 or any(steps[n].left for n in row.step.after):
+                continue
+            if row.step.is_gang:
+                if all(_may_start(task, now) for task in row.tasks):
+                    yield row.tasks
+                continue
+            for task in row.tasks:
+                if _may_start(task, now):
+                    yield [task]
+
+
+def _may_start(task: Task, now):
+    return (
+        not task.is_done
+        and not task.runs_by_number
+        and task.not_before <= now
+        and task.held_until <= now
+    )
+
+
+def _place_group(tables, group, rooms, now):
+    chosen = []
+    for task in group:
+        room = choose_room(task, rooms, group)
+        if room is None:
+            for room, taken in chosen:
+                _give_back(room, taken.step)
+            return []
+        room.take(task.step)
+        chosen.append((room, task))
+    number = max(task.last_number for task in group) + 1
+    number = max(number, tables.epoch * NUMBERS_PER_EPOCH + 1)
+    commands = []
+    for room, task in chosen:
+        run = create_run(task, room.worker, number, now)
+        note_started(tables, task.job)
+        commands.append(StartRun(run))
+    return commands
+
+
+def _give_back(room, step):
+    if not step.is_filler:
+        room.cpu_millis += step.cpu_millis
+    room.memory_mb += step.memory_mb
+    room.gpus += step.gpus
+    room.runs -= 1
+
+
+def create_run(task, worker, number, now):
+    """Adds a run that is about to be sent."""
+    run = Run(task, number, worker.worker_id, RunState.STARTING, now, changed_at=now)
+    task.last_number = number
+    task.runs_by_number[number] = run
+    worker.runs_by_key[(task.name, number)] = run
+    return run
+
+
+def choose_room(task: Task, rooms, group=()):
+    """Returns the best room for a task, or None."""
+    step = task.step
+    best, best_rank = None, None
+    counts = _runs_of_step(task) if step.most_per_worker else Counter()
+    for room in rooms:
+        worker = room.worker
+        if not room.fits(step) or (step.label and step.label not in worker.labels):
+            continue
+        if step.most_per_worker and (
+            counts[worker.worker_id] >= step.most_per_worker
+        ):
+            continue
+        suspect = is_suspect(worker)
+        if suspect and room.runs >= PROBES_AT_ONCE:
+            continue
+        rank = (
+            worker.worker_id in task.shunned,
+            suspect,
+            bool(step.rack) and worker.rack != step.rack,
+            _spread_rank(step, room),
+            worker.worker_id,
+        )
+        if best_rank is None or rank < best_rank:
+            best, best_rank = room, rank
+    return best
+
+
+def _spread_rank(step, room):
+    """Lasting tasks fill workers up; others go where most is free."""
+    if step.is_perpetual:
+        return room.cpu_millis
+    return -room.cpu_millis
+
+
+def _runs_of_step(task):
+    """Counts runs of the task's step in its occurrence by worker."""
+    rows = task.job.occurrences[task.occurrence].steps[task.step_number].tasks
+    return Counter(
+        run.worker_id for other in rows for run in other.runs_by_number.values()
+    )
+
+
+def fits_any(step, capacities: list[Capacity]):
+    """Whether a task fits on a worker of one of the capacities."""
+    return any(
+        (step.is_filler or step.cpu_millis <= capacity.cpu_millis)
+        and step.memory_mb <= capacity.memory_mb
+        and step.gpus <= capacity.gpus
+        for capacity in capacities
+    )
--- a/sassafrasgrade/timers.py
+++ b/sassafrasgrade/timers.py
@@ -37,6 +37,17 @@
         self._callbacks.clear()
 
 
+class SuspendAwareTimerService(TimerService):
+    """Timer service whose clock counts the time that the host was suspended.
+
+    A lease that ended during a suspend is thus seen as ended at the next look.
+    """
+
+    def now(self):
+        """Returns time since boot in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class FakeTimerService:
     """Timer service driven by tests: time moves only in ``advance``."""
 
--- /dev/null
+++ b/sassafrasgrade/worker_directories.py
@@ -0,0 +1,99 @@
+"""Keeps the table of workers in step with their registrations."""
+
+import logging
+
+import msgspec
+
+from sassafrasgrade.platform import names
+from sassafrasgrade.platform.messages import WorkerEntry
+from sassafrasgrade.systems.run_views import lose_worker, restart_worker
+from sassafrasgrade.works import MS_PER_S, Worker
+
+logger = logging.getLogger(__name__)
+
+_entries = msgspec.json.Decoder(WorkerEntry)
+
+
+def decode_entry(item):
+    """Returns the ``WorkerEntry`` of an item, or None if it names no worker."""
+    try:
+        entry = _entries.decode(item.value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        logger.warning("unreadable entry", extra={"key": item.key, "error": str(error)})
+        return None
+    if entry.state not in (names.WORKER_READY, names.WORKER_DRAINING):
+        logger.warning("entry of unknown state", extra={"key": item.key})
+        return None
+    return entry
+
+
+def apply_range(tables, items, now):
+    """Takes in a full read; workers that are not in it count as missing."""
+    listed = set()
+    for item in items:
+        listed.add(item.key.removeprefix(names.WORKERS_PREFIX))
+        apply_item(tables, item, now)
+    for worker_id, worker in tables.workers_by_id.items():
+        if worker_id not in listed and not worker.missing_since:
+            worker.missing_since = now
+
+
+def apply_item(tables, item, now):
+    """Takes in one changed registration."""
+    worker_id = item.key.removeprefix(names.WORKERS_PREFIX)
+    worker = tables.workers_by_id.get(worker_id)
+    if item.value is None:
+        if worker is not None and not worker.missing_since:
+            worker.missing_since = now
+            logger.info("worker missing", extra={"worker": worker_id})
+        return
+    entry = decode_entry(item)
+    if entry is None:
+        return
+    if worker is not None and worker.address != entry.address:
+        lose_worker(tables, worker, now)
+        worker = None
+    if worker is None:
+        worker = _add_worker(tables, worker_id, entry)
+    elif (
+        entry.born_ms is not None
+        and worker.born_ms is not None
+        and entry.born_ms > worker.born_ms
+    ):
+        restart_worker(tables, worker, entry.born_ms, now)
+        logger.info("worker restarted", extra={"worker": worker_id})
+    _update_worker(worker, entry, now)
+
+
+def _add_worker(tables, worker_id, entry):
+    worker = Worker(
+        worker_id,
+        entry.address,
+        entry.pool,
+        entry.data_centre,
+        entry.capacity,
+        entry.labels,
+        born_ms=entry.born_ms,
+    )
+    tables.workers_by_id[worker_id] = worker
+    logger.info(
+        "worker found",
+        extra={"worker": worker_id, "pool": entry.pool, "born": entry.born_ms},
+    )
+    return worker
+
+
+def _update_worker(worker, entry, now):
+    worker.missing_since = 0.0
+    worker.pool = entry.pool
+    worker.capacity = entry.capacity
+    worker.labels = entry.labels
+    is_draining = entry.state == names.WORKER_DRAINING
+    if is_draining != worker.is_draining:
+        worker.is_draining = is_draining
+        logger.info(
+            "worker drains" if is_draining else "worker stays",
+            extra={"worker": worker.worker_id, "remaining_ms": entry.remaining_ms},
+        )
+    if is_draining and entry.remaining_ms is not None:
+        worker.leaves_at = now + entry.remaining_ms / MS_PER_S
