Plan maintenance waves and moves of hosts between pools

Change: a planner over tables orders upkeep of idle hosts within the cap, evacuates lasting tasks within their budget when a wave gets late, sends idle hosts to the standby pool and fetches them on backlog.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -8,6 +8,7 @@
 from tornado.ioloop import IOLoop
 
 from sassafrasgrade.directories import PrefixFollower
+from sassafrasgrade.host_keepers import HostKeeper
 from sassafrasgrade.job_records import (
     CANCEL,
     JOBS_PREFIX,
@@ -33,8 +34,11 @@
 )
 from sassafrasgrade.systems.task_placement import is_usable, place_tasks
 from sassafrasgrade.work_commands import (
+    MaintainHost,
+    MoveHost,
     Note,
     PaceRun,
+    ReportWave,
     StartRun,
     StopRun,
     StopUnknownRun,
@@ -109,6 +113,17 @@
             pause_s=JOBS_PAUSE_S,
             name="jobs",
         )
+        self._hosts = HostKeeper(services, self)
+
+    def lose_worker(self, worker):
+        """Forgets a worker that an order has ended."""
+        lose_worker(self.tables, worker, self.timers.now())
+        self._sync_sessions()
+        self.place_soon()
+
+    def has_authority(self):
+        """Whether orders may be given."""
+        return not self._is_closed and self._leadership.has_authority()
 
     def start(self, configuration):
         """Starts loading jobs and workers."""
@@ -120,6 +135,7 @@
         self._periodic = self.timers.subscribe(TICK_S, self._tick)
         self._jobs.start()
         self._workers.start()
+        self._hosts.start()
 
     def close(self):
         """Stops giving orders at once."""
@@ -127,6 +143,7 @@
         self._writer.close()
         self._workers.close()
         self._jobs.close()
+        self._hosts.close()
         if self._periodic is not None:
             self._periodic.stop()
         for session in self._sessions_by_id.values():
@@ -144,6 +161,7 @@
 
     def take_waves(self, values_by_key):
         """Takes in the operators' waves of maintenance."""
+        self._hosts.take_waves(values_by_key)
 
     # What sessions ask and tell.
 
@@ -444,6 +462,7 @@
         self._drop_missing(now)
         if self.barrier_until and now > self.barrier_until:
             self.barrier_until = 0.0
+        self._carry_out_all(self._hosts.plan(now))
         if self.tables.dirty_job_ids:
             self._writer.schedule(False)
         self.place_soon()
@@ -540,6 +559,10 @@
                 session.send_pace, command.run, command.percent
             )
 
+    @carry_out.register
+    def _(self, command: MoveHost | MaintainHost | ReportWave):
+        self._hosts.carry_out_soon(command)
+
     @carry_out.register
     def _(self, command: Note):
         logger.info(command.event, extra=command.fields)
--- /dev/null
+++ b/sassafrasgrade/fleet_hosts.py
@@ -0,0 +1,114 @@
+"""Table of the platform's hosts, their pools and waves of maintenance."""
+
+from dataclasses import dataclass, field
+
+from sassafrasgrade.platform.messages import Capacity, MachineRow, Wave
+
+STATE_UP = "up"
+STATE_UPKEEP = "upkeep"
+
+
+@dataclass(slots=True, eq=False)
+class HostRow:
+    """A host, whichever worker it runs at present.
+
+    Attributes:
+        name: Its name.
+        pool: Pool it is in, or moves to.
+        state: State in the last list.
+        data_centre: Where it stands.
+        labels: Its kind and its rack.
+        capacity: What fits on it.
+        worker_id: Worker in the last list.
+        busy_until: Clock until which an order keeps it away.
+        arrives_at: Clock at which its move ends; 0 if it is there.
+        idle_since: Clock since when it runs nothing; 0 if it works.
+        listed_at: Clock of the last list that held it.
+    """
+
+    name: str
+    pool: str
+    state: str
+    data_centre: str = ""
+    labels: tuple[str, ...] = ()
+    capacity: Capacity = Capacity()
+    worker_id: str = ""
+    busy_until: float = 0.0
+    arrives_at: float = 0.0
+    idle_since: float = 0.0
+    listed_at: float = 0.0
+
+    @property
+    def rack(self):
+        """Label of its rack."""
+        return self.labels[-1] if self.labels else ""
+
+
+@dataclass(slots=True, eq=False)
+class WaveRow:
+    """A wave of maintenance under way.
+
+    Attributes:
+        wave: What was asked for.
+        seen_at: Clock when this leader first saw it.
+        done: Hosts whose maintenance has begun, or that are gone.
+        down_until_by_host: Clock until which a host is down for it.
+        is_reported: Whether its completion is stored.
+        is_running_reported: Whether its begin is stored.
+    """
+
+    wave: Wave
+    seen_at: float
+    done: set[str] = field(default_factory=set)
+    down_until_by_host: dict[str, float] = field(default_factory=dict)
+    is_reported: bool = False
+    is_running_reported: bool = False
+
+    @property
+    def left(self):
+        """Names of hosts whose maintenance has not begun."""
+        return [name for name in self.wave.hosts if name not in self.done]
+
+
+@dataclass(slots=True)
+class FleetHosts:
+    """All hosts and waves.
+
+    Attributes:
+        hosts_by_name: Hosts.
+        waves_by_number: Waves that the operators asked for.
+        listed_at: Clock of the last list; 0 before the first.
+    """
+
+    hosts_by_name: dict[str, HostRow] = field(default_factory=dict)
+    waves_by_number: dict[int, WaveRow] = field(default_factory=dict)
+    listed_at: float = 0.0
+
+    def apply_list(self, rows: tuple[MachineRow, ...], sent_at):
+        """Takes in a list of hosts.
+
+        Args:
+            rows: All hosts.
+            sent_at: Clock when the list was asked for; orders given later
+                are not in it.
+        """
+        names = set()
+        for row in rows:
+            names.add(row.name)
+            host = self.hosts_by_name.get(row.name)
+            if host is None:
+                host = HostRow(row.name, row.pool, row.state)
+                self.hosts_by_name[row.name] = host
+            if host.busy_until <= sent_at:
+                host.pool = row.pool
+                host.state = row.state
+                host.worker_id = row.worker_id or ""
+                if row.state == STATE_UP:
+                    host.arrives_at = 0.0
+            host.data_centre = row.data_centre
+            host.labels = row.labels
+            host.capacity = row.capacity
+            host.listed_at = sent_at
+        for name in set(self.hosts_by_name) - names:
+            del self.hosts_by_name[name]
+        self.listed_at = sent_at
--- /dev/null
+++ b/sassafrasgrade/host_keepers.py
@@ -0,0 +1,240 @@
+"""Gives the planner's orders on hosts and keeps their table up to date."""
+
+import logging
+from functools import singledispatchmethod
+
+import msgspec
+from returns.result import Failure
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.fleet_hosts import FleetHosts, WaveRow
+from sassafrasgrade.leaderships import LEADER_KEY
+from sassafrasgrade.platform import names
+from sassafrasgrade.platform.clouds import CloudClient, HostOrderOutcome
+from sassafrasgrade.platform.messages import Wave
+from sassafrasgrade.platform.stores import Put
+from sassafrasgrade.systems.host_planning import (
+    REFUSED_PAUSE_S,
+    plan_hosts,
+    worker_of,
+)
+from sassafrasgrade.work_commands import MaintainHost, MoveHost, ReportWave
+
+logger = logging.getLogger(__name__)
+
+# Longest wait for the host service, in seconds.
+CLOUD_TIMEOUT_S = 1.0
+# Age of the list of hosts after which it is read again, while orders are under
+# way and else, in seconds.
+BUSY_LIST_S = 1.0
+CALM_LIST_S = 6.0
+# Time after the end of an order in which the list may still lag, in seconds.
+RECENT_S = 4.0
+# Margin over the least time between orders of different holders, in seconds.
+LEASE_MARGIN_S = 0.2
+# Pause after a list that failed, in seconds.
+LIST_RETRY_S = 0.5
+
+_waves = msgspec.json.Decoder(Wave)
+
+
+class HostKeeper:
+    """Part of the leader that moves and maintains hosts.
+
+    Args:
+        services: ``NodeServices``.
+        dispatcher: The ``Dispatcher``.
+    """
+
+    def __init__(self, services, dispatcher):
+        self._services = services
+        self._dispatcher = dispatcher
+        self._timers = services.timers
+        self._settings = services.settings
+        self.fleet = FleetHosts()
+        self._cloud = None
+        if services.settings.cloud_address:
+            self._cloud = CloudClient(
+                services.http,
+                services.settings.cloud_address,
+                services.settings.node_name,
+                CLOUD_TIMEOUT_S,
+            )
+        self._orders_after = 0.0
+        self._last_order_at = 0.0
+        self._is_listing = False
+        self._list_after = 0.0
+        self._reporting = set()
+        self._is_closed = False
+
+    def start(self):
+        """Starts; a successor waits until the holder before has surely ended."""
+        if self._dispatcher.tables.epoch > 1:
+            wait_s = self._settings.bounds_lease_ms / 1000.0 + LEASE_MARGIN_S
+            self._orders_after = self._timers.now() + wait_s
+
+    def close(self):
+        """Gives no more orders."""
+        self._is_closed = True
+
+    def take_waves(self, values_by_key):
+        """Takes in the operators' waves.
+
+        Args:
+            values_by_key: JSON values by key; None for a deleted key.
+        """
+        for key, value in values_by_key.items():
+            if value is None:
+                continue
+            try:
+                wave = _waves.decode(value)
+            except msgspec.DecodeError as error:
+                logger.error("unreadable wave", extra={"key": key, "error": str(error)})
+                continue
+            if wave.number not in self.fleet.waves_by_number:
+                row = WaveRow(wave, self._timers.now())
+                self.fleet.waves_by_number[wave.number] = row
+                logger.info(
+                    "wave seen",
+                    extra={
+                        "wave": wave.number,
+                        "hosts": len(wave.hosts),
+                        "cap": wave.most_at_once,
+                        "duration_s": wave.duration_s,
+                    },
+                )
+
+    def plan(self, now):
+        """Returns the commands of one tick."""
+        if self._cloud is None:
+            return []
+        self._list_if_old(now)
+        if now < self._orders_after or not self._dispatcher.has_authority():
+            return []
+        return plan_hosts(self._dispatcher.tables, self.fleet, self._settings, now)
+
+    def _list_if_old(self, now):
+        busy = now - self._last_order_at < RECENT_S
+        age_s = now - self.fleet.listed_at
+        wanted_s = BUSY_LIST_S if busy else CALM_LIST_S
+        if not self._is_listing and age_s > wanted_s and now >= self._list_after:
+            self._is_listing = True
+            IOLoop.current().add_callback(self._list)
+
+    async def _list(self):
+        sent_at = self._timers.now()
+        try:
+            result = await self._cloud.list_hosts()
+        finally:
+            self._is_listing = False
+        if self._is_closed:
+            return
+        if isinstance(result, Failure):
+            self._list_after = self._timers.now() + LIST_RETRY_S
+            logger.warning(
+                "dependency lost",
+                extra={"dependency": "hosts", "error": str(result.failure())},
+            )
+            return
+        self.fleet.apply_list(result.unwrap(), sent_at)
+
+    def carry_out_soon(self, command):
+        """Carries an order out."""
+        IOLoop.current().add_callback(self._carry_out, command)
+
+    @singledispatchmethod
+    async def _carry_out(self, command):
+        raise TypeError(f"unknown command {type(command).__name__}")
+
+    @_carry_out.register
+    async def _(self, command: MoveHost):
+        host = self.fleet.hosts_by_name.get(command.host)
+        if host is None or not self._may_order(host):
+            return
+        source = host.pool
+        token = self._dispatcher.token
+        outcome = await self._cloud.move_host(command.host, command.pool, token)
+        self._note_order("move", command, outcome, source=source, reason=command.reason)
+        if outcome is HostOrderOutcome.DONE:
+            host.pool = command.pool
+        self._settle(host, outcome)
+
+    @_carry_out.register
+    async def _(self, command: MaintainHost):
+        host = self.fleet.hosts_by_name.get(command.host)
+        row = self.fleet.waves_by_number.get(command.wave)
+        if host is None or row is None:
+            return
+        if not self._may_order(host):
+            row.down_until_by_host.pop(command.host, None)
+            return
+        token = self._dispatcher.token
+        outcome = await self._cloud.maintain_host(command.host, command.wave, token)
+        self._note_order("upkeep", command, outcome, wave=command.wave)
+        if outcome is HostOrderOutcome.DONE:
+            row.done.add(command.host)
+        elif outcome in (HostOrderOutcome.INVALID, HostOrderOutcome.NOT_OF_WAVE):
+            row.done.add(command.host)
+        elif outcome is not HostOrderOutcome.UNKNOWN:
+            row.down_until_by_host.pop(command.host, None)
+        self._settle(host, outcome)
+
+    def _may_order(self, host):
+        """Whether an order still ends nothing: looked at just before it is sent."""
+        worker = worker_of(self._dispatcher.tables, host)
+        if worker is not None and worker.runs_by_key:
+            worker.is_reserved = False
+            host.busy_until = 0.0
+            return False
+        return not self._is_closed and self._dispatcher.has_authority()
+
+    def _settle(self, host, outcome):
+        """Brings the tables to an order's outcome."""
+        now = self._timers.now()
+        self._last_order_at = now
+        worker = worker_of(self._dispatcher.tables, host)
+        if outcome is HostOrderOutcome.DONE:
+            host.worker_id = ""
+            if worker is not None:
+                self._dispatcher.lose_worker(worker)
+            return
+        if outcome is HostOrderOutcome.UNKNOWN:
+            # It may have been executed: the list tells once it is past.
+            return
+        host.arrives_at = 0.0
+        host.busy_until = now + REFUSED_PAUSE_S
+        if worker is not None:
+            worker.is_reserved = False
+
+    def _note_order(self, kind, command, outcome, **fields):
+        self._dispatcher.counters.note_host_order(kind, outcome.value)
+        logger.info(
+            "host order",
+            extra={
+                "kind": kind,
+                "target": command.host,
+                "outcome": outcome.value,
+                "list_age_s": round(self._timers.now() - self.fleet.listed_at, 2),
+                "pool": getattr(command, "pool", None),
+                **fields,
+            },
+        )
+
+    @_carry_out.register
+    async def _(self, command: ReportWave):
+        if command.wave in self._reporting:
+            return
+        self._reporting.add(command.wave)
+        row = self.fleet.waves_by_number[command.wave]
+        state = names.WAVE_COMPLETED if command.is_completed else names.WAVE_RUNNING
+        value = msgspec.json.encode({"wave": command.wave, "state": state})
+        put = Put(f"{names.WAVE_STATUS_PREFIX}{command.wave}", value)
+        conditions = [(LEADER_KEY, self._dispatcher.token)]
+        result = await self._services.store.commit(conditions, [put])
+        self._reporting.discard(command.wave)
+        if isinstance(result, Failure):
+            logger.warning("wave not reported", extra={"error": result.failure().kind})
+            return
+        row.is_running_reported = True
+        row.is_reported = command.is_completed
+        logger.info("wave reported", extra={"wave": command.wave, "state": state})
--- a/sassafrasgrade/platform/messages.py
+++ b/sassafrasgrade/platform/messages.py
@@ -162,6 +162,7 @@
         remaining_ms: Least time left while it drains.
         warmup_ms: How much longer it stays slow after its start.
         born_ms: Unix milliseconds of its start; tells its lives apart.
+        host: Host that runs it (``machine`` on the wire).
     """
 
     pool: str = field(name="service")
@@ -173,6 +174,7 @@
     remaining_ms: float | None = field(name="remainingMs", default=None)
     warmup_ms: float = field(name="warmupLeftMs", default=0)
     born_ms: int | None = field(name="born", default=None)
+    host: str = field(name="machine", default="")
 
 
 class RunningRow(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrasgrade/platform/names.py
+++ b/sassafrasgrade/platform/names.py
@@ -28,5 +28,7 @@
 OPERATOR_PREFIX = "op/"
 WORKERS_PREFIX = "servers/"
 
+WAVE_RUNNING = "running"
+WAVE_COMPLETED = "completed"
 WORKER_READY = "ready"
 WORKER_DRAINING = "draining"
--- a/sassafrasgrade/worker_directories.py
+++ b/sassafrasgrade/worker_directories.py
@@ -88,6 +88,7 @@
     worker.pool = entry.pool
     worker.capacity = entry.capacity
     worker.labels = entry.labels
+    worker.host = entry.host
     is_draining = entry.state == names.WORKER_DRAINING
     if is_draining != worker.is_draining:
         worker.is_draining = is_draining
