Fence progress by its revision; do not take refusals as proof of death

Change: each progress write names the revision that it replaces; only another incarnation at the leader's address proves its end; tasks on workers without a recent answer count as away; a leader that reaches less than half of the workers releases the lead.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -65,6 +65,12 @@
 REFUSED_PAUSE_S = 0.3
 # Time after which a worker that is neither listed nor answering is dropped.
 MISSING_S = 2.5
+# A leader that hears less than this part of the workers for so long, in
+# seconds, leaves the lead to a node that may reach more of them.
+LEAST_REACHED_PART = 0.5
+UNREACHED_S = 0.8
+# Time after which a leader may judge so, in seconds.
+SETTLED_S = 3.0
 
 
 class Dispatcher:
@@ -95,6 +101,8 @@
         self._sessions_by_id = {}
         self._place_due = False
         self._periodic = None
+        self._began_at = self.timers.now()
+        self._is_releasing = False
         self._writer = ProgressWriter(
             services.store, self.tables, token, self._note_stored, self._note_other
         )
@@ -332,12 +340,18 @@
                 session.start()
 
     def _take_all_jobs(self, items):
-        parts = {}
+        parts, revisions_by_id = {}, {}
         for item in items:
             job_id, part = split_key(item.key)
             parts.setdefault(job_id, {})[part] = item.value
+            if part == PROGRESS:
+                revisions_by_id[job_id] = item.revision
         for job_id, values in parts.items():
+            is_new = job_id not in self.tables.jobs_by_id
             self._load_job(job_id, values)
+            if is_new and job_id in self.tables.jobs_by_id:
+                job = self.tables.jobs_by_id[job_id]
+                job.progress_revision = revisions_by_id.get(job_id, 0)
         if not self.is_loaded:
             self.is_loaded = True
             logger.info(
@@ -460,6 +474,11 @@
         self._carry_out_all(expire_leases(self.tables, now))
         self._repeat_stops(now)
         self._drop_missing(now)
+        if self._is_cut_off(now):
+            self._is_releasing = True
+            IOLoop.current().add_callback(
+                self._leadership.release, "most workers are out of reach"
+            )
         if self.barrier_until and now > self.barrier_until:
             self.barrier_until = 0.0
         self._carry_out_all(self._hosts.plan(now))
@@ -467,6 +486,16 @@
             self._writer.schedule(False)
         self.place_soon()
 
+    def _is_cut_off(self, now):
+        """Whether other nodes may reach many more workers than this one."""
+        if self._is_releasing or now - self._began_at < SETTLED_S:
+            return False
+        workers = [w for w in self.tables.workers_by_id.values() if not w.missing_since]
+        unreached = sum(
+            1 for w in workers if w.silent_since and now - w.silent_since > UNREACHED_S
+        )
+        return unreached > len(workers) * (1 - LEAST_REACHED_PART)
+
     def _repeat_stops(self, now):
         for worker in self.tables.workers_by_id.values():
             for run in worker.runs_by_key.values():
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -34,6 +34,8 @@
 LEASE_MARGIN_S = 0.15
 # Delay between candidates of neighbouring rank, in seconds.
 CANDIDATE_STEP_S = 0.06
+# Time for which a node that gave the lead up leaves it to others, in seconds.
+RELEASE_PAUSE_S = 3.0
 # Longest wait of one watch call, in seconds.
 WATCH_S = 2.5
 
@@ -94,6 +96,7 @@
         self._candidate = None
         self._store_answer_at = timers.now()
         self._dead_revision = 0
+        self._stand_after = 0.0
 
     @property
     def leads(self):
@@ -122,6 +125,8 @@
         leader = self.leader
         if leader is None or leader.incarnation != incarnation or self.leads:
             return
+        if incarnation == self.incarnation:
+            return
         if self._dead_revision != self.leader_revision:
             self._dead_revision = self.leader_revision
             logger.info("leader process ended", extra={"leader": leader.name})
@@ -143,6 +148,18 @@
             if isinstance(result, Failure):
                 logger.info("lease not ended", extra={"error": str(result.failure())})
 
+    async def release(self, reason):
+        """Stops leading and removes the leader's key, so that others stand."""
+        if not self.leads:
+            return
+        token = self.token
+        self._lose(reason)
+        self._stand_after = self._timers.now() + RELEASE_PAUSE_S
+        result = await self._store.commit([(LEADER_KEY, token)], deletes=[LEADER_KEY])
+        logger.info(
+            "leadership released", extra={"reason": reason, "outcome": _outcome(result)}
+        )
+
     def step_down(self, reason):
         """Stops leading; the key stays until it is taken over or lapses."""
         if self.leads:
@@ -261,6 +278,9 @@
         if self.leads and (record is None or record.incarnation != self.incarnation):
             if record is not None or revision > self.token or revision == 0:
                 self._lose("the leader's key has another holder")
+        if record is not None and record.address == self.address:
+            # This process is the next one at the leader's own address.
+            self.note_leader_dead(record.incarnation)
         if changed:
             name = record.name if record is not None else None
             logger.info("leader seen", extra={"leader": name, "revision": revision})
@@ -272,6 +292,7 @@
         if self._candidate is not None or self._is_closing or not self.lease:
             return
         delay_s = self._rank() * CANDIDATE_STEP_S
+        delay_s = max(delay_s, self._stand_after - self._timers.now())
         self._candidate = IOLoop.current().call_later(
             delay_s, lambda: IOLoop.current().add_callback(self._stand)
         )
--- a/sassafrasgrade/node_links.py
+++ b/sassafrasgrade/node_links.py
@@ -45,7 +45,6 @@
             self._greet,
             self._take,
             self._note_close,
-            self._note_refused,
         )
         self._link.start()
 
@@ -105,9 +104,6 @@
         self._is_greeted = False
         self._fail_questions()
 
-    def _note_refused(self):
-        self._node.note_leader_dead(self.leader.incarnation)
-
     def _fail_questions(self):
         for number in list(self._questions_by_number):
             self._resolve(number, "")
--- a/sassafrasgrade/progress_writers.py
+++ b/sassafrasgrade/progress_writers.py
@@ -13,8 +13,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Records in one commit: 32 entries less the condition on the leader's key.
-MOST_IN_COMMIT = 31
+# Records in one commit: each takes a condition and a write of the 32 entries,
+# and one is the condition on the leader's key.
+MOST_IN_COMMIT = 15
 # How long changes wait for others: ends of jobs, and anything else, in seconds.
 GATHER_END_S = 0.008
 GATHER_S = 0.06
@@ -92,11 +93,19 @@
         puts = [
             Put(job_key(job.job_id, PROGRESS), encode(progress_of(job))) for job in jobs
         ]
-        result = await self._store.commit([(LEADER_KEY, self._token)], puts)
+        # A write without an answer may be carried out seconds later: the
+        # revision keeps it from overwriting newer progress.
+        conditions = [(LEADER_KEY, self._token)]
+        conditions += [
+            (job_key(job.job_id, PROGRESS), job.progress_revision) for job in jobs
+        ]
+        result = await self._store.commit(conditions, puts)
         if self._is_closed:
             return False
         if isinstance(result, Failure):
-            return self._note_failure(result.failure(), len(jobs))
+            return self._note_failure(result.failure(), jobs)
+        for job in jobs:
+            job.progress_revision = result.unwrap()
         for job, version, state in zip(jobs, versions, shown, strict=True):
             self._note_stored(job, version, state)
         if is_all:
@@ -106,15 +115,27 @@
     def _urgency(self, job_id):
         return self._tables.jobs_by_id[job_id].pending_state is None
 
-    def _note_failure(self, error, count):
+    def _note_failure(self, error, jobs):
         logger.warning(
             "progress not stored",
-            extra={"jobs": count, "error": error.kind, "detail": error.detail},
+            extra={"jobs": len(jobs), "error": error.kind, "detail": error.detail},
         )
         if isinstance(error, RevisionConflict):
-            self._on_fenced()
+            self._take_conflict(error.items)
         return False
 
+    def _take_conflict(self, items):
+        """Learns the revisions that an earlier write without an answer left."""
+        revisions_by_key = {item.key: item.revision for item in items}
+        if revisions_by_key.get(LEADER_KEY) != self._token:
+            self._on_fenced()
+            return
+        for job_id in self._tables.dirty_job_ids:
+            key = job_key(job_id, PROGRESS)
+            if key in revisions_by_key:
+                job = self._tables.jobs_by_id[job_id]
+                job.progress_revision = revisions_by_key[key]
+
     def _note_stored(self, job, version, state):
         if job.version == version:
             job.is_dirty = False
--- a/sassafrasgrade/streams.py
+++ b/sassafrasgrade/streams.py
@@ -144,26 +144,15 @@
         on_open: Called with the link after each connect.
         on_message: Called with each message.
         on_close: Called after each loss of an open connection.
-        on_refused: Called when the peer's host answers that nothing listens.
     """
 
-    def __init__(
-        self,
-        address,
-        port,
-        message_types,
-        on_open,
-        on_message,
-        on_close,
-        on_refused=None,
-    ):
+    def __init__(self, address, port, message_types, on_open, on_message, on_close):
         self._address = address
         self._port = port
         self._types = message_types
         self._on_open = on_open
         self._on_message = on_message
         self._on_close = on_close
-        self._on_refused = on_refused
         self._stream = None
         self._closing = False
 
@@ -218,11 +207,8 @@
             await asyncio.wait_for(
                 stream.connect((self._address, self._port)), CONNECT_TIMEOUT_S
             )
-        except (StreamClosedError, OSError, TimeoutError) as error:
+        except (StreamClosedError, OSError, TimeoutError):
             stream.close()
-            cause = getattr(error, "real_error", error)
-            if isinstance(cause, ConnectionRefusedError) and self._on_refused:
-                self._on_refused()
             return None
         if self._closing:
             stream.close()
--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -33,6 +33,9 @@
 MOST_ORDERS = 8
 # Part of a wave's time in which only idle hosts are taken.
 PATIENT_PART = 0.45
+# Age of a worker's answer up to which its runs count as at work, in seconds:
+# above the longest hold and below the time after which absence counts.
+FRESH_S = 2.5
 # Pause before an order that was refused is repeated, in seconds.
 REFUSED_PAUSE_S = 0.5
 
@@ -204,25 +207,27 @@
             break
         reserved += 1
         worker.is_reserved = True
-        evacuate_worker(worker, commands)
+        evacuate_worker(tables, worker, commands, now)
     return commands
 
 
-def evacuate_worker(worker, commands):
+def evacuate_worker(tables, worker, commands, now):
     """Adds stops of lasting tasks on a worker that their budgets allow."""
     for run in list(worker.runs_by_key.values()):
         if run.state is not RunState.RUNNING or not run.task.step.is_perpetual:
             continue
-        if may_stop(run.task, commands):
+        if may_stop(tables, run.task, commands, now):
             commands.append(StopRun(run, "host is to be maintained"))
 
 
-def may_stop(task, planned):
+def may_stop(tables, task, planned, now):
     """Whether a lasting task may be stopped within its step's budget.
 
     Args:
+        tables: The tables.
         task: The task.
         planned: Stops decided in the same tick.
+        now: Present clock in seconds.
     """
     stopped = {id(command.run.task) for command in planned}
     away = 0
@@ -230,14 +235,25 @@
         if other is task:
             continue
         at_work = any(
-            run.state is RunState.RUNNING and run.percent >= AT_WORK_PERCENT
-            for run in other.runs_by_number.values()
+            _is_at_work(tables, run, now) for run in other.runs_by_number.values()
         )
         if not at_work or id(other) in stopped:
             away += 1
     return away < max(1, task.step.may_miss)
 
 
+def _is_at_work(tables, run, now):
+    """Whether a run was seen at work lately, on a worker that answers."""
+    worker = tables.workers_by_id.get(run.worker_id)
+    return (
+        worker is not None
+        and not worker.silent_since
+        and now - worker.last_answer_at < FRESH_S
+        and run.state is RunState.RUNNING
+        and run.percent >= AT_WORK_PERCENT
+    )
+
+
 # Moves.
 
 
--- a/sassafrasgrade/systems/run_views.py
+++ b/sassafrasgrade/systems/run_views.py
@@ -35,6 +35,10 @@
     Returns:
         Commands.
     """
+    if view.clock_ms < worker.view_clock_ms:
+        # Answers on different connections may overtake each other.
+        return []
+    worker.view_clock_ms = view.clock_ms
     commands = []
     for row in view.ended:
         if row.number > worker.seen_end:
@@ -246,6 +250,7 @@
         forget_run(tables, run, now)
     worker.born_ms = born_ms
     worker.seen_end = worker.stored_end = 0
+    worker.view_clock_ms = 0.0
     worker.clock_offset_ms = None
     worker.is_fenced = False
     worker.failures = worker.successes = 0.0
--- a/sassafrasgrade/works.py
+++ b/sassafrasgrade/works.py
@@ -167,7 +167,7 @@
         done_occurrences: Numbers of occurrences that are done.
         is_dirty: Whether progress is to be stored.
         version: Count of changes, to tell what a write has covered.
-        is_hopeless: Whether it can no longer earn anything.
+        progress_revision: Store revision of its progress; 0 for none.
     """
 
     job_id: str
@@ -181,6 +181,7 @@
     done_occurrences: set[int] = field(default_factory=set)
     is_dirty: bool = False
     version: int = 0
+    progress_revision: int = 0
 
     @property
     def is_open(self):
@@ -220,6 +221,7 @@
         stored_end: Number of the last end that may be forgotten there.
         lease_until: Clock at which all its runs have lapsed without renewal.
         last_answer_at: Clock of its last answer.
+        view_clock_ms: Its own clock at the last view taken in.
         silent_since: Clock of the first call without answer since; 0 if none.
         failures: Recent failed runs, decaying.
         successes: Recent done runs, decaying.
@@ -246,6 +248,7 @@
     stored_end: int = 0
     lease_until: float = 0.0
     last_answer_at: float = 0.0
+    view_clock_ms: float = 0.0
     silent_since: float = 0.0
     failures: float = 0.0
     successes: float = 0.0
