Renew no lease of a silent worker; drop orders that a partition holds up

Change: silent workers are looked at without a lease; closing a connection resets it; a take-over waits for every host that is up, or for the leases.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -29,6 +29,7 @@
     cancel_job,
     expire_leases,
     forget_run,
+    is_all_heard,
     lose_worker,
     restart_worker,
 )
@@ -393,8 +394,7 @@
         """Frees tasks held at take-over once all workers told what they run."""
         if not self.barrier_until:
             return
-        workers = self.tables.workers_by_id.values()
-        if not all(worker.is_fenced for worker in workers):
+        if not is_all_heard(self.tables, self._hosts.fleet):
             return
         self.barrier_until = 0.0
         for task in self.tables.tasks_by_name.values():
@@ -481,6 +481,7 @@
             )
         if self.barrier_until and now > self.barrier_until:
             self.barrier_until = 0.0
+        self._lift_barrier()
         self._carry_out_all(self._hosts.plan(now))
         if self.tables.dirty_job_ids:
             self._writer.schedule(False)
@@ -504,6 +505,8 @@
                     self._send_stop(run)
 
     def _drop_missing(self, now):
+        if self.barrier_until:
+            return
         for worker in list(self.tables.workers_by_id.values()):
             if (
                 worker.missing_since
@@ -515,7 +518,6 @@
                 logger.info("worker dropped", extra={"worker": worker.worker_id})
                 lose_worker(self.tables, worker, now)
                 self._sync_sessions()
-                self._lift_barrier()
 
     def _note_stored(self, ends_by_worker):
         for worker_id, seen_end in ends_by_worker.items():
--- a/sassafrasgrade/http_clients.py
+++ b/sassafrasgrade/http_clients.py
@@ -1,5 +1,8 @@
 """curl clients of tornado, and fetching without exceptions."""
 
+import socket
+import struct
+
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
@@ -28,6 +31,26 @@
     curl.setopt(pycurl.PROXY, "")
 
 
+def prepare_orders(curl):
+    """Prepares curl for calls that must not arrive after their timeout.
+
+    Closing a connection resets it, so that bytes held up by a partition are
+    dropped and not delivered when it heals.
+    """
+    prepare_direct(curl)
+    curl.setopt(pycurl.SOCKOPTFUNCTION, _reset_on_close)
+
+
+def _reset_on_close(descriptor, purpose):
+    connection = socket.socket(fileno=descriptor)
+    try:
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    finally:
+        connection.detach()
+    return pycurl.SOCKOPT_OK
+
+
 async def fetch_response(client, request):
     """Fetches; a failed transfer gives a response with code 599 and ``error``.
 
--- a/sassafrasgrade/platform/calls.py
+++ b/sassafrasgrade/platform/calls.py
@@ -3,7 +3,7 @@
 import msgspec
 from tornado.httpclient import HTTPRequest
 
-from sassafrasgrade.http_clients import fetch_response, prepare_direct
+from sassafrasgrade.http_clients import fetch_response, prepare_orders
 
 HTTP_OK = 200
 
@@ -35,6 +35,6 @@
             follow_redirects=False,
             allow_nonstandard_methods=True,
             decompress_response=False,
-            prepare_curl_callback=prepare_direct,
+            prepare_curl_callback=prepare_orders,
         )
         return await fetch_response(self._http, request)
--- a/sassafrasgrade/systems/run_views.py
+++ b/sassafrasgrade/systems/run_views.py
@@ -1,5 +1,6 @@
 """Takes in what workers say of their runs: starts, progress and ends."""
 
+from sassafrasgrade.fleet_hosts import STATE_UP
 from sassafrasgrade.platform.messages import RunEnd, WorkerView
 from sassafrasgrade.work_commands import Note, StopRun, StopUnknownRun
 from sassafrasgrade.works import (
@@ -257,6 +258,27 @@
     worker.lease_until = 0.0
 
 
+def is_all_heard(tables, fleet):
+    """Whether every worker has told this leader what it runs.
+
+    A worker that is cut off from the store may be missing from the list and run
+    on: the hosts that are up show it.
+
+    Args:
+        tables: The tables.
+        fleet: ``FleetHosts``.
+    """
+    if not all(worker.is_fenced for worker in tables.workers_by_id.values()):
+        return False
+    if not fleet.listed_at:
+        return False
+    return all(
+        host.worker_id in tables.workers_by_id
+        for host in fleet.hosts_by_name.values()
+        if host.worker_id and host.state == STATE_UP
+    )
+
+
 def expire_leases(tables, now):
     """Forgets runs on silent workers whose leases have surely lapsed."""
     commands = []
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -87,7 +87,10 @@
         worker, now = self.worker, self._timers.now()
         deadline_ms = None
         lease_s = self._dispatcher.lease_s()
-        if worker.clock_offset_ms is not None and lease_s:
+        # A silent worker is only looked at: renewing its lease would keep its
+        # runs from lapsing, and with them their tasks from starting elsewhere.
+        is_heard = worker.clock_offset_ms is not None and not worker.silent_since
+        if is_heard and lease_s:
             deadline_ms = self._worker_clock(now) + lease_s * MS_PER_S
             # Kept even if the call fails: it may arrive all the same.
             lapses_at = now + ANSWER_TIMEOUT_S + lease_s * CLOCK_DRIFT
