Evacuate a lasting task only where another worker has room for it

Change: reserved hosts do not count for their pool; a lasting task is stopped only if another worker could take it.

--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -10,6 +10,7 @@
 
 from sassafrasgrade.fleet_hosts import STATE_UP, FleetHosts, HostRow, WaveRow
 from sassafrasgrade.systems.run_views import AT_WORK_PERCENT
+from sassafrasgrade.systems.task_placement import choose_room, is_usable, room_of
 from sassafrasgrade.work_commands import (
     MaintainHost,
     MoveHost,
@@ -36,6 +37,9 @@
 # Age of a worker's answer up to which its runs count as at work, in seconds:
 # above the longest hold and below the time after which absence counts.
 FRESH_S = 2.5
+# Time within which a host that is away counts for its pool, in seconds: less
+# than a move takes.
+SOON_S = 1.0
 # Pause before an order that was refused is repeated, in seconds.
 REFUSED_PAUSE_S = 0.5
 
@@ -216,10 +220,22 @@
     for run in list(worker.runs_by_key.values()):
         if run.state is not RunState.RUNNING or not run.task.step.is_perpetual:
             continue
-        if may_stop(tables, run.task, commands, now):
+        if may_stop(tables, run.task, commands, now) and _has_room_elsewhere(
+            tables, worker, run.task, now
+        ):
             commands.append(StopRun(run, "host is to be maintained"))
 
 
+def _has_room_elsewhere(tables, worker, task, now):
+    """Whether a task that is stopped on a worker could start on another."""
+    rooms = [
+        room_of(other)
+        for other in tables.workers_by_id.values()
+        if other.pool == worker.pool and is_usable(other, now)
+    ]
+    return choose_room(task, rooms) is not None
+
+
 def may_stop(tables, task, planned, now):
     """Whether a lasting task may be stopped within its step's budget.
 
@@ -349,7 +365,7 @@
         if need is None:
             continue
         worker = worker_of(tables, host)
-        is_coming = host.arrives_at > now or host.busy_until > now
+        is_coming = host.arrives_at > now or now < host.busy_until < now + SOON_S
         is_up = worker is None and host.state == STATE_UP and not host.idle_since
         if is_coming or is_up or (worker is not None and _counts(worker)):
             need.hosts.append(host)
@@ -377,7 +393,12 @@
 
 
 def _counts(worker):
-    return not (worker.is_draining or worker.missing_since or worker.silent_since)
+    return not (
+        worker.is_draining
+        or worker.is_reserved
+        or worker.missing_since
+        or worker.silent_since
+    )
 
 
 def hosts_for(demand, capacity):
