Hand over known runs; take no connections while the store is silent

Change: a stopping leader tells what may run, so that its successor starts at once; a take-over after a crash holds only pools with unheard workers; a node without the store for 1.5 s is not ready, refuses jobs at once and closes connections.

--- a/sassafrasgrade/client_requests.py
+++ b/sassafrasgrade/client_requests.py
@@ -100,7 +100,8 @@
         headers["Content-Length"] = str(len(body))
         if reply.retry_after_s:
             headers["Retry-After"] = str(reply.retry_after_s)
-        if self._node.is_stopping:
+        if self._node.is_stopping or self._node.is_store_lost():
+            # A new connection may reach a node that can serve.
             headers["Connection"] = "close"
         reason = httputil.responses.get(reply.status, "Unknown")
         start_line = httputil.ResponseStartLine("HTTP/1.1", reply.status, reason)
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -20,18 +20,20 @@
     decode_submitted,
     split_key,
 )
+from sassafrasgrade.node_messages import HandedRun
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.workers import OrderOutcome
 from sassafrasgrade.progress_writers import ProgressWriter
 from sassafrasgrade.systems.lengths import LearnedLengths
 from sassafrasgrade.systems.run_views import (
+    adopt_handed_runs,
     apply_view,
     cancel_job,
     expire_leases,
     forget_run,
-    is_all_heard,
     lose_worker,
     restart_worker,
+    unheard_workers,
 )
 from sassafrasgrade.systems.task_placement import is_usable, place_tasks
 from sassafrasgrade.work_commands import (
@@ -83,9 +85,10 @@
         token: Fencing token.
         epoch: Number of the leadership.
         counters: ``NodeCounters``.
+        handed: ``HandOver`` of the leader before, if it stopped gracefully.
     """
 
-    def __init__(self, services, leadership, token, epoch, counters):
+    def __init__(self, services, leadership, token, epoch, counters, handed=None):
         self.timers = services.timers
         self.token = token
         self.settings = services.settings
@@ -97,7 +100,10 @@
         )
         self.lengths = LearnedLengths()
         self.is_loaded = False
+        self._handed = handed
+        self._has_jobs = self._has_workers = False
         self.barrier_until = 0.0
+        self._held_pools = None
         self._is_closed = False
         self._sessions_by_id = {}
         self._place_due = False
@@ -138,7 +144,8 @@
         """Starts loading jobs and workers."""
         if configuration is not None:
             self.tables.adopt_configuration(configuration)
-        if self.tables.epoch > 1:
+        is_informed = self._handed is not None and self._handed.is_complete
+        if self.tables.epoch > 1 and not is_informed:
             most_s = self.settings.bounds_hold_most_ms / MS_PER_S
             self.barrier_until = self.timers.now() + most_s * CLOCK_DRIFT
         self._periodic = self.timers.subscribe(TICK_S, self._tick)
@@ -318,6 +325,8 @@
 
     def _take_all_workers(self, items):
         apply_range(self.tables, items, self.timers.now())
+        self._has_workers = True
+        self._begin_if_loaded()
         self._sync_sessions()
         self.place_soon()
 
@@ -353,20 +362,43 @@
             if is_new and job_id in self.tables.jobs_by_id:
                 job = self.tables.jobs_by_id[job_id]
                 job.progress_revision = revisions_by_id.get(job_id, 0)
-        if not self.is_loaded:
-            self.is_loaded = True
-            logger.info(
-                "jobs loaded",
-                extra={
-                    "jobs": len(self.tables.jobs_by_id),
-                    "open": len(self.tables.open_jobs_by_id),
-                    "token": self.token,
-                    "epoch": self.tables.epoch,
-                },
-            )
-            self._sync_sessions()
+        self._has_jobs = True
+        self._begin_if_loaded()
         self.place_soon()
 
+    def _begin_if_loaded(self):
+        if self.is_loaded or not (self._has_jobs and self._has_workers):
+            return
+        self.is_loaded = True
+        handed_runs = self._handed.runs if self._handed is not None else ()
+        adopt_handed_runs(self.tables, handed_runs, self.timers.now())
+        logger.info(
+            "jobs loaded",
+            extra={
+                "jobs": len(self.tables.jobs_by_id),
+                "open": len(self.tables.open_jobs_by_id),
+                "handed_runs": len(handed_runs),
+                "token": self.token,
+                "epoch": self.tables.epoch,
+            },
+        )
+        self._sync_sessions()
+
+    def export_runs(self):
+        """Returns (whether complete, all runs that may be under way)."""
+        now = self.timers.now()
+        runs = tuple(
+            HandedRun(
+                run.task.name,
+                run.number,
+                worker.worker_id,
+                max(0.0, worker.lease_until - now),
+            )
+            for worker in self.tables.workers_by_id.values()
+            for run in worker.runs_by_key.values()
+        )
+        return self.is_loaded and not self.barrier_until, runs
+
     def _load_job(self, job_id, values):
         if job_id in self.tables.jobs_by_id or REQUEST not in values:
             if CANCEL in values:
@@ -391,15 +423,34 @@
             self.cancel(job_id)
 
     def _lift_barrier(self):
-        """Frees tasks held at take-over once all workers told what they run."""
-        if not self.barrier_until:
+        """Frees tasks held at take-over, pool by pool.
+
+        A pool's tasks are free once all its workers told what they run, or the
+        leases that the leader before gave have surely lapsed.
+        """
+        if not self.barrier_until or not self.is_loaded:
             return
-        if not is_all_heard(self.tables, self._hosts.fleet):
+        unheard = unheard_workers(self.tables, self._hosts.fleet)
+        if self.timers.now() > self.barrier_until:
+            unheard = {}
+        if unheard is None:
             return
-        self.barrier_until = 0.0
+        pools = set(unheard.values())
+        if self._held_pools is not None:
+            # A worker that came later runs nothing of the leader before.
+            pools &= self._held_pools
+        if pools == self._held_pools:
+            return
+        self._held_pools = pools
         for task in self.tables.tasks_by_name.values():
-            task.held_until = 0.0
-        logger.info("all workers told what they run")
+            if task.held_until and self.tables.pool_of(task.job) not in pools:
+                task.held_until = 0.0
+        if not pools:
+            self.barrier_until = 0.0
+        logger.info(
+            "take-over", extra={"unheard": unheard, "held_pools": sorted(pools)}
+        )
+        self.place_soon()
 
     def _take_jobs(self, items):
         parts = {}
@@ -479,8 +530,6 @@
             IOLoop.current().add_callback(
                 self._leadership.release, "most workers are out of reach"
             )
-        if self.barrier_until and now > self.barrier_until:
-            self.barrier_until = 0.0
         self._lift_barrier()
         self._carry_out_all(self._hosts.plan(now))
         if self.tables.dirty_job_ids:
--- a/sassafrasgrade/intakes.py
+++ b/sassafrasgrade/intakes.py
@@ -96,6 +96,8 @@
         request = read_job(body)
         if isinstance(request, Failure):
             return Reply(400, {"error": str(request.failure())})
+        if self._node.is_store_lost():
+            return self._refuse_unstored(queue, job_id)
         record = encode(SubmittedJob(queue.name, time.time(), request.unwrap()))
         key = job_key(job_id, REQUEST)
         began = self._node.timers.now()
@@ -120,6 +122,20 @@
         )
         return reply
 
+    def _refuse_unstored(self, queue, job_id):
+        """Refuses a job at once while the store does not answer this node."""
+        logger.info(
+            "job refused",
+            extra={
+                "job": job_id,
+                "queue": queue.name,
+                "reason": "store silent",
+                "silent_s": round(self._node.store_silent_s(), 2),
+                "status": 503,
+            },
+        )
+        return Reply(503, {"error": "the store is unavailable"}, STORE_RETRY_S)
+
     async def _show(self, job_id, give_up_at):
         state = await self._node.ask_state(job_id)
         source = "leader"
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -88,6 +88,7 @@
         self.token = 0
         self.leader = None
         self.leader_revision = 0
+        self.past_revision = 0
         self._past_epoch = 0
         self._lease_until = 0.0
         self._records_by_name = {}
@@ -359,6 +360,7 @@
         if self.leads or self._is_closing or revision < self.leader_revision:
             return
         self.token = revision
+        self.past_revision = self.leader_revision
         self._set_leader(record, revision)
         self._on_gain(revision, record.epoch)
 
--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -67,10 +67,27 @@
     store_silent_s: float
 
 
+class HandedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that may be under way: task, number, worker, lease left."""
+
+    task: str
+    number: int
+    worker_id: str
+    lease_left_s: float
+
+
 class HandOver(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """The leader has stopped giving orders; its key may be taken over."""
+    """The leader has stopped giving orders; its key may be taken over.
+
+    Attributes:
+        revision: Revision of the leader's key.
+        is_complete: Whether ``runs`` holds all that may run anywhere.
+        runs: What the leader knows to be started and not ended.
+    """
 
     revision: int
+    is_complete: bool = False
+    runs: tuple[HandedRun, ...] = ()
 
 
 NodeMessage = (
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -53,6 +53,9 @@
 # Time left before the kill when the last answers are due, in seconds.
 STOP_MARGIN_S = 1.0
 BRIEF_PAUSE_S = 0.1
+# Silence of the store after which a node takes no new connections, in seconds:
+# two renewals have failed, and nodes of other data centres may reach it.
+STORE_LOST_S = 1.5
 DEFAULT_BODY_BYTES = 262_144
 
 _configurations = msgspec.json.Decoder(Configuration)
@@ -113,6 +116,7 @@
         )
         self._clients = HTTPServer(ClientsDelegate(self))
         self._waves_by_key = {}
+        self._handed = None
 
     def start(self):
         """Starts listening and all loops."""
@@ -141,9 +145,7 @@
         deadline = self.timers.now() + self.settings.bounds_grace_s - STOP_MARGIN_S
         if self._dispatcher is not None:
             await self._dispatcher.flush()
-            revision = self.leadership.leader_revision
-            self.leadership.step_down("stopping")
-            self._server.send_all(HandOver(revision))
+            self._hand_over()
         await gen.sleep(BRIEF_PAUSE_S)
         await self.leadership.close()
         while self.requests_under_way and self.timers.now() < deadline:
@@ -152,11 +154,24 @@
         await gen.sleep(BRIEF_PAUSE_S)
         logger.info("stopped", extra={"requests": self.requests_under_way})
 
+    def _hand_over(self):
+        """Stops leading and tells all nodes what may run."""
+        if self._dispatcher is None:
+            return
+        is_complete, runs = self._dispatcher.export_runs()
+        revision = self.leadership.leader_revision
+        self.leadership.step_down("stopping")
+        self._server.send_all(HandOver(revision, is_complete, runs))
+
     # What requests need.
 
     def is_ready(self):
         """Whether new connections are welcome."""
-        return self.configuration is not None and not self.is_stopping
+        return (
+            self.configuration is not None
+            and not self.is_stopping
+            and not self.is_store_lost()
+        )
 
     def longest_body_bytes(self):
         """Returns the longest body that callers may send."""
@@ -200,6 +215,10 @@
         """Seconds since the store answered."""
         return self.leadership.store_silent_s()
 
+    def is_store_lost(self):
+        """Whether the store has been silent for long."""
+        return self.store_silent_s() >= STORE_LOST_S
+
     # Configuration.
 
     def _take_operator_items(self, items):
@@ -237,8 +256,11 @@
     def _gain(self, token, epoch):
         logger.info("leadership gained", extra={"token": token, "epoch": epoch})
         self.counters.note_leads(True)
+        handed, self._handed = self._handed, None
+        if handed is not None and handed.revision != self.leadership.past_revision:
+            handed = None
         self._dispatcher = Dispatcher(
-            self.services, self.leadership, token, epoch, self.counters
+            self.services, self.leadership, token, epoch, self.counters, handed
         )
         self._dispatcher.start(self.configuration)
         self._dispatcher.take_waves(self._waves_by_key)
@@ -281,6 +303,7 @@
             self._leader_beat_at = self.timers.now()
             self._compare_version(message.configuration_version)
         elif isinstance(message, HandOver):
+            self._handed = message
             self.leadership.take_hand_over(message.revision)
 
     def _compare_version(self, version):
--- a/sassafrasgrade/platform/calls.py
+++ b/sassafrasgrade/platform/calls.py
@@ -1,6 +1,7 @@
 """JSON calls over the curl client."""
 
 import msgspec
+import pycurl
 from tornado.httpclient import HTTPRequest
 
 from sassafrasgrade.http_clients import fetch_response, prepare_orders
@@ -8,6 +9,16 @@
 HTTP_OK = 200
 
 
+def was_never_sent(response):
+    """Whether a call failed before a connection stood, so that nothing was sent."""
+    error = response.error
+    code = getattr(error, "errno", None)
+    if code == pycurl.E_COULDNT_CONNECT:
+        return True
+    text = str(getattr(error, "message", ""))
+    return code == pycurl.E_OPERATION_TIMEDOUT and text.startswith("Connection time")
+
+
 class JsonCaller:
     """Sends JSON calls to one address.
 
--- a/sassafrasgrade/platform/stores.py
+++ b/sassafrasgrade/platform/stores.py
@@ -15,7 +15,7 @@
     StoreRefused,
 )
 from sassafrasgrade.platform import names
-from sassafrasgrade.platform.calls import HTTP_OK, JsonCaller
+from sassafrasgrade.platform.calls import HTTP_OK, was_never_sent
 from sassafrasgrade.platform.messages import StoredItem, StorePage, StoreReply
 
 HTTP_NOT_FOUND = 404
@@ -178,6 +178,10 @@
         return Failure(
             StoreRefused(f"{kind} was refused with {code}", "Repeat it after a pause.")
         )
+    if was_never_sent(response):
+        return Failure(
+            StoreRefused(f"{kind} found no connection", "Repeat it after a pause.")
+        )
     reason = str(response.error) if response.error else str(code)
     return Failure(
         PlatformUnavailable(
--- a/sassafrasgrade/systems/run_views.py
+++ b/sassafrasgrade/systems/run_views.py
@@ -115,6 +115,33 @@
     return []
 
 
+def adopt_handed_runs(tables, handed_runs, now):
+    """Takes over what the leader before knew to be started.
+
+    Args:
+        tables: Tables with jobs and workers loaded.
+        handed_runs: ``HandedRun`` values.
+        now: Present clock in seconds.
+    """
+    for handed in handed_runs:
+        task = tables.tasks_by_name.get(handed.task)
+        if task is None or task.is_done:
+            continue
+        worker = tables.workers_by_id.get(handed.worker_id)
+        lapses_at = now + handed.lease_left_s
+        if worker is None:
+            task.held_until = max(task.held_until, lapses_at)
+            continue
+        run = Run(
+            task, handed.number, handed.worker_id, RunState.RUNNING, now, answered_at=now
+        )
+        worker.lease_until = max(worker.lease_until, lapses_at)
+        worker.runs_by_key[(task.name, run.number)] = run
+        task.runs_by_number[run.number] = run
+        task.last_number = max(task.last_number, run.number)
+        note_started(tables, task.job)
+
+
 def note_started(tables, job):
     """Notes that a task of a job was started."""
     if not job.has_started:
@@ -258,8 +285,8 @@
     worker.lease_until = 0.0
 
 
-def is_all_heard(tables, fleet):
-    """Whether every worker has told this leader what it runs.
+def unheard_workers(tables, fleet):
+    """Returns workers that have not told this leader what they run, with pools.
 
     A worker that is cut off from the store may be missing from the list and run
     on: the hosts that are up show it.
@@ -267,16 +294,22 @@
     Args:
         tables: The tables.
         fleet: ``FleetHosts``.
+
+    Returns:
+        Pool names by worker id; None before the hosts are known.
     """
-    if not all(worker.is_fenced for worker in tables.workers_by_id.values()):
-        return False
     if not fleet.listed_at:
-        return False
-    return all(
-        host.worker_id in tables.workers_by_id
-        for host in fleet.hosts_by_name.values()
-        if host.worker_id and host.state == STATE_UP
-    )
+        return None
+    unheard = {
+        worker.worker_id: worker.pool
+        for worker in tables.workers_by_id.values()
+        if not worker.is_fenced
+    }
+    for host in fleet.hosts_by_name.values():
+        if host.worker_id and host.state == STATE_UP:
+            if host.worker_id not in tables.workers_by_id:
+                unheard[host.worker_id] = host.pool
+    return unheard
 
 
 def expire_leases(tables, now):
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -206,7 +206,11 @@
 
 
 def choose_room(task: Task, rooms, group=()):
-    """Returns the best room for a task, or None."""
+    """Returns the best room for a task, or None.
+
+    Workers are filled up one after the other, so that others become idle and
+    their hosts can serve another pool.
+    """
     step = task.step
     best, best_rank = None, None
     counts = _runs_of_step(task) if step.most_per_worker else Counter()
@@ -225,7 +229,7 @@
             worker.worker_id in task.shunned,
             suspect,
             bool(step.rack) and worker.rack != step.rack,
-            _spread_rank(step, room),
+            room.cpu_millis,
             worker.worker_id,
         )
         if best_rank is None or rank < best_rank:
@@ -233,13 +237,6 @@
     return best
 
 
-def _spread_rank(step, room):
-    """Lasting tasks fill workers up; others go where most is free."""
-    if step.is_perpetual:
-        return room.cpu_millis
-    return -room.cpu_millis
-
-
 def _runs_of_step(task):
     """Counts runs of the task's step in its occurrence by worker."""
     rows = task.job.occurrences[task.occurrence].steps[task.step_number].tasks
