--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -15,12 +15,15 @@
     PROGRESS,
     REQUEST,
     add_job,
+    adopt_unstored,
     apply_progress,
     decode_progress,
     decode_submitted,
+    encode,
+    progress_of,
     split_key,
 )
-from sassafrasgrade.node_messages import HandedRun
+from sassafrasgrade.node_messages import HandedRun, HandOver
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.workers import OrderOutcome
 from sassafrasgrade.progress_writers import ProgressWriter
@@ -167,8 +170,7 @@
 
     async def flush(self):
         """Stores what is dirty, once."""
-        if self.tables.dirty_job_ids:
-            await self._writer.flush()
+        await self._writer.flush()
 
     def adopt_configuration(self, configuration):
         """Takes a newer configuration."""
@@ -371,6 +373,8 @@
             return
         self.is_loaded = True
         handed_runs = self._handed.runs if self._handed is not None else ()
+        if self._handed is not None:
+            adopt_unstored(self.tables, self._handed.progress_by_job)
         adopt_handed_runs(self.tables, handed_runs, self.timers.now())
         logger.info(
             "jobs loaded",
@@ -384,8 +388,12 @@
         )
         self._sync_sessions()
 
-    def export_runs(self):
-        """Returns (whether complete, all runs that may be under way)."""
+    def export_hand_over(self, revision):
+        """Returns a ``HandOver`` with all that may be under way.
+
+        Args:
+            revision: Revision of the leader's key.
+        """
         now = self.timers.now()
         runs = tuple(
             HandedRun(
@@ -397,7 +405,12 @@
             for worker in self.tables.workers_by_id.values()
             for run in worker.runs_by_key.values()
         )
-        return self.is_loaded and not self.barrier_until, runs
+        progress_by_job = {
+            job_id: encode(progress_of(self.tables.jobs_by_id[job_id]))
+            for job_id in self.tables.dirty_job_ids
+        }
+        is_complete = self.is_loaded and not self.barrier_until
+        return HandOver(revision, is_complete, runs, progress_by_job)
 
     def _load_job(self, job_id, values):
         if job_id in self.tables.jobs_by_id or REQUEST not in values:
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -3,7 +3,13 @@
 import msgspec
 
 from sassafrasgrade.platform.messages import JobRequest
-from sassafrasgrade.works import Job, WorkState, WorkTables, create_occurrence
+from sassafrasgrade.works import (
+    ENDED_STATES,
+    Job,
+    WorkState,
+    WorkTables,
+    create_occurrence,
+)
 
 JOBS_PREFIX = "jobs/"
 REQUEST = "request"
@@ -105,6 +111,20 @@
         tables.tasks_by_name[task.name] = task
 
 
+def adopt_unstored(tables, progress_by_job):
+    """Takes over progress that the leader before could not store any more."""
+    for job_id, value in progress_by_job.items():
+        job = tables.jobs_by_id.get(job_id)
+        if job is None or not job.is_open:
+            continue
+        progress = decode_progress(value)
+        apply_progress(tables, job, progress)
+        if progress.state in ENDED_STATES:
+            # Shown only once it is stored.
+            job.state, job.pending_state = WorkState.RUNNING, progress.state
+        tables.mark_dirty(job)
+
+
 def apply_progress(tables, job, progress: JobProgress):
     """Brings a job that was just loaded to its stored progress."""
     job.state = progress.state
--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -83,11 +83,13 @@
         revision: Revision of the leader's key.
         is_complete: Whether ``runs`` holds all that may run anywhere.
         runs: What the leader knows to be started and not ended.
+        progress_by_job: Stored form of progress that is not stored yet.
     """
 
     revision: int
     is_complete: bool = False
     runs: tuple[HandedRun, ...] = ()
+    progress_by_job: dict[str, bytes] = {}
 
 
 NodeMessage = (
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -158,10 +158,9 @@
         """Stops leading and tells all nodes what may run."""
         if self._dispatcher is None:
             return
-        is_complete, runs = self._dispatcher.export_runs()
-        revision = self.leadership.leader_revision
+        message = self._dispatcher.export_hand_over(self.leadership.leader_revision)
         self.leadership.step_down("stopping")
-        self._server.send_all(HandOver(revision, is_complete, runs))
+        self._server.send_all(message)
 
     # What requests need.
 
--- a/sassafrasgrade/progress_writers.py
+++ b/sassafrasgrade/progress_writers.py
@@ -19,6 +19,8 @@
 # How long changes wait for others: ends of jobs, and anything else, in seconds.
 GATHER_END_S = 0.008
 GATHER_S = 0.06
+# Longest time for storing before the lead is handed over, in seconds.
+FLUSH_S = 0.5
 # Pause before a failed commit is repeated, in seconds.
 RETRY_S = 0.15
 
@@ -68,8 +70,14 @@
             IOLoop.current().add_callback(self._write)
 
     async def flush(self):
-        """Writes what is dirty now, once; returns whether all is stored."""
-        return await self._write_once()
+        """Writes what is dirty, for a short time; the rest stays dirty."""
+        give_up_at = IOLoop.current().time() + FLUSH_S
+        while self._tables.dirty_job_ids and IOLoop.current().time() < give_up_at:
+            if self._is_writing:
+                await gen.sleep(GATHER_END_S)
+            else:
+                self._is_writing = True
+                await self._write()
 
     async def _write(self):
         try:
--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -293,7 +293,8 @@
         for host in free.get(name, []):
             if len(need.hosts) <= need.wanted:
                 break
-            if host.idle_since and now - host.idle_since >= IDLE_S:
+            is_idle = host.idle_since and now - host.idle_since >= IDLE_S
+            if is_idle and host in need.hosts:
                 need.hosts.remove(host)
                 commands.append(
                     _move(tables, host, standby[0].name, settings, now, "idle")
@@ -327,7 +328,7 @@
     givers.sort(key=lambda name: needs[name].wanted - len(needs[name].hosts))
     for name in givers:
         for host in free[name]:
-            if not kinds or _kind(host) in kinds:
+            if host in needs[name].hosts and (not kinds or _kind(host) in kinds):
                 free[name].remove(host)
                 needs[name].hosts.remove(host)
                 return host
