Order jobs that can be in time by worth a core-second

Cause: least slack first starves many small jobs once a queue asks for more than its pool holds. Change: among jobs that can still be in time, the highest worth for each core-second left comes first; the others stay behind.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -425,6 +425,7 @@
             logger.error("unreadable job", extra={"job": job_id, "error": str(error)})
             return
         job = add_job(self.tables, job_id, submitted, time.time())
+        self.lengths.note_job(job)
         if progress is not None:
             apply_progress(self.tables, job, progress)
         if not self.is_loaded and self.barrier_until:
@@ -484,7 +485,8 @@
     def accept(self, job_id, record):
         """Takes in a job that was stored."""
         if self.is_loaded and job_id not in self.tables.jobs_by_id:
-            add_job(self.tables, job_id, decode_submitted(record), time.time())
+            job = add_job(self.tables, job_id, decode_submitted(record), time.time())
+            self.lengths.note_job(job)
             self.place_soon()
 
     def cancel(self, job_id):
--- a/sassafrasgrade/systems/lengths.py
+++ b/sassafrasgrade/systems/lengths.py
@@ -16,6 +16,28 @@
     """Factors of real over declared durations, by queue."""
 
     factors_by_queue: dict[str, float] = field(default_factory=dict)
+    mean_work_by_queue: dict[str, float] = field(default_factory=dict)
+
+    def note_job(self, job):
+        """Learns the mean work of a queue's jobs."""
+        work = self.work(job, False)
+        old = self.mean_work_by_queue.get(job.queue_name, work)
+        self.mean_work_by_queue[job.queue_name] = old + LEARNING_RATE * (work - old)
+
+    def mean_work(self, queue_name):
+        """Returns the mean work of a queue's jobs, in core-seconds."""
+        return self.mean_work_by_queue.get(queue_name, 1.0)
+
+    def work(self, job: Job, is_left):
+        """Returns a job's work in core-seconds, whole or what is left."""
+        total = 0.0
+        for number, step in enumerate(job.request.steps):
+            count = step.count
+            if is_left and job.occurrences:
+                occurrence = max(job.occurrences.values(), key=lambda o: o.number)
+                count = occurrence.steps[number].left
+            total += count * step.cpu_millis * self.task_s(job.queue_name, step)
+        return total / MS_PER_S
 
     def note(self, queue_name, declared_ms, real_s):
         """Learns from a run that ended ``done``."""
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -18,6 +18,10 @@
 SUSPECT_FAILURES = 2.0
 # Runs that a suspect worker gets at a time, to show whether it has recovered.
 PROBES_AT_ONCE = 1
+# Part of a job's worth that does not depend on its work (published rule).
+FIXED_WORTH = 0.3
+# Least work that is reckoned with, in core-seconds.
+LEAST_WORK = 0.1
 # Time that a start may take before the order is void, in ms; long enough for a
 # slow link and short enough that a late order cannot start a settled task.
 START_VALID_MS = 1500.0
@@ -128,11 +132,24 @@
     if job.is_lasting:
         return (0, job.accepted_at, job.job_id)
     due_at = due_time(job, queue, lengths)
-    left_s = lengths.chain_left_s(job)
-    slack_s = due_at - now_unix - left_s
+    slack_s = due_at - now_unix - lengths.chain_left_s(job)
     if slack_s < 0:
         return (2, job.accepted_at, job.job_id)
-    return (1, slack_s, job.job_id)
+    return (1, -worth_density(job, lengths), job.job_id)
+
+
+def worth_density(job, lengths):
+    """Returns what a job is worth for each core-second that it still needs.
+
+    A job is worth a fixed part and a part that grows with its work, so that
+    small jobs, and those nearly done, come first.
+    """
+    whole = lengths.work(job, False)
+    left = max(lengths.work(job, True), LEAST_WORK)
+    mean = lengths.mean_work(job.queue_name)
+    return (FIXED_WORTH + (1 - FIXED_WORTH) * whole / max(mean, LEAST_WORK)) / (
+        left / max(mean, LEAST_WORK)
+    )
 
 
 def due_time(job, queue, lengths):
