--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -306,7 +306,7 @@
     """Returns free hosts by pool, those with the longest idle time first."""
     free = {}
     for host in fleet.hosts_by_name.values():
-        if _is_free(tables, host, now) and host.busy_until + SETTLE_S <= now:
+        if _is_free(tables, host, now):
             free.setdefault(host.pool, []).append(host)
     for hosts in free.values():
         hosts.sort(key=lambda host: (host.idle_since, host.name))
@@ -344,7 +344,9 @@
 
 
 def _move(tables, host, pool, settings, now, reason):
-    host.busy_until = now + settings.bounds_move_s + SETTLE_S
+    is_standby = tables.pools_by_name[pool].is_standby
+    settle_s = 0.0 if is_standby else SETTLE_S
+    host.busy_until = now + settings.bounds_move_s + settle_s
     host.arrives_at = now + settings.bounds_move_s
     worker = worker_of(tables, host)
     if worker is not None:
