Replace a silent leader on the word of most nodes; ride store outages

Cause: a leader that lost power, froze or was cut off was missed only when its lease of 3 s had lapsed, its successor waited 3.2 s more for hosts, and a leader in a store outage stopped starting work after 3 s. Change: the lease lasts 6 s; nodes that do not hear the leader for a second ask the others and take its key by a conditional write, ending its lease; a leader whose key vanished takes it again or hands over; one that alone lost the store hands over; hosts are ordered only under a fresh renewal; a suspend voids the lead until a renewal is answered.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -23,6 +23,7 @@
     progress_of,
     split_key,
 )
+from sassafrasgrade.leaderships import LEASE_TTL_S
 from sassafrasgrade.node_messages import HandedRun, HandOver
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.workers import OrderOutcome
@@ -71,6 +72,9 @@
 REFUSED_PAUSE_S = 0.3
 # Time after which a worker that is neither listed nor answering is dropped.
 MISSING_S = 2.5
+# Time after a take-over on suspicion in which the leader before may still learn
+# of new jobs, in seconds.
+EARLY_S = 1.5
 # A leader that hears less than this part of the workers for so long, in
 # seconds, leaves the lead to a node that may reach more of them.
 LEAST_REACHED_PART = 0.5
@@ -104,6 +108,7 @@
         self.lengths = LearnedLengths()
         self.is_loaded = False
         self._handed = handed
+        self.is_predecessor_gone = False
         self._has_jobs = self._has_workers = False
         self.barrier_until = 0.0
         self._held_pools = None
@@ -139,23 +144,36 @@
         self._sync_sessions()
         self.place_soon()
 
-    def has_authority(self):
-        """Whether orders may be given."""
-        return not self._is_closed and self._leadership.has_authority()
+    def has_host_authority(self):
+        """Whether hosts may be ordered."""
+        return not self._is_closed and self._leadership.has_host_authority()
+
+    @property
+    def is_informed(self):
+        """Whether the leader before handed over all that it knew."""
+        return self._handed is not None and self._handed.is_complete
 
     def start(self, configuration):
         """Starts loading jobs and workers."""
         if configuration is not None:
             self.tables.adopt_configuration(configuration)
-        is_informed = self._handed is not None and self._handed.is_complete
-        if self.tables.epoch > 1 and not is_informed:
+        if self.tables.epoch > 1 and not self.is_informed:
             most_s = self.settings.bounds_hold_most_ms / MS_PER_S
+            if not self.is_predecessor_gone:
+                # It may renew leases until its own has lapsed.
+                most_s += LEASE_TTL_S
             self.barrier_until = self.timers.now() + most_s * CLOCK_DRIFT
         self._periodic = self.timers.subscribe(TICK_S, self._tick)
         self._jobs.start()
         self._workers.start()
         self._hosts.start()
 
+    def renew(self, token, epoch):
+        """Goes on under a new token after the leader's key was lost."""
+        self.token = token
+        self.tables.epoch = epoch
+        self._writer.renew(token)
+
     def close(self):
         """Stops giving orders at once."""
         self._is_closed = True
@@ -429,13 +447,17 @@
         if progress is not None:
             apply_progress(self.tables, job, progress)
         if not self.is_loaded and self.barrier_until:
-            for occurrence in job.occurrences.values():
-                for row in occurrence.steps:
-                    for task in row.tasks:
-                        task.held_until = self.barrier_until
+            self._hold_tasks(job, self.barrier_until)
         if CANCEL in values:
             self.cancel(job_id)
 
+    @staticmethod
+    def _hold_tasks(job, until):
+        for occurrence in job.occurrences.values():
+            for row in occurrence.steps:
+                for task in row.tasks:
+                    task.held_until = until
+
     def _lift_barrier(self):
         """Frees tasks held at take-over, pool by pool.
 
@@ -487,6 +509,8 @@
         if self.is_loaded and job_id not in self.tables.jobs_by_id:
             job = add_job(self.tables, job_id, decode_submitted(record), time.time())
             self.lengths.note_job(job)
+            if self.barrier_until and not self.is_predecessor_gone:
+                self._hold_tasks(job, self._began_at + EARLY_S)
             self.place_soon()
 
     def cancel(self, job_id):
--- a/sassafrasgrade/host_keepers.py
+++ b/sassafrasgrade/host_keepers.py
@@ -8,7 +8,7 @@
 from tornado.ioloop import IOLoop
 
 from sassafrasgrade.fleet_hosts import FleetHosts, WaveRow
-from sassafrasgrade.leaderships import LEADER_KEY
+from sassafrasgrade.leaderships import HOST_ORDERS_S, LEADER_KEY
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.clouds import CloudClient, HostOrderOutcome
 from sassafrasgrade.platform.messages import Wave
@@ -30,8 +30,8 @@
 CALM_LIST_S = 6.0
 # Time after the end of an order in which the list may still lag, in seconds.
 RECENT_S = 4.0
-# Margin over the least time between orders of different holders, in seconds.
-LEASE_MARGIN_S = 0.2
+# Margin over the time in which orders of the leader before may arrive, seconds.
+ORDERS_MARGIN_S = 0.2
 # Pause after a list that failed, in seconds.
 LIST_RETRY_S = 0.5
 
@@ -70,7 +70,9 @@
     def start(self):
         """Starts; a successor waits until the holder before has surely ended."""
         if self._dispatcher.tables.epoch > 1:
-            wait_s = self._settings.bounds_lease_ms / 1000.0 + LEASE_MARGIN_S
+            wait_s = CLOUD_TIMEOUT_S + ORDERS_MARGIN_S
+            if not self._dispatcher.is_informed:
+                wait_s += HOST_ORDERS_S
             self._orders_after = self._timers.now() + wait_s
 
     def close(self):
@@ -109,7 +111,7 @@
         if self._cloud is None:
             return []
         self._list_if_old(now)
-        if now < self._orders_after or not self._dispatcher.has_authority():
+        if now < self._orders_after or not self._dispatcher.has_host_authority():
             return []
         return plan_hosts(self._dispatcher.tables, self.fleet, self._settings, now)
 
@@ -186,7 +188,7 @@
             worker.is_reserved = False
             host.busy_until = 0.0
             return False
-        return not self._is_closed and self._dispatcher.has_authority()
+        return not self._is_closed and self._dispatcher.has_host_authority()
 
     def _settle(self, host, outcome):
         """Brings the tables to an order's outcome."""
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -24,9 +24,9 @@
 OWN_PREFIX = "own/"
 LEADER_KEY = "own/leader"
 NODES_PREFIX = "own/nodes/"
-# Life of a node's lease without renewal, in seconds: long enough that running
-# work outlives short store outages, short enough to replace a lost leader.
-LEASE_TTL_S = 3.0
+# Life of a node's lease without renewal, in seconds: the leader goes on through
+# store outages of that length; a lost leader is replaced sooner on suspicion.
+LEASE_TTL_S = 6.0
 # Time between renewals, and after which an unanswered one is given up.
 KEEP_PERIOD_S = 0.6
 KEEP_TIMEOUT_S = 0.5
@@ -36,6 +36,11 @@
 CANDIDATE_STEP_S = 0.06
 # Time for which a node that gave the lead up leaves it to others, in seconds.
 RELEASE_PAUSE_S = 3.0
+# Age of the last renewal up to which hosts may be ordered, in seconds; hosts
+# check no token, so a successor waits that long and for calls under way.
+HOST_ORDERS_S = 1.2
+# Suspend after which the lead counts only once a renewal is answered, seconds.
+PAUSE_S = 0.3
 # Longest wait of one watch call, in seconds.
 WATCH_S = 2.5
 
@@ -70,17 +75,33 @@
         store: ``StoreClient``.
         timers: Timer service; its clock counts suspends.
         settings: ``NodeSettings``.
-        on_gain: Called with (token, epoch) when this node begins to lead.
+        on_gain: Called with (token, epoch, whether the leader before has surely
+            stopped) when this node begins to lead.
+        on_renew: Called with (token, epoch) when a leader regains a lost key.
         on_loss: Called with a reason when it no longer leads.
         on_leader: Called with the ``LeaderRecord`` or None after each change.
+        vacancy_delay_s: Function that returns how long to wait before standing
+            for a key that vanished, in seconds.
     """
 
-    def __init__(self, store, timers, settings, on_gain, on_loss, on_leader):
+    def __init__(
+        self,
+        store,
+        timers,
+        settings,
+        on_gain,
+        on_renew,
+        on_loss,
+        on_leader,
+        vacancy_delay_s,
+    ):
         self._store = store
         self._timers = timers
         self._settings = settings
         self._on_gain = on_gain
+        self._on_renew = on_renew
         self._on_loss = on_loss
+        self._vacancy_delay_s = vacancy_delay_s
         self._on_leader = on_leader
         self.incarnation = uuid.uuid4().hex[:12]
         self.address = f"{settings.node_address}:{settings.listen_peers_port}"
@@ -97,7 +118,12 @@
         self._candidate = None
         self._store_answer_at = timers.now()
         self._dead_revision = 0
+        self._suspected_revision = 0
+        self.held_revision = 0
+        self._leader_lease = 0
         self._stand_after = 0.0
+        self._renewed_at = 0.0
+        self._pause_offset = 0.0
 
     @property
     def leads(self):
@@ -106,7 +132,25 @@
 
     def has_authority(self):
         """Whether the lease surely lives, so that orders may be given."""
-        return self.leads and self._timers.now() < self._lease_until
+        if not self.leads or self._timers.now() >= self._lease_until:
+            return False
+        return _suspended_s() - self._pause_offset < PAUSE_S
+
+    def has_host_authority(self):
+        """Whether hosts may be ordered: the renewal is fresh."""
+        is_fresh = self._timers.now() - self._renewed_at < HOST_ORDERS_S
+        return is_fresh and self.has_authority()
+
+    @property
+    def other_records(self):
+        """``NodeRecord`` of the live nodes that are neither leader nor this one."""
+        leader = self.leader.name if self.leader is not None else ""
+        own = self._settings.node_name
+        return [
+            record
+            for name, record in self._records_by_name.items()
+            if name not in (own, leader)
+        ]
 
     def store_silent_s(self):
         """Seconds since the store answered a renewal or a watch."""
@@ -135,8 +179,14 @@
 
     def take_hand_over(self, revision):
         """Takes over from a leader that has stopped giving orders."""
-        if revision == self.leader_revision and not self.leads:
+        if revision == self.held_revision and not self.leads:
             self._dead_revision = revision
+            self._stand_soon(is_handed=True)
+
+    def suspect_leader(self, revision):
+        """Takes over from a leader that most nodes do not hear any more."""
+        if revision == self.leader_revision and not self.leads:
+            self._suspected_revision = revision
             self._stand_soon()
 
     async def close(self):
@@ -184,15 +234,19 @@
         sent_at = self._timers.now()
         result = await self._store.keep_lease(self.lease, KEEP_TIMEOUT_S)
         if not isinstance(result, Failure):
-            self._store_answer_at = self._timers.now()
-            self._lease_until = sent_at + LEASE_TTL_S - LEASE_MARGIN_S
+            self._note_lease(sent_at)
             return
         error = result.failure()
         if isinstance(error, LeaseGone):
             logger.warning("lease lost", extra={"lease": self.lease})
             self.lease = 0
-            if self.leads:
-                self._lose("lease ended")
+            self._lease_until = 0.0
+
+    def _note_lease(self, sent_at):
+        self._store_answer_at = self._timers.now()
+        self._lease_until = sent_at + LEASE_TTL_S - LEASE_MARGIN_S
+        self._renewed_at = sent_at
+        self._pause_offset = _suspended_s()
 
     async def _register(self):
         sent_at = self._timers.now()
@@ -211,13 +265,42 @@
         if isinstance(written, Failure):
             return False
         self.lease = lease
-        self._lease_until = sent_at + LEASE_TTL_S - LEASE_MARGIN_S
-        self._store_answer_at = self._timers.now()
+        if self.leads:
+            # The leader's key ended with the lease before: regain it first.
+            await self.reacquire()
+        self._note_lease(sent_at)
         logger.info("registered", extra={"lease": lease})
         if self.leader is None and self._revision is not None:
             self._stand_soon()
         return True
 
+    async def reacquire(self):
+        """Takes a vanished leader's key again, under a new token."""
+        if not self.leads or not self.lease:
+            return
+        token = self.token
+        record = self._own_record(self._past_epoch + 1)
+        put = Put(LEADER_KEY, _encode(record), self.lease)
+        result = await self._store.commit([(LEADER_KEY, 0)], [put])
+        logger.info(
+            "key taken again", extra={"token": token, "outcome": _outcome(result)}
+        )
+        if self.token != token:
+            return
+        if not isinstance(result, Failure):
+            self.token = result.unwrap()
+            self._set_leader(record, self.token, self.lease)
+            self._on_renew(self.token, record.epoch)
+        elif isinstance(result.failure(), RevisionConflict):
+            items = result.failure().items
+            if not any(item.revision == token for item in items):
+                self._lose("another node took the vanished key")
+
+    def _own_record(self, epoch):
+        return LeaderRecord(
+            self._settings.node_name, self.incarnation, self.address, epoch
+        )
+
     # The view of all nodes.
 
     async def _watch_loop(self):
@@ -259,9 +342,9 @@
             record = _decode(_leaders, item)
             if record is not None and record.incarnation == self.incarnation:
                 # A write without an answer that was carried out after all.
-                self._gain(record, item.revision)
+                self._gain(record, item.revision, False)
             else:
-                self._set_leader(record, item.revision)
+                self._set_leader(record, item.revision, item.lease)
         elif item.key.startswith(NODES_PREFIX):
             name = item.key.removeprefix(NODES_PREFIX)
             record = _decode(_nodes, item)
@@ -270,15 +353,18 @@
             else:
                 self._records_by_name[name] = record
 
-    def _set_leader(self, record, revision):
+    def _set_leader(self, record, revision, lease=0):
         changed = record != self.leader
         self.leader = record
         self.leader_revision = revision
         if record is not None:
             self._past_epoch = max(self._past_epoch, record.epoch)
-        if self.leads and (record is None or record.incarnation != self.incarnation):
-            if record is not None or revision > self.token or revision == 0:
-                self._lose("the leader's key has another holder")
+            self.held_revision = revision
+            self._leader_lease = lease
+        if self.leads and record is None and (revision > self.token or not revision):
+            IOLoop.current().add_callback(self.reacquire)
+        elif self.leads and record is not None and revision > self.token:
+            self._lose("the leader's key has another holder")
         if record is not None and record.address == self.address:
             # This process is the next one at the leader's own address.
             self.note_leader_dead(record.incarnation)
@@ -289,10 +375,16 @@
 
     # Standing for leader.
 
-    def _stand_soon(self):
-        if self._candidate is not None or self._is_closing or not self.lease:
+    def _stand_soon(self, is_handed=False):
+        if self._is_closing or not self.lease or self.leads:
             return
+        if self._candidate is not None:
+            if not is_handed:
+                return
+            IOLoop.current().remove_timeout(self._candidate)
         delay_s = self._rank() * CANDIDATE_STEP_S
+        if self.leader is None and not is_handed:
+            delay_s += self._vacancy_delay_s()
         delay_s = max(delay_s, self._stand_after - self._timers.now())
         self._candidate = IOLoop.current().call_later(
             delay_s, lambda: IOLoop.current().add_callback(self._stand)
@@ -310,15 +402,17 @@
 
     async def _stand(self):
         self._candidate = None
-        is_dead = self._dead_revision and self._dead_revision == self.leader_revision
-        if self.leads or self._is_closing or not self.lease:
-            return
-        if self.leader is not None and not is_dead:
+        revision = self.leader_revision
+        is_proven = self.held_revision in (0, self._dead_revision)
+        is_free = self.leader is None or revision in (
+            self._dead_revision,
+            self._suspected_revision,
+        )
+        if self.leads or self._is_closing or not self.lease or not is_free:
             return
         epoch = self._past_epoch + 1
-        record = LeaderRecord(
-            self._settings.node_name, self.incarnation, self.address, epoch
-        )
+        record = self._own_record(epoch)
+        lease_before = self._leader_lease if self.leader is not None else 0
         expected = self.leader_revision if self.leader is not None else 0
         put = Put(LEADER_KEY, _encode(record), self.lease)
         began = time.monotonic()
@@ -328,18 +422,29 @@
             extra={
                 "epoch": epoch,
                 "expected_revision": expected,
+                "proven": is_proven,
                 "outcome": _outcome(result),
                 "ms": round((time.monotonic() - began) * 1000, 1),
             },
         )
         if not isinstance(result, Failure):
-            self._gain(record, result.unwrap())
+            self._gain(record, result.unwrap(), is_proven)
+            if lease_before:
+                await self._end_lease_before(lease_before)
         elif isinstance(result.failure(), RevisionConflict):
             for item in result.failure().items:
                 self._take_item(item)
         elif isinstance(result.failure(), PlatformUnavailable):
             await self._settle_stand()
 
+    async def _end_lease_before(self, lease):
+        """Ends the lease of the leader before, so that it learns of its loss."""
+        result = await self._store.end_lease(lease)
+        if isinstance(result, Failure) and not isinstance(result.failure(), LeaseGone):
+            logger.info(
+                "lease before not ended", extra={"error": result.failure().kind}
+            )
+
     async def _settle_stand(self):
         """Finds out whether a write without an answer made this node leader."""
         found = await self._store.read_key(LEADER_KEY)
@@ -352,23 +457,28 @@
             return
         record = _decode(_leaders, item)
         if record is not None and record.incarnation == self.incarnation:
-            self._gain(record, item.revision)
+            self._gain(record, item.revision, False)
         else:
             self._take_item(item)
 
-    def _gain(self, record, revision):
+    def _gain(self, record, revision, is_proven):
         if self.leads or self._is_closing or revision < self.leader_revision:
             return
         self.token = revision
-        self.past_revision = self.leader_revision
-        self._set_leader(record, revision)
-        self._on_gain(revision, record.epoch)
+        self.past_revision = self.held_revision
+        self._set_leader(record, revision, self.lease)
+        self._on_gain(revision, record.epoch, is_proven)
 
     def _lose(self, reason):
         self.token = 0
         self._on_loss(reason)
 
 
+def _suspended_s():
+    """Seconds for which the host was suspended since its boot."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+
+
 def _decode(decoder, item):
     if item.value is None:
         return None
--- a/sassafrasgrade/node_links.py
+++ b/sassafrasgrade/node_links.py
@@ -1,11 +1,14 @@
 """Streams between nodes: each node keeps one to the leader."""
 
+import asyncio
 import logging
 
 from tornado.concurrent import Future
 from tornado.ioloop import IOLoop
 
 from sassafrasgrade.node_messages import (
+    HeardQuestion,
+    HeardReply,
     NodeBeat,
     NodeHello,
     NodeMessage,
@@ -18,6 +21,8 @@
 
 # Longest wait for the leader's answer to a question, in seconds.
 QUESTION_TIMEOUT_S = 0.3
+# Longest wait for another node's word on the leader, in seconds.
+HEARD_TIMEOUT_S = 0.4
 # Silence of the leader's stream after which it is opened again, in seconds.
 SILENCE_S = 1.5
 
@@ -35,7 +40,7 @@
         self.leader = leader
         self._questions_by_number = {}
         self._next_number = 0
-        self._heard_at = node.timers.now()
+        self._heard_at = self._spoke_at = node.timers.now()
         self._is_greeted = False
         address, _, port = leader.address.rpartition(":")
         self._link = Link(
@@ -48,6 +53,10 @@
         )
         self._link.start()
 
+    def silent_s(self, now):
+        """Returns for how long the leader was not heard, in seconds."""
+        return now - self._spoke_at
+
     def close(self):
         """Closes the stream; questions under way get no answer."""
         self._link.close()
@@ -90,7 +99,7 @@
         )
 
     def _take(self, message):
-        self._heard_at = self._node.timers.now()
+        self._heard_at = self._spoke_at = self._node.timers.now()
         if isinstance(message, NodeHello):
             self._is_greeted = message.incarnation == self.leader.incarnation
             if not self._is_greeted:
@@ -114,6 +123,36 @@
             future.set_result(state)
 
 
+async def ask_heard(address, incarnation):
+    """Asks a node how long it has not heard the leader.
+
+    Args:
+        address: IP address and port of the node's streams.
+        incarnation: Incarnation of the leader meant.
+
+    Returns:
+        Seconds, or None without an answer.
+    """
+    future = Future()
+
+    def take(message):
+        if isinstance(message, HeardReply) and not future.done():
+            future.set_result(message.silent_s)
+
+    def ask(link):
+        link.send(HeardQuestion(incarnation))
+
+    host, _, port = address.rpartition(":")
+    link = Link(host, int(port), NodeMessage, ask, take, lambda: None)
+    link.start()
+    try:
+        return await asyncio.wait_for(future, HEARD_TIMEOUT_S)
+    except TimeoutError:
+        return None
+    finally:
+        link.close()
+
+
 class NodeServer:
     """Accepts other nodes' streams.
 
--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -92,6 +92,24 @@
     progress_by_job: dict[str, bytes] = {}
 
 
+class HandOverRequest(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Asks a leader whose key vanished to hand over, if it lost the store."""
+
+    revision: int
+
+
+class HeardQuestion(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Asks a node how long ago it heard the leader."""
+
+    leader_incarnation: str
+
+
+class HeardReply(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Answers with the silence in seconds; negative for another leader."""
+
+    silent_s: float
+
+
 NodeMessage = (
     NodeHello
     | JobAccepted
@@ -101,4 +119,7 @@
     | LeaderBeat
     | NodeBeat
     | HandOver
+    | HandOverRequest
+    | HeardQuestion
+    | HeardReply
 )
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -25,6 +25,9 @@
 from sassafrasgrade.node_links import LeaderLink, NodeServer
 from sassafrasgrade.node_messages import (
     HandOver,
+    HandOverRequest,
+    HeardQuestion,
+    HeardReply,
     JobAccepted,
     JobCancelled,
     LeaderBeat,
@@ -40,6 +43,11 @@
 from sassafrasgrade.queue_routers import QueueRouter
 from sassafrasgrade.settings import exit_if_invalid
 from sassafrasgrade.store_batches import StoreBatcher
+from sassafrasgrade.successions import (
+    STORE_FRESH_S,
+    Succession,
+    should_hand_over,
+)
 from sassafrasgrade.timers import SuspendAwareTimerService
 
 logger = logging.getLogger(__name__)
@@ -98,12 +106,16 @@
             timers,
             settings,
             self._gain,
+            self._renew,
             self._lose,
             self._note_leader,
+            lambda: self._succession.vacancy_delay_s(),
         )
+        self._succession = Succession(self)
+        self._words_by_node = {}
         self.incarnation = self.leadership.incarnation
         self._dispatcher = None
-        self._link = None
+        self.link = None
         self._server = NodeServer(self)
         self._leader_beat = None
         self._leader_beat_at = 0.0
@@ -145,7 +157,7 @@
         deadline = self.timers.now() + self.settings.bounds_grace_s - STOP_MARGIN_S
         if self._dispatcher is not None:
             await self._dispatcher.flush()
-            self._hand_over()
+            self._hand_over("stopping")
         await gen.sleep(BRIEF_PAUSE_S)
         await self.leadership.close()
         while self.requests_under_way and self.timers.now() < deadline:
@@ -154,12 +166,12 @@
         await gen.sleep(BRIEF_PAUSE_S)
         logger.info("stopped", extra={"requests": self.requests_under_way})
 
-    def _hand_over(self):
+    def _hand_over(self, reason):
         """Stops leading and tells all nodes what may run."""
         if self._dispatcher is None:
             return
         message = self._dispatcher.export_hand_over(self.leadership.leader_revision)
-        self.leadership.step_down("stopping")
+        self.leadership.step_down(reason)
         self._server.send_all(message)
 
     # What requests need.
@@ -182,15 +194,15 @@
         """Tells the leader; it finds out from the store if the stream is down."""
         if self._dispatcher is not None:
             self.take_node_message(message, None)
-        elif self._link is not None:
-            self._link.send(message)
+        elif self.link is not None:
+            self.link.send(message)
 
     async def ask_state(self, job_id):
         """Returns a job's state as the leader knows it; empty if it does not."""
         if self._dispatcher is not None:
             return self._dispatcher.state_of(job_id)
-        if self._link is not None:
-            return await self._link.ask_state(job_id)
+        if self.link is not None:
+            return await self.link.ask_state(job_id)
         return ""
 
     def waiting_of(self, queue_name):
@@ -252,8 +264,11 @@
 
     # Leadership.
 
-    def _gain(self, token, epoch):
-        logger.info("leadership gained", extra={"token": token, "epoch": epoch})
+    def _gain(self, token, epoch, is_proven):
+        logger.info(
+            "leadership gained",
+            extra={"token": token, "epoch": epoch, "proven": is_proven},
+        )
         self.counters.note_leads(True)
         handed, self._handed = self._handed, None
         if handed is not None and handed.revision != self.leadership.past_revision:
@@ -261,9 +276,15 @@
         self._dispatcher = Dispatcher(
             self.services, self.leadership, token, epoch, self.counters, handed
         )
+        self._dispatcher.is_predecessor_gone = is_proven
+        self._words_by_node.clear()
         self._dispatcher.start(self.configuration)
         self._dispatcher.take_waves(self._waves_by_key)
 
+    def _renew(self, token, epoch):
+        logger.info("leadership renewed", extra={"token": token, "epoch": epoch})
+        self._dispatcher.renew(token, epoch)
+
     def _lose(self, reason):
         logger.warning("leadership lost", extra={"reason": reason})
         self.counters.note_leads(False)
@@ -272,18 +293,26 @@
             self._dispatcher = None
 
     def _note_leader(self, leader):
-        if self._link is not None:
-            self._link.close()
-            self._link = None
-        if leader is not None and leader.incarnation != self.incarnation:
-            self._link = LeaderLink(self, leader)
+        if leader is None:
+            # The holder may still live and know more than any successor.
+            return
+        if self.link is not None:
+            self.link.close()
+            self.link = None
+        if leader.incarnation != self.incarnation:
+            self.link = LeaderLink(self, leader)
 
     def note_leader_dead(self, incarnation):
         """Takes in proof that a leader's process has ended."""
         self.leadership.note_leader_dead(incarnation)
 
     def _beat(self, now):
+        self._succession.check(now)
         if self._dispatcher is not None:
+            words = self._words_by_node.values()
+            if should_hand_over(self.store_silent_s(), words, now):
+                self._hand_over("the store is silent here only")
+                return
             self._server.send_all(
                 LeaderBeat(
                     self.leadership.token,
@@ -292,8 +321,8 @@
                     {},
                 )
             )
-        elif self._link is not None:
-            self._link.beat(now)
+        elif self.link is not None:
+            self.link.beat(now)
 
     def take_leader_message(self, message):
         """Takes in a message of the leader."""
@@ -331,8 +360,26 @@
             state = self._dispatcher.state_of(message.job_id)
         stream.send(StateReply(message.number, state))
 
+    @take_node_message.register
+    def _(self, message: HandOverRequest, stream):
+        if self._dispatcher is None or message.revision != self.leadership.token:
+            return
+        if self.store_silent_s() > STORE_FRESH_S:
+            self._hand_over("the key vanished and the store is silent here")
+        else:
+            IOLoop.current().add_callback(self.leadership.reacquire)
+
+    @take_node_message.register
+    def _(self, message: HeardQuestion, stream):
+        silent_s = -1.0
+        if self.link is not None:
+            if self.link.leader.incarnation == message.leader_incarnation:
+                silent_s = self.link.silent_s(self.timers.now())
+        stream.send(HeardReply(silent_s))
+
     @take_node_message.register
     def _(self, message: NodeBeat, stream):
+        self._words_by_node[id(stream)] = (self.timers.now(), message.store_silent_s)
         self._compare_version(message.configuration_version)
 
 
--- a/sassafrasgrade/platform/stores.py
+++ b/sassafrasgrade/platform/stores.py
@@ -38,11 +38,13 @@
         key: The key.
         value: Its bytes; None when the key was deleted.
         revision: Revision of its last change.
+        lease: Lease that it ends with; 0 for none.
     """
 
     key: str
     value: bytes | None
     revision: int
+    lease: int = 0
 
 
 @dataclass(frozen=True)
@@ -204,7 +206,7 @@
     except ValueError:
         # Another writer's bytes: they decode to no valid entry further on.
         value = b""
-    return Item(item.key, value, item.revision)
+    return Item(item.key, value, item.revision, item.lease)
 
 
 def _read_item(response):
--- a/sassafrasgrade/progress_writers.py
+++ b/sassafrasgrade/progress_writers.py
@@ -46,6 +46,10 @@
         self._is_writing = False
         self._is_closed = False
 
+    def renew(self, token):
+        """Goes on under a new token."""
+        self._token = token
+
     def close(self):
         """Stops writing; a commit under way may still take effect."""
         self._is_closed = True
@@ -135,7 +139,8 @@
     def _take_conflict(self, items):
         """Learns the revisions that an earlier write without an answer left."""
         revisions_by_key = {item.key: item.revision for item in items}
-        if revisions_by_key.get(LEADER_KEY) != self._token:
+        revision = revisions_by_key.get(LEADER_KEY, 0)
+        if revision > self._token:
             self._on_fenced()
             return
         for job_id in self._tables.dirty_job_ids:
