Count a failed run once, whoever tells of it

Change: failed runs are kept by their numbers; what workers did loses weight over time, and a task that failed once prefers workers that succeed.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -33,6 +33,7 @@
     adopt_handed_runs,
     apply_view,
     cancel_job,
+    decay_trust,
     expire_leases,
     forget_run,
     lose_worker,
@@ -561,6 +562,7 @@
     def _tick(self, now):
         if self._is_closed or not self.is_loaded:
             return
+        decay_trust(self.tables, TICK_S)
         self._carry_out_all(expire_leases(self.tables, now))
         self._repeat_stops(now)
         self._drop_missing(now)
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -32,14 +32,14 @@
         state: State of the job.
         has_started: Whether any task was ever started.
         done: Indices of done tasks by ``occurrence.step``.
-        failures: Failed runs by task name without the job's id.
+        failures: Numbers of failed runs by task name without the job's id.
         done_occurrences: Occurrences that are done.
     """
 
     state: WorkState
     has_started: bool
     done: dict[str, list[int]]
-    failures: dict[str, int]
+    failures: dict[str, list[int]]
     done_occurrences: list[int]
 
 
@@ -80,9 +80,9 @@
             if indices:
                 done[f"{occurrence.number}.{row.number}"] = indices
             for task in row.tasks:
-                if task.failures and not task.is_done and not row.step.is_perpetual:
+                if task.failed_numbers and not task.is_done:
                     name = task.name.partition(".")[2]
-                    failures[name] = task.failures
+                    failures[name] = sorted(task.failed_numbers)
     return JobProgress(
         job.pending_state or job.state,
         job.has_started,
@@ -139,9 +139,9 @@
             if not row.tasks[index].is_done:
                 row.tasks[index].is_done = True
                 row.left -= 1
-    for name, count in progress.failures.items():
+    for name, numbers in progress.failures.items():
         task = tables.tasks_by_name.get(f"{job.job_id}.{name}")
         if task is not None:
-            task.failures = count
+            task.failed_numbers.update(numbers)
     if not job.is_open:
         tables.open_jobs_by_id.pop(job.job_id, None)
--- a/sassafrasgrade/systems/run_views.py
+++ b/sassafrasgrade/systems/run_views.py
@@ -19,6 +19,8 @@
 SHUN_LASTING_S = 2.0
 # Percent at which a lasting task is at work (published protocol).
 AT_WORK_PERCENT = 100
+# Time in which the weight of a worker's past ends halves, in seconds.
+TRUST_HALF_LIFE_S = 5.0
 # Slack on clock readings that travelled over the network, in milliseconds.
 CLOCK_SLACK_MS = 50.0
 
@@ -175,7 +177,7 @@
         worker.successes += 1
         commands += finish_task(tables, task, now)
     elif row.how is RunEnd.FAILED:
-        commands += _fail_task(tables, worker, task, now)
+        commands += _fail_task(tables, worker, task, row.run, now)
     return commands
 
 
@@ -213,7 +215,7 @@
                     task.waiting_since = now
 
 
-def _fail_task(tables, worker, task, now):
+def _fail_task(tables, worker, task, number, now):
     worker.failures += 1
     task.shunned.add(worker.worker_id)
     if task.step.is_perpetual:
@@ -222,16 +224,17 @@
     row = step_row_of(task)
     members = row.tasks if row.step.is_gang else [task]
     for member in members:
-        member.failures += 1
+        member.failed_numbers.add(number)
     tables.mark_dirty(task.job)
     queue = tables.queues_by_name.get(task.job.queue_name)
     most = queue.most_attempts if queue is not None else 1
-    if task.failures < most or task.is_done:
+    failures = len(task.failed_numbers)
+    if failures < most or task.is_done or not task.job.is_open:
         return []
     end_job(tables, task.job, WorkState.FAILED)
     note = Note(
         "job-failed",
-        {"job": task.job.job_id, "task": task.name, "failures": task.failures},
+        {"job": task.job.job_id, "task": task.name, "failures": failures},
     )
     return [note, *stop_job_runs(task.job, "job failed")]
 
@@ -312,6 +315,14 @@
     return unheard
 
 
+def decay_trust(tables, elapsed_s):
+    """Lets what workers did count less as time passes."""
+    factor = 0.5 ** (elapsed_s / TRUST_HALF_LIFE_S)
+    for worker in tables.workers_by_id.values():
+        worker.failures *= factor
+        worker.successes *= factor
+
+
 def expire_leases(tables, now):
     """Forgets runs on silent workers whose leases have surely lapsed."""
     commands = []
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -245,6 +245,7 @@
         rank = (
             worker.worker_id in task.shunned,
             suspect,
+            bool(task.failed_numbers) and worker.failures > worker.successes,
             bool(step.rack) and worker.rack != step.rack,
             room.cpu_millis,
             worker.worker_id,
--- a/sassafrasgrade/works.py
+++ b/sassafrasgrade/works.py
@@ -93,7 +93,8 @@
         index: Index in its step.
         step: What the step asks for.
         is_done: Whether a run has ended ``done``.
-        failures: Runs that ended ``failed``.
+        failed_numbers: Numbers of runs that ended ``failed``; an end may be
+            told again to a successor and counts once.
         runs_by_number: Runs not known to have ended.
         saved: Last saved progress.
         last_number: Highest run number used in this leadership.
@@ -110,7 +111,7 @@
     index: int
     step: Step
     is_done: bool = False
-    failures: int = 0
+    failed_numbers: set[int] = field(default_factory=set)
     runs_by_number: dict[int, Run] = field(default_factory=dict)
     saved: str = ""
     last_number: int = 0
