Tell never-sent calls by curl's own word; count hosts that a wave has down

Change: a mark set by curl before it sends tells whether anything left; hosts that the list shows in upkeep count for their wave. Tests: 47 scenarios on the scheduling systems.

--- /dev/null
+++ b/features/scheduling.feature
@@ -0,0 +1,97 @@
+Feature: The scheduler takes in what workers say, and never runs a task twice
+
+  Scenario Outline: after <event> the task is "<state>"
+    Given a job of one task that may fail 2 times
+    When its run sees "<event>"
+    Then the task is "<state>"
+
+    Examples:
+      | event                                              | state      |
+      | an end done                                        | done       |
+      | an end failed                                      | waiting    |
+      | an end failed that is told twice                   | waiting    |
+      | an end failed that a successor hears again         | waiting    |
+      | ends failed of two runs                            | job failed |
+      | an end stopped                                     | waiting    |
+      | a list without it, asked for after its answer      | waiting    |
+      | a list without it, asked for before its answer     | active     |
+      | no answer, and a list after its order is void      | waiting    |
+      | no answer, and a list while its order is valid     | active     |
+      | no answer, and a list after its stop was answered  | waiting    |
+      | an older list that lacks it                        | active     |
+      | silence until its lease has lapsed                 | waiting    |
+      | silence while its lease lives                      | active     |
+      | a restart of its worker                            | waiting    |
+
+  Scenario Outline: a successor that knows <known> lets a task be "<state>"
+    Given a job of one task that may fail 2 times
+    When a successor loads it knowing "<known>"
+    Then the task is "<state>"
+
+    Examples:
+      | known                                          | state      |
+      | nothing                                        | waiting    |
+      | a handed run on a listed worker                | active     |
+      | a handed run on a worker that is not listed    | held       |
+      | handed progress that ends the job              | unshown    |
+      | stored progress that ends the job              | completed  |
+
+  Scenario Outline: workers that are not heard, <case>, hold back pools "<pools>"
+    Then with "<case>" the pools "<pools>" are held after a take-over
+
+    Examples:
+      | case                                  | pools  |
+      | none                                  |        |
+      | one listed worker                     | pool-1 |
+      | a host that is up without its worker  | pool-1 |
+      | a host that is down                   |        |
+      | hosts not read yet                    | all    |
+
+  Scenario Outline: a lasting task is stopped for maintenance if <case>: <stops>
+    Given a job of 3 lasting tasks of which 1 may be away
+    When "<case>" and all hosts are due for maintenance
+    Then <stops> of its tasks are stopped in one tick
+
+    Examples:
+      | case                                | stops |
+      | all are at work                     | 1     |
+      | one is starting                     | 0     |
+      | one is on a silent worker           | 0     |
+      | one waits                           | 0     |
+      | no other worker has room            | 0     |
+
+  Scenario Outline: a leader with <case> is replaced: <replaced>
+    Then a leader with "<case>" is replaced: "<replaced>"
+
+    Examples:
+      | case                                      | replaced |
+      | nobody hears it for 2 s                   | yes      |
+      | one of five hears it                      | no       |
+      | most others do not answer                 | no       |
+      | this node hears it                        | no       |
+      | there is no other node                    | yes      |
+      | half of the others answer that it is lost | yes      |
+
+  Scenario Outline: a leader without the store for <silent> s hands over: <handed>
+    Then a leader hands over after <silent> s when others have "<others>": "<handed>"
+
+    Examples:
+      | silent | others          | handed |
+      | 0.5    | a fresh store   | no     |
+      | 2.0    | a fresh store   | yes    |
+      | 2.0    | a silent store  | no     |
+      | 2.0    | an old word     | no     |
+      | 2.0    | no word         | no     |
+
+  Scenario Outline: jobs are ordered under an overload of <jobs> jobs by <policy>
+    When <jobs> jobs of mixed sizes arrive within 3 seconds at 4 workers, seed <seed>
+    Then ordering by worth keeps at least as much worth as "<policy>"
+
+    Examples:
+      | jobs | seed | policy        |
+      | 60   | 1    | arrival       |
+      | 60   | 2    | arrival       |
+      | 120  | 3    | arrival       |
+      | 60   | 1    | least slack   |
+      | 120  | 2    | least slack   |
+      | 120  | 3    | least slack   |
--- /dev/null
+++ b/features/steps/scheduling_steps.py
@@ -0,0 +1,292 @@
+"""Steps on the scheduling systems: tables in, commands out, no sockets."""
+
+from behave import given, then, when
+
+from features.support.work_loads import play_overload
+from features.support.work_tables import (
+    CAPACITY,
+    NOW,
+    POOL,
+    STANDBY,
+    add_simple_job,
+    create_tables,
+    first_task,
+    show_view,
+    start_run,
+)
+from sassafrasgrade.fleet_hosts import FleetHosts, HostRow, WaveRow
+from sassafrasgrade.job_records import (
+    JobProgress,
+    adopt_unstored,
+    apply_progress,
+    encode,
+)
+from sassafrasgrade.node_messages import HandedRun
+from sassafrasgrade.node_settings import check_node_settings
+from sassafrasgrade.platform.messages import Wave
+from sassafrasgrade.successions import is_lost, should_hand_over
+from sassafrasgrade.systems.host_planning import plan_hosts
+from sassafrasgrade.systems.run_views import (
+    adopt_handed_runs,
+    expire_leases,
+    restart_worker,
+    unheard_workers,
+)
+from sassafrasgrade.work_commands import StopRun
+from sassafrasgrade.works import RunState, WorkState
+
+
+@given("a job of one task that may fail {attempts:d} times")
+def make_job(context, attempts):
+    context.tables = create_tables(workers=2, most_attempts=attempts)
+    context.job = add_simple_job(context.tables)
+    context.task = first_task(context.job)
+    context.worker = context.tables.workers_by_id["worker-0"]
+
+
+def fail_runs(context, rows):
+    start_run(context.task, context.worker)
+    for clock, number, run in rows:
+        ended = [(number, context.task.name, run, "failed")]
+        show_view(context.tables, context.worker, clock, ended=ended)
+
+
+def see_end(context, how):
+    start_run(context.task, context.worker)
+    ended = [(1, context.task.name, 1, how)]
+    show_view(context.tables, context.worker, NOW + 1, ended=ended)
+
+
+def hear_again(context):
+    fail_runs(context, [(NOW + 1, 1, 1)])
+    context.worker.seen_end = 0
+    ended = [(1, context.task.name, 1, "failed")]
+    show_view(context.tables, context.worker, NOW + 2, ended=ended)
+
+
+def fail_twice(context):
+    fail_runs(context, [(NOW + 1, 1, 1)])
+    start_run(context.task, context.worker, number=2)
+    ended = [(2, context.task.name, 2, "failed")]
+    show_view(context.tables, context.worker, NOW + 2, ended=ended)
+
+
+def see_absence(context, state, sent_at, now, stop_answered_at=0.0):
+    run = start_run(context.task, context.worker, state)
+    run.stop_answered_at = stop_answered_at
+    show_view(context.tables, context.worker, now, sent_at=sent_at)
+
+
+def see_older(context):
+    show_view(context.tables, context.worker, NOW + 2)
+    start_run(context.task, context.worker)
+    old_ms = (NOW + 1) * 1000
+    show_view(context.tables, context.worker, NOW + 3, clock_ms=old_ms)
+
+
+def fall_silent(context, lease_until):
+    start_run(context.task, context.worker)
+    context.worker.silent_since = NOW + 1
+    context.worker.lease_until = lease_until
+    expire_leases(context.tables, NOW + 5)
+
+
+def restart(context):
+    start_run(context.task, context.worker)
+    restart_worker(context.tables, context.worker, 7, NOW + 1)
+
+
+RUNNING, UNCERTAIN = RunState.RUNNING, RunState.UNCERTAIN
+EVENTS = {
+    "an end done": lambda c: see_end(c, "done"),
+    "an end failed": lambda c: see_end(c, "failed"),
+    "an end stopped": lambda c: see_end(c, "stopped"),
+    "an end failed that is told twice": lambda c: fail_runs(
+        c, [(NOW + 1, 1, 1), (NOW + 2, 1, 1)]
+    ),
+    "an end failed that a successor hears again": hear_again,
+    "ends failed of two runs": fail_twice,
+    "a list without it, asked for after its answer": lambda c: see_absence(
+        c, RUNNING, NOW + 0.5, NOW + 1
+    ),
+    "a list without it, asked for before its answer": lambda c: see_absence(
+        c, RUNNING, NOW - 0.5, NOW + 1
+    ),
+    "no answer, and a list after its order is void": lambda c: see_absence(
+        c, UNCERTAIN, NOW + 2, NOW + 2
+    ),
+    "no answer, and a list while its order is valid": lambda c: see_absence(
+        c, UNCERTAIN, NOW + 1, NOW + 1
+    ),
+    "no answer, and a list after its stop was answered": lambda c: see_absence(
+        c, UNCERTAIN, NOW + 1, NOW + 1, stop_answered_at=NOW + 0.5
+    ),
+    "an older list that lacks it": see_older,
+    "silence until its lease has lapsed": lambda c: fall_silent(c, NOW + 4),
+    "silence while its lease lives": lambda c: fall_silent(c, NOW + 6),
+    "a restart of its worker": restart,
+}
+
+
+@when('its run sees "{event}"')
+def see_event(context, event):
+    EVENTS[event](context)
+
+
+@then('the task is "{state}"')
+def check_task(context, state):
+    task, job = context.task, context.job
+    facts = {
+        "done": task.is_done,
+        "job failed": job.pending_state is WorkState.FAILED,
+        "active": bool(task.runs_by_number) and not task.is_done,
+        "waiting": not task.runs_by_number
+        and not task.is_done
+        and job.is_open
+        and task.held_until <= NOW,
+        "held": task.held_until > NOW,
+        "unshown": job.pending_state is WorkState.COMPLETED
+        and job.state is WorkState.RUNNING,
+        "completed": job.state is WorkState.COMPLETED,
+    }
+    assert facts[state], (state, task, job.state, job.pending_state)
+
+
+def ended_progress():
+    return JobProgress(WorkState.COMPLETED, True, {"0.0": [0]}, {}, [0])
+
+
+def hand_run(context, worker_id):
+    run = HandedRun(context.task.name, 4, worker_id, 3.0)
+    adopt_handed_runs(context.tables, (run,), NOW)
+
+
+KNOWN = {
+    "nothing": lambda c: None,
+    "a handed run on a listed worker": lambda c: hand_run(c, "worker-1"),
+    "a handed run on a worker that is not listed": lambda c: hand_run(c, "gone"),
+    "handed progress that ends the job": lambda c: adopt_unstored(
+        c.tables, {c.job.job_id: encode(ended_progress())}
+    ),
+    "stored progress that ends the job": lambda c: apply_progress(
+        c.tables, c.job, ended_progress()
+    ),
+}
+
+
+@when('a successor loads it knowing "{known}"')
+def load_successor(context, known):
+    KNOWN[known](context)
+
+
+def create_fleet(tables, state="up"):
+    fleet = FleetHosts(listed_at=NOW)
+    for worker in tables.workers_by_id.values():
+        host = HostRow(worker.host, POOL, state, worker_id=worker.worker_id)
+        host.capacity = CAPACITY
+        fleet.hosts_by_name[host.name] = host
+    return fleet
+
+
+@then('with "{case}" the pools "{pools}" are held after a take-over')
+@then('with "{case}" the pools "" are held after a take-over')
+def check_unheard(context, case, pools=""):
+    tables = create_tables()
+    fleet = create_fleet(tables, "down" if case == "a host that is down" else "up")
+    if case == "one listed worker":
+        tables.workers_by_id["worker-0"].is_fenced = False
+    elif case.startswith("a host"):
+        del tables.workers_by_id["worker-0"]
+    elif case == "hosts not read yet":
+        fleet = FleetHosts()
+    unheard = unheard_workers(tables, fleet)
+    held = "all" if unheard is None else ",".join(sorted(set(unheard.values())))
+    assert held == pools, (case, held)
+
+
+@given("a job of {count:d} lasting tasks of which {may_miss:d} may be away")
+def make_lasting(context, count, may_miss):
+    context.tables = create_tables(workers=count + 1)
+    context.job = add_simple_job(
+        context.tables, count=count, is_perpetual=True, may_miss=may_miss
+    )
+    for index in range(count):
+        worker = context.tables.workers_by_id[f"worker-{index}"]
+        run = start_run(first_task(context.job, index), worker)
+        run.percent = 100
+
+
+@when('"{case}" and all hosts are due for maintenance')
+def plan_all(context, case):
+    tables = context.tables
+    workers = tables.workers_by_id
+    other = next(iter(workers["worker-1"].runs_by_key.values()))
+    if case == "one is starting":
+        other.percent = 10
+    elif case == "one is on a silent worker":
+        workers["worker-1"].silent_since = NOW - 1
+    elif case == "one waits":
+        workers["worker-1"].runs_by_key.clear()
+        other.task.runs_by_number.clear()
+    elif case == "no other worker has room":
+        for worker in workers.values():
+            worker.trusted_after = NOW + 10
+    fleet = create_fleet(tables)
+    wave = Wave(number=1, hosts=tuple(fleet.hosts_by_name), most_at_once=9)
+    row = WaveRow(wave, NOW - 100, is_running_reported=True)
+    fleet.waves_by_number[1] = row
+    settings = check_node_settings(
+        {"NODE_NAME": "n", "NODE_DATA_CENTRE": "z"}
+    ).unwrap()
+    context.commands = plan_hosts(tables, fleet, settings, NOW)
+
+
+@then("{stops:d} of its tasks are stopped in one tick")
+def check_stops(context, stops):
+    found = [c for c in context.commands if isinstance(c, StopRun)]
+    assert len(found) == stops, context.commands
+
+
+SILENCES = {
+    "nobody hears it for 2 s": ([2.0, 2.1, 2.0, 1.9, 2.0], 2.0, 5),
+    "one of five hears it": ([2.0, 0.1, 2.0, 1.9, 2.0], 2.0, 5),
+    "most others do not answer": ([2.0, None, None, None, None], 2.0, 5),
+    "this node hears it": ([2.0, 2.1, 2.0, 1.9, 2.0], 0.2, 5),
+    "there is no other node": ([], 2.0, 0),
+    "half of the others answer that it is lost": ([2.0, 2.0, 2.0, None, None], 2.0, 5),
+}
+
+
+@then('a leader with "{case}" is replaced: "{replaced}"')
+def check_replaced(context, case, replaced):
+    assert is_lost(*SILENCES[case]) == (replaced == "yes"), case
+
+
+WORDS = {
+    "a fresh store": [(NOW - 0.2, 0.1)],
+    "a silent store": [(NOW - 0.2, 3.0)],
+    "an old word": [(NOW - 3.0, 0.1)],
+    "no word": [],
+}
+
+
+@then(
+    'a leader hands over after {silent:g} s when others have "{others}": "{handed}"'
+)
+def check_hand_over(context, silent, others, handed):
+    assert should_hand_over(silent, WORDS[others], NOW) == (handed == "yes")
+
+
+@when(
+    "{jobs:d} jobs of mixed sizes arrive within {seconds:d} seconds at 4 workers, "
+    "seed {seed:d}"
+)
+def play_load(context, jobs, seconds, seed):
+    context.load = (jobs, seconds, seed)
+    context.by_worth = play_overload("worth", *context.load)
+
+
+@then('ordering by worth keeps at least as much worth as "{policy}"')
+def check_worth(context, policy):
+    other = play_overload(policy, *context.load)
+    assert context.by_worth.worth >= other.worth, (context.by_worth, other)
--- /dev/null
+++ b/features/support/work_loads.py
@@ -0,0 +1,126 @@
+"""Replays of overloads against the placement system, without sockets."""
+
+import random
+from dataclasses import dataclass
+
+from features.support.work_tables import (
+    NOW,
+    NOW_UNIX,
+    add_simple_job,
+    create_tables,
+    show_view,
+)
+from sassafrasgrade.systems import task_placement
+from sassafrasgrade.systems.lengths import LearnedLengths
+from sassafrasgrade.works import RunState
+
+TICK_S = 0.05
+PLAY_S = 20.0
+WORKERS = 4
+LATE_PART = 0.07
+LATE_FACTOR = 3.0
+
+
+@dataclass
+class Overload:
+    """What an overload kept.
+
+    Attributes:
+        worth: Sum of worth earned.
+    """
+
+    worth: float = 0.0
+
+
+def _rank_by_arrival(tables, job, lengths, now_unix):
+    return (job.accepted_at, job.job_id)
+
+
+def _rank_by_slack(tables, job, lengths, now_unix):
+    queue = tables.queues_by_name[job.queue_name]
+    due_at = task_placement.due_time(job, queue, lengths)
+    slack_s = due_at - now_unix - lengths.chain_left_s(job)
+    return (slack_s < 0, slack_s, job.job_id)
+
+
+RANKS = {
+    "worth": task_placement.rank_job,
+    "arrival": _rank_by_arrival,
+    "least slack": _rank_by_slack,
+}
+
+
+def play_overload(policy, jobs, seconds, seed):
+    """Plays a burst of jobs through two workers under an order of jobs."""
+    original = task_placement.rank_job
+    task_placement.rank_job = RANKS[policy]
+    try:
+        return _play(jobs, seconds, seed)
+    finally:
+        task_placement.rank_job = original
+
+
+def _play(jobs, seconds, seed):
+    rng = random.Random(seed)
+    tables = create_tables(workers=WORKERS)
+    lengths = LearnedLengths()
+    arrivals = sorted(rng.uniform(0, seconds) for _ in range(jobs))
+    ends_by_run = {}
+    done_at = {}
+    clock = 0.0
+    while clock < PLAY_S:
+        now, now_unix = NOW + clock, NOW_UNIX + clock
+        while arrivals and arrivals[0] <= clock:
+            arrivals.pop(0)
+            job = add_simple_job(
+                tables,
+                f"{rng.getrandbits(64):016x}",
+                now_unix,
+                count=rng.choice([2, 4, 6, 8, 12, 16]),
+                cpu_millis=rng.choice([1000, 2000, 3000]),
+                estimate_ms=rng.choice([300, 600, 1000]),
+            )
+            lengths.note_job(job)
+        _end_runs(tables, ends_by_run, now)
+        for job in tables.jobs_by_id.values():
+            if not job.is_open and job.job_id not in done_at:
+                done_at[job.job_id] = now_unix
+        commands = task_placement.place_tasks(tables, "pool-1", lengths, now, now_unix)
+        for command in commands:
+            run = command.run
+            run.state = RunState.RUNNING
+            run.answered_at = now
+            ends_by_run[run] = now + run.task.step.estimate_ms / 1000
+        clock += TICK_S
+    return _reckon(tables, lengths, done_at)
+
+
+def _end_runs(tables, ends_by_run, now):
+    for worker in tables.workers_by_id.values():
+        ended, running = [], []
+        number = worker.seen_end
+        for run in worker.runs_by_key.values():
+            if ends_by_run[run] <= now:
+                number += 1
+                ended.append((number, run.task.name, run.number, "done"))
+            else:
+                running.append((run.task.name, run.number))
+        show_view(tables, worker, now, running=running, ended=ended)
+
+
+def _reckon(tables, lengths, done_at):
+    result = Overload()
+    works = {j.job_id: lengths.work(j, False) for j in tables.jobs_by_id.values()}
+    mean = sum(works.values()) / len(works)
+    for job in tables.jobs_by_id.values():
+        queue = tables.queues_by_name[job.queue_name]
+        allowed_s = task_placement.due_time(job, queue, lengths) - job.accepted_at
+        took_s = done_at.get(job.job_id, float("inf")) - job.accepted_at
+        part = 0.0
+        if took_s <= allowed_s:
+            part = 1.0
+        elif took_s <= LATE_FACTOR * allowed_s:
+            part = LATE_PART
+        work = works[job.job_id]
+        result.worth += part * (0.3 + 0.7 * work / mean)
+    return result
--- a/sassafrasgrade/host_keepers.py
+++ b/sassafrasgrade/host_keepers.py
@@ -74,6 +74,7 @@
             if not self._dispatcher.is_informed:
                 wait_s += HOST_ORDERS_S
             self._orders_after = self._timers.now() + wait_s
+            self._last_order_at = self._timers.now()
 
     def close(self):
         """Gives no more orders."""
--- a/sassafrasgrade/platform/calls.py
+++ b/sassafrasgrade/platform/calls.py
@@ -9,14 +9,29 @@
 HTTP_OK = 200
 
 
+class SentMark:
+    """Notes whether curl has begun to send a request.
+
+    curl repeats a request by itself on a new connection when a kept one turns
+    out to be dead; its error then tells only of the last try.
+    """
+
+    def __init__(self):
+        self.was_sent = False
+
+    def prepare(self, curl):
+        """Prepares a curl handle."""
+        prepare_orders(curl)
+        curl.setopt(pycurl.PREREQFUNCTION, self._note)
+
+    def _note(self, *addresses):
+        self.was_sent = True
+        return pycurl.PREREQFUNC_OK
+
+
 def was_never_sent(response):
-    """Whether a call failed before a connection stood, so that nothing was sent."""
-    error = response.error
-    code = getattr(error, "errno", None)
-    if code == pycurl.E_COULDNT_CONNECT:
-        return True
-    text = str(getattr(error, "message", ""))
-    return code == pycurl.E_OPERATION_TIMEDOUT and text.startswith("Connection time")
+    """Whether a call failed before any of it was sent."""
+    return response.error is not None and not response.was_sent
 
 
 class JsonCaller:
@@ -32,10 +47,14 @@
         self._address = address
 
     async def fetch(self, method, path, body=None, timeout_s=1.0, headers=None):
-        """Sends one call; transport failures give a response with ``error``."""
+        """Sends one call; transport failures give a response with ``error``.
+
+        The response also tells by ``was_sent`` whether sending had begun.
+        """
         all_headers = {"Content-Type": "application/json", "Expect": ""}
         if headers:
             all_headers |= headers
+        mark = SentMark()
         request = HTTPRequest(
             f"http://{self._address}{path}",
             method=method,
@@ -46,6 +65,8 @@
             follow_redirects=False,
             allow_nonstandard_methods=True,
             decompress_response=False,
-            prepare_curl_callback=prepare_orders,
+            prepare_curl_callback=mark.prepare,
         )
-        return await fetch_response(self._http, request)
+        response = await fetch_response(self._http, request)
+        response.was_sent = mark.was_sent
+        return response
--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass, field
 
-from sassafrasgrade.fleet_hosts import STATE_UP, FleetHosts, HostRow, WaveRow
+from sassafrasgrade.fleet_hosts import STATE_UP, STATE_UPKEEP, FleetHosts, HostRow, WaveRow
 from sassafrasgrade.systems.run_views import AT_WORK_PERCENT
 from sassafrasgrade.systems.task_placement import choose_room, is_usable, room_of
 from sassafrasgrade.work_commands import (
@@ -159,7 +159,7 @@
     for name in row.left:
         if name not in fleet.hosts_by_name and fleet.listed_at > row.seen_at:
             row.done.add(name)
-    down = [n for n, until in row.down_until_by_host.items() if until > now]
+    down = _hosts_down(fleet, row, now)
     if not row.left:
         return [] if down else [ReportWave(row.wave.number, True)]
     slots = row.wave.most_at_once - len(down)
@@ -177,6 +177,19 @@
     return commands
 
 
+def _hosts_down(fleet, row, now):
+    """Returns hosts of a wave that are down, by own orders or by the list.
+
+    The list also shows what the leader before ordered.
+    """
+    down = {name for name, until in row.down_until_by_host.items() if until > now}
+    for name in row.wave.hosts:
+        host = fleet.hosts_by_name.get(name)
+        if host is not None and host.state == STATE_UPKEEP:
+            down.add(name)
+    return down
+
+
 def _wave_rank(tables, host):
     worker = worker_of(tables, host)
     runs = len(worker.runs_by_key) if worker is not None else 0
@@ -218,7 +231,7 @@
 def evacuate_worker(tables, worker, commands, now):
     """Adds stops of lasting tasks on a worker that their budgets allow."""
     for run in list(worker.runs_by_key.values()):
-        if run.state is not RunState.RUNNING or not run.task.step.is_perpetual:
+        if not run.task.step.is_perpetual or not _is_at_work(tables, run, now):
             continue
         if may_stop(tables, run.task, commands, now) and _has_room_elsewhere(
             tables, worker, run.task, now
@@ -438,4 +451,3 @@
     if not step.is_filler:
         cpu += count * step.cpu_millis
     demands[pool] = (cpu, memory + count * step.memory_mb)
-
--- a/sassafrasgrade/timers.py
+++ b/sassafrasgrade/timers.py
@@ -1,6 +1,7 @@
 """Timer service that parts of a process subscribe to."""
 
 import time
+from datetime import timedelta
 
 from tornado.ioloop import PeriodicCallback
 
@@ -21,6 +22,10 @@
         """Returns seconds since the epoch."""
         return time.time()
 
+    def delta(self, seconds):
+        """Returns a time span, for time-outs of tornado."""
+        return timedelta(seconds=seconds)
+
     def subscribe(self, period_s, callback):
         """Calls ``callback(now)`` every ``period_s`` seconds until ``stop``."""
         periodic = PeriodicCallback(
--- /dev/null
+++ b/sassafrasgrade/tools/standins/fleet_handlers.py
@@ -0,0 +1,286 @@
+"""HTTP side of stand-in workers and of the stand-in host service."""
+
+import base64
+import json
+import time
+
+from tornado import gen
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from sassafrasgrade.platform import names
+from sassafrasgrade.tools.standins.worker_states import WorkerState
+
+TICK_S = 0.02
+BEAT_S = 0.5
+MOVE_S = 0.4
+CAPACITY_CPU_MILLIS = 16_000
+CAPACITY_MEMORY_MB = 65_536
+
+
+class StandInWorker:
+    """A worker: its state, its server, and its registration.
+
+    Args:
+        fleet: The ``StandInFleet``.
+        host_name: Host that runs it.
+        pool: Pool that it joins.
+        port: TCP port.
+    """
+
+    def __init__(self, fleet, host_name, pool, port):
+        self.fleet = fleet
+        self.host_name = host_name
+        self.address = f"{fleet.address}:{port}"
+        worker_id = f"i-{host_name}-{fleet.next_life()}"
+        self.state = WorkerState(
+            worker_id,
+            pool,
+            CAPACITY_CPU_MILLIS,
+            int(time.time() * 1000),
+            fleet.history,
+        )
+        self.is_dark = False
+        self.is_draining = False
+        fields = {"worker": self}
+        application = Application(
+            [
+                (names.RUN_START_PATH, StartHandler, fields),
+                (names.RUN_STOP_PATH, StopHandler, fields),
+                (names.HOLD_PATH, HoldHandler, fields),
+            ]
+        )
+        self._server = HTTPServer(application)
+        self._server.listen(port, fleet.address)
+
+    @property
+    def worker_id(self):
+        """Identifier of this life."""
+        return self.state.worker_id
+
+    def close(self, now):
+        """Ends this life and its server."""
+        self.state.die(now)
+        self._server.stop()
+        self.is_dark = True
+
+    def entry(self):
+        """Returns its registration as it lies in the store."""
+        value = {
+            "service": self.state.pool,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": names.WORKER_DRAINING if self.is_draining else names.WORKER_READY,
+            "warmupLeftMs": 0,
+            "capacity": {
+                "cpu": CAPACITY_CPU_MILLIS,
+                "memMb": CAPACITY_MEMORY_MB,
+                "gpu": 0,
+            },
+            "labels": ["a", "r1"],
+            "machine": self.host_name,
+            "born": self.state.born_ms,
+            "sequence": 1,
+        }
+        return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+class StandInFleet:
+    """Workers and hosts beside a ``StoreServer``.
+
+    Args:
+        store: ``StoreServer``.
+        timers: Timer service.
+        address: IP address that workers listen on.
+        ports: Iterator of free TCP ports.
+    """
+
+    def __init__(self, store, timers, address, ports):
+        self.store = store
+        self.timers = timers
+        self.address = address
+        self.history = []
+        self.workers_by_host = {}
+        self.pools_by_host = {}
+        self.host_orders = []
+        self._ports = ports
+        self._lives = 0
+        timers.subscribe(TICK_S, self._tick)
+
+    def next_life(self):
+        """Returns a number that no worker had."""
+        self._lives += 1
+        return self._lives
+
+    def add_host(self, host_name, pool, is_standby=False):
+        """Adds a host; one in a standby pool runs no worker."""
+        self.pools_by_host[host_name] = pool
+        if not is_standby:
+            self._start_worker(host_name, pool)
+
+    def _start_worker(self, host_name, pool):
+        worker = StandInWorker(self, host_name, pool, next(self._ports))
+        self.workers_by_host[host_name] = worker
+        self.register(worker)
+
+    def register(self, worker):
+        """Writes a worker's registration."""
+        key = names.WORKERS_PREFIX + worker.worker_id
+        self.store.state.commit([], [{"key": key, "value": worker.entry()}], [])
+        self.store.notify()
+
+    def crash(self, host_name, is_listed=False):
+        """Ends a host's worker; its entry stays if ``is_listed``."""
+        worker = self.workers_by_host.pop(host_name)
+        worker.close(self.timers.now())
+        if not is_listed:
+            key = names.WORKERS_PREFIX + worker.worker_id
+            self.store.state.commit([], [], [key])
+            self.store.notify()
+
+    async def order(self, host_name, pool, kind, is_standby):
+        """Carries out a move or maintenance of a host."""
+        self.host_orders.append((self.timers.now(), kind, host_name, pool))
+        if host_name in self.workers_by_host:
+            self.crash(host_name)
+        self.pools_by_host[host_name] = pool
+        if not is_standby:
+            await gen.sleep(MOVE_S)
+            if self.pools_by_host[host_name] == pool:
+                self._start_worker(host_name, pool)
+
+    def _tick(self, now):
+        for worker in self.workers_by_host.values():
+            worker.state.tick(now)
+
+
+class WorkerHandler(RequestHandler):
+    """Base of a worker's handlers: silence and wrong incarnations."""
+
+    def initialize(self, worker):
+        """Takes the worker."""
+        self.worker = worker
+
+    async def prepare(self):
+        """Swallows the call while the worker is dark."""
+        while self.worker.is_dark:
+            await gen.sleep(0.1)
+            if self.request.connection.stream.closed():
+                self._finished = True
+                return
+        expected = self.request.headers.get(names.EXPECT_INSTANCE_HEADER)
+        if expected not in (None, self.worker.worker_id):
+            self.set_status(421)
+            self.finish({})
+
+    def body(self):
+        """Returns the JSON body."""
+        return json.loads(self.request.body)
+
+    def answer(self, result):
+        """Answers (status, body)."""
+        self.set_status(result[0])
+        self.finish(result[1])
+
+    def now(self):
+        """Returns the worker's clock in seconds."""
+        return self.worker.fleet.timers.now()
+
+
+class StartHandler(WorkerHandler):
+    """Starts a run."""
+
+    def post(self):
+        """Answers whether it started."""
+        self.answer(self.worker.state.start(self.body(), self.now()))
+
+
+class StopHandler(WorkerHandler):
+    """Stops a run."""
+
+    def post(self):
+        """Answers at once; the end is listed later."""
+        self.answer(self.worker.state.stop(self.body(), self.now()))
+
+
+class HoldHandler(WorkerHandler):
+    """Renews leases and lists runs."""
+
+    async def post(self):
+        """Answers when a run ended, or after the wait."""
+        body, state = self.body(), self.worker.state
+        rejected = state.hold(body, self.now())
+        if rejected is not None:
+            self.answer(rejected)
+            return
+        give_up_at = self.now() + body.get("waitMs", 0) / 1000
+        while not state.ended and self.now() < give_up_at:
+            await gen.sleep(TICK_S)
+        if not self.worker.is_dark:
+            self.answer((200, state.view(self.now())))
+
+
+class MachinesHandler(RequestHandler):
+    """Lists hosts."""
+
+    def initialize(self, fleet, standby):
+        """Takes the fleet and the name of its standby pool."""
+        self.fleet = fleet
+
+    def get(self):
+        """Answers one page."""
+        rows = []
+        for name, pool in sorted(self.fleet.pools_by_host.items()):
+            worker = self.fleet.workers_by_host.get(name)
+            rows.append(
+                {
+                    "machine": name,
+                    "pool": pool,
+                    "state": "up",
+                    "zone": "z1",
+                    "labels": ["a", "r1"],
+                    "capacity": {
+                        "cpu": CAPACITY_CPU_MILLIS,
+                        "memMb": CAPACITY_MEMORY_MB,
+                        "gpu": 0,
+                    },
+                    "id": worker.worker_id if worker is not None else None,
+                }
+            )
+        self.finish({"machines": rows, "nextToken": None})
+
+
+class HostOrderHandler(RequestHandler):
+    """Moves or maintains a host."""
+
+    def initialize(self, fleet, standby):
+        """Takes the fleet and the name of its standby pool."""
+        self.fleet = fleet
+        self.standby = standby
+
+    async def post(self):
+        """Answers at once and carries the order out."""
+        body = json.loads(self.request.body)
+        name = body["machine"]
+        if name not in self.fleet.pools_by_host:
+            self.set_status(400)
+            self.finish({"error": "no such host"})
+            return
+        pool = body.get("pool") or self.fleet.pools_by_host[name]
+        kind = "move" if "pool" in body else "upkeep"
+        self.finish({})
+        await self.fleet.order(name, pool, kind, pool == self.standby)
+
+
+def cloud_application(fleet, standby):
+    """Returns the application of the host service."""
+    fields = {"fleet": fleet, "standby": standby}
+    return Application(
+        [
+            (names.MACHINES_PATH, MachinesHandler, fields),
+            (names.MACHINE_MOVE_PATH, HostOrderHandler, fields),
+            (names.MACHINE_UPKEEP_PATH, HostOrderHandler, fields),
+        ]
+    )
