--- /dev/null
+++ b/sassafrasgrade/advice_desks.py
@@ -0,0 +1,92 @@
+"""Asks the advice service, one call at a time, for steps that wait."""
+
+import logging
+
+from returns.result import Failure
+from tornado import gen
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.platform.clouds import AdviceClient
+from sassafrasgrade.systems.task_placement import is_usable
+from sassafrasgrade.works import MS_PER_S
+
+logger = logging.getLogger(__name__)
+
+# Time allowed beyond what the queue says that an answer takes, in seconds.
+ANSWER_MARGIN_S = 1.0
+# Pause after a call that failed, in seconds.
+RETRY_S = 0.2
+
+
+class AdviceDesk:
+    """Part of the leader that gets tickets.
+
+    Args:
+        services: ``NodeServices``.
+        dispatcher: The ``Dispatcher``.
+    """
+
+    def __init__(self, services, dispatcher):
+        self._dispatcher = dispatcher
+        self._timers = services.timers
+        self._is_running = False
+        self._client = None
+        if services.settings.advice_address:
+            self._client = AdviceClient(services.http, services.settings.advice_address)
+
+    def wake(self):
+        """Starts asking if any step waits."""
+        waits = self._dispatcher.tables.tickets.wanted
+        if waits and not self._is_running and self._client is not None:
+            self._is_running = True
+            IOLoop.current().add_callback(self._run)
+
+    async def _run(self):
+        tickets = self._dispatcher.tables.tickets
+        try:
+            while tickets.wanted and self._dispatcher.has_authority():
+                await self._ask(tickets.wanted.popleft())
+        finally:
+            self._is_running = False
+
+    async def _ask(self, step_key):
+        tables = self._dispatcher.tables
+        job = tables.open_jobs_by_id.get(step_key.partition(".")[0])
+        if job is None:
+            return
+        queue = tables.queues_by_name[job.queue_name]
+        now = self._timers.now()
+        workers = [
+            worker
+            for worker in tables.workers_by_id.values()
+            if worker.pool == queue.pool and is_usable(worker, now)
+        ]
+        workers.sort(key=lambda worker: len(worker.runs_by_key))
+        asked = tables.tickets.workers_to_ask(
+            step_key, [worker.worker_id for worker in workers], now
+        )
+        if not asked or queue.advice is None:
+            return
+        advice = queue.advice
+        takes_s = (advice.decide_ms + advice.each_ms * len(asked)) / MS_PER_S
+        result = await self._client.advise(step_key, asked, takes_s + ANSWER_MARGIN_S)
+        if isinstance(result, Failure):
+            logger.warning(
+                "no advice", extra={"step": step_key, "error": str(result.failure())}
+            )
+            await gen.sleep(RETRY_S)
+            return
+        reply = result.unwrap()
+        valid_s = (reply.valid_ms or advice.valid_ms) / MS_PER_S
+        tables.tickets.note(step_key, asked, reply.good, valid_s, self._timers.now())
+        logger.info(
+            "advice",
+            extra={
+                "job": job.job_id,
+                "step": step_key,
+                "asked": len(asked),
+                "good": len(reply.good),
+                "valid_s": valid_s,
+            },
+        )
+        self._dispatcher.place_soon()
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -7,6 +7,7 @@
 import msgspec
 from tornado.ioloop import IOLoop
 
+from sassafrasgrade.advice_desks import AdviceDesk
 from sassafrasgrade.directories import PrefixFollower
 from sassafrasgrade.host_keepers import HostKeeper
 from sassafrasgrade.job_records import (
@@ -29,6 +30,8 @@
 from sassafrasgrade.platform.workers import OrderOutcome
 from sassafrasgrade.progress_writers import ProgressWriter
 from sassafrasgrade.systems.lengths import LearnedLengths
+from sassafrasgrade.systems.occurrences import create_due, forget_done
+from sassafrasgrade.systems.pacing import pace_fillers
 from sassafrasgrade.systems.run_views import (
     adopt_handed_runs,
     apply_view,
@@ -40,7 +43,12 @@
     restart_worker,
     unheard_workers,
 )
-from sassafrasgrade.systems.task_placement import is_usable, place_tasks
+from sassafrasgrade.systems.run_watch import copy_late_runs, stop_stalled
+from sassafrasgrade.systems.task_placement import (
+    is_usable,
+    place_tasks,
+    step_key_of,
+)
 from sassafrasgrade.work_commands import (
     MaintainHost,
     MoveHost,
@@ -138,6 +146,7 @@
             name="jobs",
         )
         self._hosts = HostKeeper(services, self)
+        self._advice = AdviceDesk(services, self)
 
     def lose_worker(self, worker):
         """Forgets a worker that an order has ended."""
@@ -145,6 +154,10 @@
         self._sync_sessions()
         self.place_soon()
 
+    def has_authority(self):
+        """Whether orders may be given."""
+        return not self._is_closed and self._leadership.has_authority()
+
     def has_host_authority(self):
         """Whether hosts may be ordered."""
         return not self._is_closed and self._leadership.has_host_authority()
@@ -297,6 +310,8 @@
             self.note_fenced(worker)
         elif reply.outcome is OrderOutcome.WRONG_INSTANCE and worker is not None:
             self.note_gone(worker)
+        elif reply.outcome is OrderOutcome.BAD_TICKET:
+            self.tables.tickets.drop(step_key_of(task), run.worker_id)
         elif worker is not None:
             worker.trusted_after = now + REFUSED_PAUSE_S
             if reply.outcome is OrderOutcome.UNHEALTHY:
@@ -555,14 +570,21 @@
         now = self.timers.now()
         for pool in self.tables.pools_by_name:
             commands = place_tasks(self.tables, pool, self.lengths, now, time.time())
+            commands += copy_late_runs(self.tables, pool, self.lengths, now)
             self._carry_out_all(commands)
         if self.tables.dirty_job_ids:
             self._writer.schedule(False)
+        self._advice.wake()
 
     def _tick(self, now):
         if self._is_closed or not self.is_loaded:
             return
         decay_trust(self.tables, TICK_S)
+        forget_done(self.tables)
+        self._carry_out_all(create_due(self.tables, time.time()))
+        if self._leadership.has_authority():
+            self._carry_out_all(stop_stalled(self.tables, self.lengths, now))
+            self._carry_out_all(pace_fillers(self.tables, now))
         self._carry_out_all(expire_leases(self.tables, now))
         self._repeat_stops(now)
         self._drop_missing(now)
--- a/sassafrasgrade/fleet_hosts.py
+++ b/sassafrasgrade/fleet_hosts.py
@@ -55,6 +55,7 @@
         down_until_by_host: Clock until which a host is down for it.
         is_reported: Whether its completion is stored.
         is_running_reported: Whether its begin is stored.
+        revision: Store revision of its progress; 0 for none.
     """
 
     wave: Wave
@@ -63,6 +64,7 @@
     down_until_by_host: dict[str, float] = field(default_factory=dict)
     is_reported: bool = False
     is_running_reported: bool = False
+    revision: int = 0
 
     @property
     def left(self):
--- a/sassafrasgrade/host_keepers.py
+++ b/sassafrasgrade/host_keepers.py
@@ -1,12 +1,14 @@
 """Gives the planner's orders on hosts and keeps their table up to date."""
 
 import logging
+import time
 from functools import singledispatchmethod
 
 import msgspec
 from returns.result import Failure
 from tornado.ioloop import IOLoop
 
+from sassafrasgrade.errors import RevisionConflict
 from sassafrasgrade.fleet_hosts import FleetHosts, WaveRow
 from sassafrasgrade.leaderships import HOST_ORDERS_S, LEADER_KEY
 from sassafrasgrade.platform import names
@@ -22,6 +24,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Progress of waves for successors.
+WAVES_PREFIX = "own/waves/"
+
 # Longest wait for the host service, in seconds.
 CLOUD_TIMEOUT_S = 1.0
 # Age of the list of hosts after which it is read again, while orders are under
@@ -38,6 +43,13 @@
 _waves = msgspec.json.Decoder(Wave)
 
 
+class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
+    """Unix time at which a wave was first seen, and whether it is completed."""
+
+    began_at: float
+    is_completed: bool
+
+
 class HostKeeper:
     """Part of the leader that moves and maintains hosts.
 
@@ -66,9 +78,11 @@
         self._list_after = 0.0
         self._reporting = set()
         self._is_closed = False
+        self._has_waves = False
 
     def start(self):
         """Starts; a successor waits until the holder before has surely ended."""
+        IOLoop.current().add_callback(self._load_waves)
         if self._dispatcher.tables.epoch > 1:
             wait_s = CLOUD_TIMEOUT_S + ORDERS_MARGIN_S
             if not self._dispatcher.is_informed:
@@ -76,6 +90,28 @@
             self._orders_after = self._timers.now() + wait_s
             self._last_order_at = self._timers.now()
 
+    async def _load_waves(self):
+        """Reads what leaders before stored of the waves."""
+        result = await self._services.store.read_range(WAVES_PREFIX)
+        if self._is_closed:
+            return
+        if isinstance(result, Failure):
+            logger.warning("waves not read", extra={"error": result.failure().kind})
+            IOLoop.current().call_later(LIST_RETRY_S, self._load_waves)
+            return
+        items, _ = result.unwrap()
+        for item in items:
+            row = self.fleet.waves_by_number.get(
+                int(item.key.removeprefix(WAVES_PREFIX))
+            )
+            if row is not None:
+                record = msgspec.msgpack.decode(item.value, type=WaveProgress)
+                row.seen_at = self._timers.now() - (time.time() - record.began_at)
+                row.is_running_reported = True
+                row.is_reported = record.is_completed
+                row.revision = item.revision
+        self._has_waves = True
+
     def close(self):
         """Gives no more orders."""
         self._is_closed = True
@@ -112,7 +148,7 @@
         if self._cloud is None:
             return []
         self._list_if_old(now)
-        if now < self._orders_after or not self._dispatcher.has_host_authority():
+        if not self._has_waves or now < self._orders_after or not self._dispatcher.has_host_authority():
             return []
         return plan_hosts(self._dispatcher.tables, self.fleet, self._settings, now)
 
@@ -231,13 +267,21 @@
         row = self.fleet.waves_by_number[command.wave]
         state = names.WAVE_COMPLETED if command.is_completed else names.WAVE_RUNNING
         value = msgspec.json.encode({"wave": command.wave, "state": state})
-        put = Put(f"{names.WAVE_STATUS_PREFIX}{command.wave}", value)
-        conditions = [(LEADER_KEY, self._dispatcher.token)]
-        result = await self._services.store.commit(conditions, [put])
+        puts = [Put(f"{names.WAVE_STATUS_PREFIX}{command.wave}", value)]
+        key = f"{WAVES_PREFIX}{command.wave}"
+        began_at = time.time() - (self._timers.now() - row.seen_at)
+        record = WaveProgress(began_at, command.is_completed)
+        puts.append(Put(key, msgspec.msgpack.encode(record)))
+        # The revision keeps a late write from undoing a newer one.
+        conditions = [(LEADER_KEY, self._dispatcher.token), (key, row.revision)]
+        result = await self._services.store.commit(conditions, puts)
         self._reporting.discard(command.wave)
         if isinstance(result, Failure):
             logger.warning("wave not reported", extra={"error": result.failure().kind})
+            if isinstance(result.failure(), RevisionConflict):
+                await self._load_waves()
             return
+        row.revision = result.unwrap()
         row.is_running_reported = True
         row.is_reported = command.is_completed
         logger.info("wave reported", extra={"wave": command.wave, "state": state})
--- /dev/null
+++ b/sassafrasgrade/systems/occurrences.py
@@ -0,0 +1,43 @@
+"""Creates the occurrences of scheduled jobs when they are due."""
+
+from sassafrasgrade.job_records import add_occurrence
+from sassafrasgrade.work_commands import Note
+from sassafrasgrade.works import MS_PER_S
+
+
+def due_at(request, number):
+    """Returns the Unix time at which an occurrence is due, in seconds."""
+    return (request.first_ms + number * request.interval_ms) / MS_PER_S
+
+
+def create_due(tables, now_unix):
+    """Creates all occurrences that are due; returns notes for the log."""
+    notes = []
+    for job in tables.open_jobs_by_id.values():
+        request = job.request
+        if request.repeats <= 0:
+            continue
+        while (
+            job.next_occurrence < request.repeats
+            and due_at(request, job.next_occurrence) <= now_unix
+        ):
+            number = job.next_occurrence
+            job.next_occurrence += 1
+            if number in job.done_occurrences or number in job.occurrences:
+                continue
+            add_occurrence(tables, job, number)
+            notes.append(
+                Note("occurrence-due", {"job": job.job_id, "occurrence": number})
+            )
+    return notes
+
+
+def forget_done(tables):
+    """Drops the tasks of occurrences that are done."""
+    for job in tables.open_jobs_by_id.values():
+        if job.request.repeats <= 0:
+            continue
+        for number in job.done_occurrences & job.occurrences.keys():
+            for row in job.occurrences.pop(number).steps:
+                for task in row.tasks:
+                    tables.tasks_by_name.pop(task.name, None)
--- /dev/null
+++ b/sassafrasgrade/systems/run_watch.py
@@ -0,0 +1,118 @@
+"""Finds runs that stand still or crawl, and moves or copies their tasks.
+
+Load pattern: some workers look healthy while what they start stands still or
+takes many times as long.
+"""
+
+from sassafrasgrade.systems.task_placement import (
+    choose_room,
+    create_run,
+    is_usable,
+    room_of,
+)
+from sassafrasgrade.work_commands import StartRun, StopRun
+from sassafrasgrade.works import RunState
+
+# Time without progress after which a run counts as standing still: the longest
+# hold, and some more, in seconds.
+STALL_S = 2.2
+# Part of a run's expected time that one percent of progress may take at most.
+STALL_PART = 0.05
+# A run is restarted elsewhere if what is left of it takes this many times the
+# whole task on another worker, and a time besides, in seconds.
+CRAWL_FACTOR = 2.0
+CRAWL_S = 1.0
+# Time that a lasting task may take to be at work before it is moved, seconds.
+START_UP_S = 4.0
+# Age of a worker's answer up to which its progress is judged, in seconds.
+FRESH_S = 1.6
+# Part of the expected time after which an idle place gets a copy of a run.
+COPY_AFTER = 1.5
+# Copies beside the first run of a task.
+MOST_COPIES = 1
+
+
+def stop_stalled(tables, lengths, now):
+    """Stops runs that stand still or crawl; their tasks start elsewhere."""
+    commands = []
+    for worker in tables.workers_by_id.values():
+        if worker.silent_since or now - worker.last_answer_at > FRESH_S:
+            continue
+        for run in worker.runs_by_key.values():
+            if run.state is not RunState.RUNNING or run.stopped_at:
+                continue
+            reason = _stall_reason(run, lengths, now)
+            if reason and _has_alternative(tables, worker, run.task, now):
+                worker.failures += 1
+                run.task.shunned.add(worker.worker_id)
+                commands.append(StopRun(run, reason))
+    return commands
+
+
+def _stall_reason(run, lengths, now):
+    """Returns why a run is to be moved, or an empty text."""
+    step = run.task.step
+    age_s = now - run.answered_at
+    if step.is_perpetual:
+        return "not at work" if not run.at_work_at and age_s > START_UP_S else ""
+    if step.is_filler or run.pace < 100:
+        return ""
+    expected_s = lengths.task_s(run.task.job.queue_name, step)
+    if now - run.changed_at > max(STALL_S, STALL_PART * expected_s):
+        return "stands still"
+    if run.percent > 0 and age_s > expected_s:
+        left_s = age_s * (100 - run.percent) / run.percent
+        if left_s > CRAWL_FACTOR * expected_s + CRAWL_S:
+            return "crawls"
+    return ""
+
+
+def _has_alternative(tables, worker, task, now):
+    rooms = [
+        room_of(other)
+        for other in tables.workers_by_id.values()
+        if other.pool == worker.pool and other is not worker and is_usable(other, now)
+    ]
+    return choose_room(task, rooms) is not None
+
+
+def copy_late_runs(tables, pool_name, lengths, now):
+    """Starts copies of late runs of speculative steps where room is left."""
+    rooms = None
+    commands = []
+    for job in tables.open_jobs_by_id.values():
+        if not any(step.is_speculative for step in job.request.steps):
+            continue
+        if tables.pool_of(job) != pool_name:
+            continue
+        for task in _late_tasks(job, lengths, now):
+            if rooms is None:
+                rooms = [
+                    room_of(worker)
+                    for worker in tables.workers_by_id.values()
+                    if worker.pool == pool_name and is_usable(worker, now)
+                ]
+            taken = {run.worker_id for run in task.runs_by_number.values()}
+            free = [room for room in rooms if room.worker.worker_id not in taken]
+            room = choose_room(task, free)
+            if room is None:
+                continue
+            room.take(task.step)
+            run = create_run(task, room.worker, task.last_number + 1, now)
+            commands.append(StartRun(run))
+    return commands
+
+
+def _late_tasks(job, lengths, now):
+    for occurrence in job.occurrences.values():
+        for row in occurrence.steps:
+            if not row.step.is_speculative or not row.left or row.step.is_gang:
+                continue
+            expected_s = lengths.task_s(job.queue_name, row.step)
+            for task in row.tasks:
+                runs = task.runs_by_number.values()
+                if task.is_done or not runs or len(runs) > MOST_COPIES:
+                    continue
+                oldest = min(run.started_at for run in runs)
+                if now - oldest > COPY_AFTER * expected_s:
+                    yield task
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -111,11 +111,33 @@
         return []
     commands = []
     for job in order_jobs(tables, pool_name, lengths, now_unix):
-        for group in _startable_groups(job, now, now_unix):
-            commands += _place_group(tables, group, rooms, now)
+        queue = tables.queues_by_name[job.queue_name]
+        for group in _startable_groups(job, now):
+            usable = rooms
+            if queue.advice is not None:
+                usable = _rooms_with_ticket(tables, group[0], rooms, now)
+            commands += _place_group(tables, group, usable, now)
     return commands
 
 
+def step_key_of(task):
+    """Returns the name of a task's step: ``job.occurrence.step``."""
+    return task.name.rpartition(".")[0]
+
+
+def _rooms_with_ticket(tables, task, rooms, now):
+    """Returns the rooms that a step has tickets for; asks for more if few fit."""
+    key = step_key_of(task)
+    usable = [
+        room
+        for room in rooms
+        if tables.tickets.ticket(key, room.worker.worker_id, now) is not None
+    ]
+    if not any(room.fits(task.step) for room in usable):
+        tables.tickets.want(key)
+    return usable
+
+
 def order_jobs(tables, pool_name, lengths, now_unix):
     """Returns the pool's open jobs with tasks to start, most important first."""
     ranked = []
@@ -155,10 +177,13 @@
 def due_time(job, queue, lengths):
     """Returns the Unix time until which a job earns its whole worth."""
     chain_s = lengths.chain_s(job)
-    return job.accepted_at + chain_s * queue.stretch + queue.objective_ms / MS_PER_S
+    begins_at = job.accepted_at
+    if job.request.repeats > 0 and job.occurrences:
+        begins_at = min(occurrence.due_at for occurrence in job.occurrences.values())
+    return begins_at + chain_s * queue.stretch + queue.objective_ms / MS_PER_S
 
 
-def _startable_groups(job, now, now_unix):
+def _startable_groups(job, now):
     """Yields lists of tasks that must start together (one task, or a gang)."""
     for occurrence in list(job.occurrences.values()):
         if occurrence.number in job.done_occurrences:
@@ -200,6 +225,8 @@
     commands = []
     for room, task in chosen:
         run = create_run(task, room.worker, number, now)
+        key = step_key_of(task)
+        run.ticket = tables.tickets.ticket(key, room.worker.worker_id, now) or ""
         note_started(tables, task.job)
         commands.append(StartRun(run))
     return commands
@@ -247,6 +274,7 @@
             suspect,
             bool(task.failed_numbers) and worker.failures > worker.successes,
             bool(step.rack) and worker.rack != step.rack,
+            step.is_filler and _serves_users(worker),
             room.cpu_millis,
             worker.worker_id,
         )
@@ -255,6 +283,11 @@
     return best
 
 
+def _serves_users(worker):
+    """Whether tasks with a latency target run on a worker."""
+    return any(run.task.step.target_ms > 0 for run in worker.runs_by_key.values())
+
+
 def _runs_of_step(task):
     """Counts runs of the task's step in its occurrence by worker."""
     rows = task.job.occurrences[task.occurrence].steps[task.step_number].tasks
--- a/sassafrasgrade/works.py
+++ b/sassafrasgrade/works.py
@@ -11,6 +11,7 @@
     Queue,
     Step,
 )
+from sassafrasgrade.tickets import TicketTable
 
 MS_PER_S = 1000.0
 
@@ -166,6 +167,7 @@
         has_started: Whether any task was ever started.
         occurrences: Occurrences made so far, by number.
         done_occurrences: Numbers of occurrences that are done.
+        next_occurrence: Number of the next occurrence to create.
         is_dirty: Whether progress is to be stored.
         version: Count of changes, to tell what a write has covered.
         progress_revision: Store revision of its progress; 0 for none.
@@ -180,6 +182,7 @@
     has_started: bool = False
     occurrences: dict[int, Occurrence] = field(default_factory=dict)
     done_occurrences: set[int] = field(default_factory=set)
+    next_occurrence: int = 0
     is_dirty: bool = False
     version: int = 0
     progress_revision: int = 0
@@ -229,6 +232,7 @@
         trusted_after: Clock before which it gets no work but a probe.
         slowness: Learned factor on run times.
         missing_since: Clock since when its entry is missing; 0 if listed.
+        paced_at: Clock of the last change of its fillers' pace.
         is_reserved: Whether the planner keeps new work off it.
     """
 
@@ -256,6 +260,7 @@
     trusted_after: float = 0.0
     slowness: float = 1.0
     missing_since: float = 0.0
+    paced_at: float = 0.0
     is_reserved: bool = False
 
     @property
@@ -272,6 +277,7 @@
         epoch: Number of the leadership; starts numbers of runs apart.
         remote_slowdown: Factor on tasks away from the rack of their data.
         dirty_job_ids: Jobs whose progress is to be stored.
+        tickets: Tickets of the advice service.
     """
 
     epoch: int = 0
@@ -284,6 +290,7 @@
     tasks_by_name: dict[str, Task] = field(default_factory=dict)
     workers_by_id: dict[str, Worker] = field(default_factory=dict)
     dirty_job_ids: set[str] = field(default_factory=set)
+    tickets: TicketTable = field(default_factory=TicketTable)
 
     def adopt_configuration(self, configuration):
         """Takes a newer configuration; queues that were removed are kept.
