Share hosts by need, cut the cost of placement, count only when loaded

Change: hosts go one at a time to the pool with the least part of its need, 60 orders a second; sizes that fitted nowhere are not tried again in a placement, which then rests three times what it took; counts are told once loaded; node strength is share times speed.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -29,6 +29,7 @@
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.workers import OrderOutcome
 from sassafrasgrade.progress_writers import ProgressWriter
+from sassafrasgrade.systems.host_planning import describe_pools
 from sassafrasgrade.systems.lengths import LearnedLengths
 from sassafrasgrade.systems.occurrences import create_due, forget_done
 from sassafrasgrade.systems.pacing import pace_fillers
@@ -74,9 +75,14 @@
 JOBS_PAUSE_S = 1.0
 # How long placement waits for other changes, in seconds.
 PLACE_GATHER_S = 0.003
+# Rest after a placement, in parts of what it took: so that a long backlog does
+# not take the processor from holds and orders.
+PLACE_REST = 3.0
 TICK_S = 0.1
 # Pause before a stop without an answer is repeated, in seconds.
 STOP_REPEAT_S = 0.6
+# Pause between log lines on pools where jobs wait, in seconds.
+DESCRIBE_S = 1.0
 # Time without work for a worker that refused a start as unhealthy or full.
 REFUSED_PAUSE_S = 0.3
 # Time after which a worker that is neither listed nor answering is dropped.
@@ -124,8 +130,10 @@
         self._is_closed = False
         self._sessions_by_id = {}
         self._place_due = False
+        self._gather_s = PLACE_GATHER_S
         self._periodic = None
         self._began_at = self.timers.now()
+        self._described_at = 0.0
         self._is_releasing = False
         self._writer = ProgressWriter(
             services.store, self.tables, token, self._note_stored, self._note_other
@@ -559,7 +567,7 @@
         """Places tasks after the changes of this moment were taken in."""
         if not self._place_due and not self._is_closed:
             self._place_due = True
-            IOLoop.current().call_later(PLACE_GATHER_S, self._place)
+            IOLoop.current().call_later(self._gather_s, self._place)
 
     def _place(self):
         self._place_due = False
@@ -568,6 +576,7 @@
         if not self._leadership.has_authority():
             return
         now = self.timers.now()
+        began = time.monotonic()
         for pool in self.tables.pools_by_name:
             commands = place_tasks(self.tables, pool, self.lengths, now, time.time())
             commands += copy_late_runs(self.tables, pool, self.lengths, now)
@@ -575,6 +584,8 @@
         if self.tables.dirty_job_ids:
             self._writer.schedule(False)
         self._advice.wake()
+        spent_s = time.monotonic() - began
+        self._gather_s = max(PLACE_GATHER_S, PLACE_REST * spent_s)
 
     def _tick(self, now):
         if self._is_closed or not self.is_loaded:
@@ -595,6 +606,9 @@
             )
         self._lift_barrier()
         self._carry_out_all(self._hosts.plan(now))
+        if now - self._described_at > DESCRIBE_S:
+            self._described_at = now
+            self._carry_out_all(describe_pools(self.tables, self._hosts.fleet, now))
         if self.tables.dirty_job_ids:
             self._writer.schedule(False)
         self.place_soon()
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -258,7 +258,7 @@
             self._settings.node_name,
             self.incarnation,
             self.address,
-            self._settings.node_cores,
+            self._settings.node_cores * self._settings.node_core_speed,
         )
         put = Put(NODES_PREFIX + record.name, _encode(record), lease)
         written = await self._store.commit(puts=(put,))
--- a/sassafrasgrade/node_settings.py
+++ b/sassafrasgrade/node_settings.py
@@ -15,6 +15,7 @@
     "NODE_DATA_CENTRE": "",
     "NODE_ADDRESS": "127.0.0.1",
     "NODE_CORES": 1.0,
+    "NODE_CORE_SPEED": 1.0,
     "NODE_MEMORY_MB": 300,
     # Addresses that the node listens on.
     "LISTEN_CLIENTS": "127.0.0.1:8080",
@@ -41,7 +42,7 @@
     "BOUNDS_REMOTE_SLOWDOWN": 2.0,
     # Logs.
     "LOG_LEVEL": "INFO",
-    "LOG_LINES_PER_S": 400,
+    "LOG_LINES_PER_S": 1200,
 }
 
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=3_600_000)]
@@ -53,6 +54,8 @@
     """Checked settings of a node; fields are INI section and key with ``_``.
 
     Attributes:
+        node_cores: Processor share of the host, in cores.
+        node_core_speed: Speed of these cores against a common one.
         bounds_drain_ms: How long a draining worker goes on taking starts.
         bounds_grace_s: Time from SIGTERM to SIGKILL.
         bounds_hold_most_ms: Longest lease of a run on a worker.
@@ -72,6 +75,7 @@
     node_data_centre: Name
     node_address: str
     node_cores: Annotated[float, msgspec.Meta(gt=0, le=1024)]
+    node_core_speed: Annotated[float, msgspec.Meta(gt=0, le=1024)]
     node_memory_mb: Annotated[int, msgspec.Meta(ge=1)]
     listen_clients: Address
     listen_readiness: Address
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -311,6 +311,8 @@
             if should_hand_over(self.store_silent_s(), words, now):
                 self._hand_over("the store is silent here only")
                 return
+            if not self._dispatcher.is_loaded:
+                return
             self._server.send_all(
                 LeaderBeat(
                     self.leadership.token,
--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -20,6 +20,7 @@
 from sassafrasgrade.work_commands import (
     MaintainHost,
     MoveHost,
+    Note,
     ReportWave,
     StopRun,
 )
@@ -36,8 +37,9 @@
 # Slack on the time that an upkeep takes, in seconds: the platform's start and
 # the answer of the order are apart.
 UPKEEP_SLACK_S = 0.4
-# Orders on hosts at a time, in one plan.
-MOST_ORDERS = 8
+# Orders on hosts in one plan, ten plans a second: the platform takes 64 orders
+# a second from all nodes.
+MOST_ORDERS = 6
 # Part of a wave's time in which only idle hosts are taken.
 PATIENT_PART = 0.45
 # Age of a worker's answer up to which its runs count as at work, in seconds:
@@ -79,9 +81,7 @@
     commands = evacuate_draining(tables)
     commands += _plan_waves(tables, fleet, settings, now)
     commands += _plan_moves(tables, fleet, settings, now)
-    return commands[:MOST_ORDERS] + [
-        command for command in commands[MOST_ORDERS:] if isinstance(command, StopRun)
-    ]
+    return commands
 
 
 def worker_of(tables, host):
@@ -173,7 +173,7 @@
     hosts = [fleet.hosts_by_name[n] for n in row.left if n in fleet.hosts_by_name]
     hosts.sort(key=lambda host: _wave_rank(tables, host))
     for host in hosts:
-        if slots <= 0:
+        if slots <= 0 or len(commands) >= MOST_ORDERS:
             break
         if _is_free(tables, host, now):
             commands.append(_maintain(tables, host, row, settings, now))
@@ -299,19 +299,25 @@
     needs = measure_needs(tables, fleet, now)
     commands = []
     free = _free_by_pool(tables, fleet, now)
-    takers = sorted(needs, key=lambda name: len(needs[name].hosts) - needs[name].wanted)
-    for name in takers:
+    short = {name for name, need in needs.items() if len(need.hosts) < need.wanted}
+    while short and len(commands) < MOST_ORDERS:
+        # One host at a time to the pool that has the least part of its need.
+        name = min(short, key=lambda n: (len(needs[n].hosts) / needs[n].wanted, n))
         need = needs[name]
-        while len(need.hosts) < need.wanted:
-            host = _take_host(free, needs, name, standby[0].name, tables, now)
-            if host is None:
-                break
-            commands.append(_move(tables, host, name, settings, now, "backlog"))
-            need.hosts.append(host)
+        host = _take_host(free, needs, name, standby[0].name, tables, now)
+        if host is None:
+            short.discard(name)
+            continue
+        commands.append(_move(tables, host, name, settings, now, "backlog"))
+        need.hosts.append(host)
+        if len(need.hosts) >= need.wanted:
+            short.discard(name)
     for name, need in needs.items():
         for host in free.get(name, []):
             if len(need.hosts) <= need.wanted:
                 break
+            if len(commands) >= MOST_ORDERS:
+                break
             is_idle = host.idle_since and now - host.idle_since >= IDLE_S
             if is_idle and host in need.hosts:
                 need.hosts.remove(host)
@@ -374,6 +380,32 @@
     return MoveHost(host.name, pool, reason)
 
 
+def describe_pools(tables, fleet, now):
+    """Returns notes on pools where jobs wait, for the log."""
+    waiting = {}
+    for job in tables.open_jobs_by_id.values():
+        if not job.has_started:
+            pool = tables.pool_of(job)
+            waiting[pool] = waiting.get(pool, 0) + 1
+    if not waiting:
+        return []
+    needs = measure_needs(tables, fleet, now)
+    return [
+        Note(
+            "pool",
+            {
+                "pool": name,
+                "waiting_jobs": waiting[name],
+                "hosts": len(need.hosts),
+                "wanted": need.wanted,
+                "list_age_s": round(now - fleet.listed_at, 2),
+            },
+        )
+        for name, need in needs.items()
+        if name in waiting
+    ]
+
+
 def measure_needs(tables, fleet, now):
     """Returns what each pool that runs work has and needs, by pool name."""
     needs = {
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -110,16 +110,45 @@
     if not rooms:
         return []
     commands = []
+    misfits = Misfits()
     for job in order_jobs(tables, pool_name, lengths, now_unix):
         queue = tables.queues_by_name[job.queue_name]
         for group in _startable_groups(job, now):
             usable = rooms
             if queue.advice is not None:
                 usable = _rooms_with_ticket(tables, group[0], rooms, now)
-            commands += _place_group(tables, group, usable, now)
+            if misfits.covers(group[0].step):
+                continue
+            placed = _place_group(tables, group, usable, now)
+            if not placed and usable is rooms:
+                misfits.add(group[0].step)
+            commands += placed
     return commands
 
 
+class Misfits:
+    """Sizes that fitted nowhere in this placement: larger ones need no look."""
+
+    def __init__(self):
+        self._sizes = []
+
+    def add(self, step):
+        """Notes a step that fitted nowhere for its size alone."""
+        if not (step.label or step.most_per_worker or step.is_gang or step.is_filler):
+            self._sizes.append((step.cpu_millis, step.memory_mb, step.gpus))
+
+    def covers(self, step):
+        """Whether a step cannot fit, since a smaller one did not."""
+        if step.is_filler:
+            return False
+        return any(
+            step.cpu_millis >= cpu_millis
+            and step.memory_mb >= memory_mb
+            and step.gpus >= gpus
+            for cpu_millis, memory_mb, gpus in self._sizes
+        )
+
+
 def step_key_of(task):
     """Returns the name of a task's step: ``job.occurrence.step``."""
     return task.name.rpartition(".")[0]
@@ -202,12 +231,10 @@
 
 
 def _may_start(task: Task, now):
-    return (
-        not task.is_done
-        and not task.runs_by_number
-        and task.not_before <= now
-        and task.held_until <= now
-    )
+    if task.is_done or task.runs_by_number:
+        return False
+    task.waiting_since = task.waiting_since or now
+    return task.not_before <= now and task.held_until <= now
 
 
 def _place_group(tables, group, rooms, now):
--- a/sassafrasgrade/tools/traces.py
+++ b/sassafrasgrade/tools/traces.py
@@ -22,6 +22,7 @@
         "progress not stored",
         "commit failed",
         "lines dropped",
+        "pool",
     }
 )
 HIDDEN_FIELDS = frozenset({"at", "level", "logger", "host", "message", "job"})
