Judge slow workers against their pool

Change: a worker counts as slow when the progress of all its runs is 2.5 times below its pool's; only then a run moves, and slow workers get work last.

--- a/sassafrasgrade/systems/run_watch.py
+++ b/sassafrasgrade/systems/run_watch.py
@@ -5,6 +5,7 @@
 """
 
 from sassafrasgrade.systems.task_placement import (
+    SLOW_FACTOR,
     choose_room,
     create_run,
     is_usable,
@@ -18,10 +19,11 @@
 STALL_S = 2.2
 # Part of a run's expected time that one percent of progress may take at most.
 STALL_PART = 0.05
-# A run is restarted elsewhere if what is left of it takes this many times the
-# whole task on another worker, and a time besides, in seconds.
-CRAWL_FACTOR = 2.0
-CRAWL_S = 1.0
+# Time of runs, in all, on which a worker's speed is judged, in seconds.
+JUDGED_S = 1.5
+# A run on a slow worker is restarted elsewhere if what is left of it takes that
+# much longer than the whole task on another worker, in seconds.
+CRAWL_S = 0.5
 # Time that a lasting task may take to be at work before it is moved, seconds.
 START_UP_S = 4.0
 # Age of a worker's answer up to which its progress is judged, in seconds.
@@ -32,8 +34,39 @@
 MOST_COPIES = 1
 
 
+def judge_speeds(tables, lengths, now):
+    """Notes how much slower than its pool each worker is.
+
+    Declared durations are far off for single tasks: only the progress of all
+    runs of a worker against that of all runs of its pool tells a slow one.
+    """
+    done_by_worker, spent_by_worker = {}, {}
+    done_by_pool, spent_by_pool = {}, {}
+    for worker in tables.workers_by_id.values():
+        done = spent = 0.0
+        for run in worker.runs_by_key.values():
+            step = run.task.step
+            if run.state is not RunState.RUNNING or step.is_perpetual:
+                continue
+            expected_s = lengths.task_s(run.task.job.queue_name, step)
+            done += expected_s * run.percent / 100
+            spent += max(0.0, worker.last_answer_at - run.answered_at)
+        done_by_worker[worker.worker_id] = done
+        spent_by_worker[worker.worker_id] = spent
+        done_by_pool[worker.pool] = done_by_pool.get(worker.pool, 0.0) + done
+        spent_by_pool[worker.pool] = spent_by_pool.get(worker.pool, 0.0) + spent
+    for worker in tables.workers_by_id.values():
+        spent = spent_by_worker[worker.worker_id]
+        if spent < JUDGED_S or not done_by_pool[worker.pool]:
+            continue
+        usual = done_by_pool[worker.pool] / spent_by_pool[worker.pool]
+        own = done_by_worker[worker.worker_id] / spent
+        worker.slowness = usual / max(own, usual / 100)
+
+
 def stop_stalled(tables, lengths, now):
     """Stops runs that stand still or crawl; their tasks start elsewhere."""
+    judge_speeds(tables, lengths, now)
     commands = []
     for worker in tables.workers_by_id.values():
         if worker.silent_since or now - worker.last_answer_at > FRESH_S:
@@ -41,7 +74,7 @@
         for run in worker.runs_by_key.values():
             if run.state is not RunState.RUNNING or run.stopped_at:
                 continue
-            reason = _stall_reason(run, lengths, now)
+            reason = _stall_reason(worker, run, lengths, now)
             if reason and _has_alternative(tables, worker, run.task, now):
                 worker.failures += 1
                 run.task.shunned.add(worker.worker_id)
@@ -49,7 +82,7 @@
     return commands
 
 
-def _stall_reason(run, lengths, now):
+def _stall_reason(worker, run, lengths, now):
     """Returns why a run is to be moved, or an empty text."""
     step = run.task.step
     age_s = now - run.answered_at
@@ -60,9 +93,10 @@
     expected_s = lengths.task_s(run.task.job.queue_name, step)
     if now - run.changed_at > max(STALL_S, STALL_PART * expected_s):
         return "stands still"
-    if run.percent > 0 and age_s > expected_s:
+    if worker.slowness > SLOW_FACTOR and run.percent > 0:
         left_s = age_s * (100 - run.percent) / run.percent
-        if left_s > CRAWL_FACTOR * expected_s + CRAWL_S:
+        elsewhere_s = left_s / (1 - run.percent / 100) / worker.slowness
+        if left_s > elsewhere_s + CRAWL_S:
             return "crawls"
     return ""
 
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -16,6 +16,8 @@
 NUMBERS_PER_EPOCH = 100_000
 # Failed or hanging runs above the good ones after which a worker is suspect.
 SUSPECT_FAILURES = 2.0
+# Slowness against the pool from which a worker gets work only last.
+SLOW_FACTOR = 2.5
 # Runs that a suspect worker gets at a time, to show whether it has recovered.
 PROBES_AT_ONCE = 1
 # Part of a job's worth that does not depend on its work (published rule).
@@ -297,6 +299,7 @@
         rank = (
             worker.worker_id in task.shunned,
             suspect,
+            worker.slowness > SLOW_FACTOR,
             bool(task.failed_numbers) and worker.failures > worker.successes,
             bool(step.rack) and worker.rack != step.rack,
             step.is_filler and _serves_users(worker),
