--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -44,7 +44,9 @@
       | none                                  |        |
       | one listed worker                     | pool-1 |
       | a host that is up without its worker  | pool-1 |
-      | a host that is down                   |        |
+      | a host that is shown as down          | pool-1 |
+      | a host that moves                     |        |
+      | a worker of a host that moved         |        |
       | hosts not read yet                    | all    |
 
   Scenario Outline: a lasting task is stopped for maintenance if <case>: <stops>
@@ -95,3 +97,59 @@
       | 60   | 1    | least slack   |
       | 120  | 2    | least slack   |
       | 120  | 3    | least slack   |
+
+  Scenario Outline: a run that <case> is moved: <moved>
+    Given a job of one task that may fail 2 times
+    Then a run that "<case>" is moved: "<moved>"
+
+    Examples:
+      | case                                           | moved |
+      | stands still for 3 s                           | yes   |
+      | stands still and no other worker has room      | no    |
+      | progresses                                     | no    |
+      | is longer than declared on a usual worker      | no    |
+      | runs on a worker far slower than its pool      | yes   |
+      | was last seen 2 s ago                          | no    |
+      | lasts and is not at work after 5 s             | yes   |
+      | lasts and is at work                           | no    |
+
+  Scenario Outline: fillers beside a task at <tail> of its target, paced at <pace>, get <percent>
+    Then fillers beside a task at <tail> of its target, paced at <pace>, get <percent>
+
+    Examples:
+      | tail | pace | percent |
+      | 0.9  | 100  | 0       |
+      | 0.9  | 0    | 0       |
+      | 0.6  | 50   | 50      |
+      | 0.2  | 50   | 75      |
+      | 0.2  | 100  | 100     |
+
+  Scenario Outline: an occurrence <early> s before its time is created: <created>
+    Then of a job of 3 occurrences every 2 s, <created> exist <early> s before the first
+
+    Examples:
+      | early | created |
+      | 0.1   | 0       |
+      | 0     | 1       |
+      | -2.5  | 2       |
+      | -20   | 3       |
+
+  Scenario Outline: a task of a queue with advice starts with <tickets>: <starts>
+    Then a task of a queue with advice and "<tickets>" starts: "<starts>"
+
+    Examples:
+      | tickets                      | starts |
+      | no ticket                    | no     |
+      | a ticket                     | yes    |
+      | a ticket that has lapsed     | no     |
+      | a ticket that was rejected   | no     |
+
+  Scenario Outline: free hosts go to the pools by need: <case>
+    Then <hosts> free hosts for needs "<needs>" go as "<given>"
+
+    Examples:
+      | case                  | hosts | needs | given |
+      | none is short         | 4     | 1:0   | 0:0   |
+      | one is short          | 4     | 3:0   | 2:0   |
+      | both are short        | 6     | 20:4  | 5:1   |
+      | too few for all       | 2     | 20:20 | 1:1   |
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -178,10 +178,10 @@
     KNOWN[known](context)
 
 
-def create_fleet(tables, state="up"):
+def create_fleet(tables):
     fleet = FleetHosts(listed_at=NOW)
     for worker in tables.workers_by_id.values():
-        host = HostRow(worker.host, POOL, state, worker_id=worker.worker_id)
+        host = HostRow(worker.host, POOL, "up", worker_id=worker.worker_id)
         host.capacity = CAPACITY
         fleet.hosts_by_name[host.name] = host
     return fleet
@@ -191,11 +191,17 @@
 @then('with "{case}" the pools "" are held after a take-over')
 def check_unheard(context, case, pools=""):
     tables = create_tables()
-    fleet = create_fleet(tables, "down" if case == "a host that is down" else "up")
+    fleet = create_fleet(tables)
+    host = fleet.hosts_by_name["host-worker-0"]
     if case == "one listed worker":
         tables.workers_by_id["worker-0"].is_fenced = False
+    elif case == "a worker of a host that moved":
+        tables.workers_by_id["worker-0"].is_fenced = False
+        host.pool, host.worker_id = "pool-2", ""
     elif case.startswith("a host"):
         del tables.workers_by_id["worker-0"]
+        states = {"a host that moves": "moving", "a host that is shown as down": "down"}
+        host.state = states.get(case, "up")
     elif case == "hosts not read yet":
         fleet = FleetHosts()
     unheard = unheard_workers(tables, fleet)
--- /dev/null
+++ b/features/steps/watch_steps.py
@@ -0,0 +1,191 @@
+"""Steps on stalled runs, pacing, occurrences, tickets and shares of hosts."""
+
+from behave import then
+
+from features.support.work_tables import (
+    CAPACITY,
+    NOW,
+    NOW_UNIX,
+    POOL,
+    QUEUE,
+    STANDBY,
+    add_simple_job,
+    add_worker,
+    create_tables,
+    first_task,
+    start_run,
+)
+from sassafrasgrade.fleet_hosts import FleetHosts, HostRow
+from sassafrasgrade.job_records import SubmittedJob, add_job
+from sassafrasgrade.node_settings import check_node_settings
+from sassafrasgrade.platform.messages import (
+    Advice,
+    Configuration,
+    JobRequest,
+    Pool,
+    Queue,
+    Step,
+)
+from sassafrasgrade.systems.host_planning import plan_hosts
+from sassafrasgrade.systems.lengths import LearnedLengths
+from sassafrasgrade.systems.occurrences import create_due
+from sassafrasgrade.systems.pacing import pace_fillers
+from sassafrasgrade.systems.run_watch import stop_stalled
+from sassafrasgrade.systems.task_placement import place_tasks
+from sassafrasgrade.work_commands import MoveHost
+
+
+def show_progress(context, percent, age_s, changed_s=0.0):
+    run = start_run(context.task, context.worker, now=NOW - age_s)
+    run.percent = percent
+    run.changed_at = NOW - changed_s
+    context.worker.last_answer_at = NOW
+    return run
+
+
+def lasting_run(context, age_s, at_work):
+    job = add_simple_job(context.tables, "c" * 16, is_perpetual=True)
+    run = start_run(first_task(job), context.worker, now=NOW - age_s)
+    run.at_work_at = NOW - 1 if at_work else 0.0
+
+
+def fill_pool(context, percent):
+    """Adds runs on another worker that progress as declared."""
+    other = context.tables.workers_by_id["worker-1"]
+    job = add_simple_job(context.tables, "d" * 16, count=6)
+    for task in job.occurrences[0].steps[0].tasks:
+        run = start_run(task, other, now=NOW - 0.4)
+        run.percent = percent
+        run.changed_at = NOW
+
+
+def without_room(context):
+    show_progress(context, 10, 4.0, changed_s=3.0)
+    context.tables.workers_by_id["worker-1"].is_draining = True
+
+
+def seen_long_ago(context):
+    show_progress(context, 10, 4.0, changed_s=3.0)
+    context.worker.last_answer_at = NOW - 2.0
+
+
+def slow_worker(context):
+    fill_pool(context, 80)
+    show_progress(context, 10, 2.0)
+
+
+def long_task(context):
+    fill_pool(context, 10)
+    show_progress(context, 50, 2.0)
+
+
+RUNS = {
+    "stands still for 3 s": lambda c: show_progress(c, 10, 4.0, changed_s=3.0),
+    "stands still and no other worker has room": without_room,
+    "progresses": lambda c: show_progress(c, 60, 0.4),
+    "is longer than declared on a usual worker": long_task,
+    "runs on a worker far slower than its pool": slow_worker,
+    "was last seen 2 s ago": seen_long_ago,
+    "lasts and is not at work after 5 s": lambda c: lasting_run(c, 5.0, False),
+    "lasts and is at work": lambda c: lasting_run(c, 5.0, True),
+}
+
+
+@then('a run that "{case}" is moved: "{moved}"')
+def check_moved(context, case, moved):
+    RUNS[case](context)
+    commands = stop_stalled(context.tables, LearnedLengths(), NOW)
+    assert bool(commands) == (moved == "yes"), commands
+
+
+@then(
+    "fillers beside a task at {tail:g} of its target, paced at {pace:d}, get {percent:d}"
+)
+def check_paced(context, tail, pace, percent):
+    tables = create_tables(workers=1)
+    worker = tables.workers_by_id["worker-0"]
+    serving = add_simple_job(tables, "a" * 16, is_perpetual=True, target_ms=100)
+    start_run(first_task(serving), worker).figure = tail * 100
+    filling = add_simple_job(tables, "b" * 16, is_filler=True)
+    run = start_run(first_task(filling), worker)
+    run.pace = pace
+    commands = pace_fillers(tables, NOW)
+    result = commands[0].percent if commands else pace
+    assert result == percent, commands
+
+
+@then(
+    "of a job of {count:d} occurrences every {interval:d} s, {created:d} exist "
+    "{early:g} s before the first"
+)
+def check_occurrences(context, count, interval, created, early):
+    tables = create_tables()
+    request = JobRequest(
+        spec="s",
+        steps=(Step(count=1),),
+        repeats=count,
+        first_ms=NOW_UNIX * 1000,
+        interval_ms=interval * 1000,
+    )
+    job = add_job(tables, "e" * 16, SubmittedJob(QUEUE, NOW_UNIX, request), NOW_UNIX)
+    create_due(tables, NOW_UNIX - early)
+    assert len(job.occurrences) == created, job.occurrences
+
+
+@then('a task of a queue with advice and "{tickets}" starts: "{starts}"')
+def check_tickets(context, tickets, starts):
+    tables = create_tables(workers=1)
+    queue = Queue(name=QUEUE, pool=POOL, advice=Advice(10, 1, 3000))
+    pools = (Pool(name=POOL),)
+    tables.adopt_configuration(Configuration(version=2, queues=(queue,), pools=pools))
+    job = add_simple_job(tables)
+    step_key = f"{job.job_id}.0.0"
+    if tickets != "no ticket":
+        valid_s = 0.1 if "lapsed" in tickets else 3.0
+        rows = (("worker-0", "t-1"),)
+        tables.tickets.note(step_key, ["worker-0"], rows, valid_s, NOW)
+    if "rejected" in tickets:
+        tables.tickets.drop(step_key, "worker-0")
+    commands = place_tasks(tables, POOL, LearnedLengths(), NOW, NOW_UNIX)
+    assert bool(commands) == (starts == "yes"), commands
+    if commands:
+        assert commands[0].run.ticket == "t-1"
+    else:
+        assert step_key in tables.tickets.wanted
+
+
+@then('{hosts:d} free hosts for needs "{needs}" go as "{given}"')
+def check_shares(context, hosts, needs, given):
+    tables = create_tables(workers=0)
+    names = [POOL, "pool-2"]
+    queues = tuple(Queue(name=f"queue-{n + 1}", pool=p) for n, p in enumerate(names))
+    pools = tuple(Pool(name=name) for name in names)
+    standby = (Pool(name=STANDBY, is_standby=True),)
+    tables.adopt_configuration(
+        Configuration(version=2, queues=queues, pools=pools + standby)
+    )
+    fleet = FleetHosts(listed_at=NOW)
+    for number, pool in enumerate(names):
+        worker = add_worker(tables, f"worker-{number}")
+        worker.pool = pool
+        host = HostRow(worker.host, pool, "up", worker_id=worker.worker_id)
+        host.capacity = CAPACITY
+        fleet.hosts_by_name[host.name] = host
+    for number in range(hosts):
+        host = HostRow(f"free-{number}", STANDBY, "up")
+        host.capacity = CAPACITY
+        fleet.hosts_by_name[host.name] = host
+    for number, text in enumerate(needs.split(":")):
+        tasks = int(text)
+        if tasks:
+            # A task that fills more than half of a host needs one of its own.
+            request = JobRequest(
+                spec="s", steps=(Step(count=tasks, cpu_millis=13_600),)
+            )
+            submitted = SubmittedJob(f"queue-{number + 1}", NOW_UNIX, request)
+            add_job(tables, f"{number}" * 16, submitted, NOW_UNIX)
+    values = {"NODE_NAME": "n", "NODE_DATA_CENTRE": "z"}
+    commands = plan_hosts(tables, fleet, check_node_settings(values).unwrap(), NOW)
+    moves = [command.pool for command in commands if isinstance(command, MoveHost)]
+    found = ":".join(str(moves.count(name)) for name in names)
+    assert found == given, (found, commands)
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -40,6 +40,7 @@
     decay_trust,
     expire_leases,
     forget_run,
+    is_past_life,
     lose_worker,
     restart_worker,
     unheard_workers,
@@ -617,7 +618,11 @@
         """Whether other nodes may reach many more workers than this one."""
         if self._is_releasing or now - self._began_at < SETTLED_S:
             return False
-        workers = [w for w in self.tables.workers_by_id.values() if not w.missing_since]
+        workers = [
+            worker
+            for worker in self.tables.workers_by_id.values()
+            if not worker.missing_since and not is_past_life(worker, self._hosts.fleet)
+        ]
         unreached = sum(
             1 for w in workers if w.silent_since and now - w.silent_since > UNREACHED_S
         )
@@ -642,7 +647,7 @@
                 and now > worker.lease_until
             ):
                 logger.info("worker dropped", extra={"worker": worker.worker_id})
-                lose_worker(self.tables, worker, now)
+                lose_worker(self.tables, worker, now, has_ended=False)
                 self._sync_sessions()
 
     def _note_stored(self, ends_by_worker):
--- a/sassafrasgrade/fleet_hosts.py
+++ b/sassafrasgrade/fleet_hosts.py
@@ -6,6 +6,10 @@
 
 STATE_UP = "up"
 STATE_UPKEEP = "upkeep"
+STATE_MOVING = "moving"
+# States in which whatever ran on a host has surely ended; a host that is shown
+# as down may be cut off and run on.
+ENDING_STATES = frozenset({STATE_MOVING, STATE_UPKEEP})
 
 
 @dataclass(slots=True, eq=False)
--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -294,7 +294,8 @@
 
 def _plan_moves(tables, fleet, settings, now):
     standby = [pool for pool in tables.pools_by_name.values() if pool.is_standby]
-    if not standby:
+    if not standby or not tables.has_seen_work:
+        # Without any demand yet, hosts stay where the operators put them.
         return []
     needs = measure_needs(tables, fleet, now)
     commands = []
--- a/sassafrasgrade/systems/run_views.py
+++ b/sassafrasgrade/systems/run_views.py
@@ -1,6 +1,6 @@
 """Takes in what workers say of their runs: starts, progress and ends."""
 
-from sassafrasgrade.fleet_hosts import STATE_UP
+from sassafrasgrade.fleet_hosts import ENDING_STATES
 from sassafrasgrade.platform.messages import RunEnd, WorkerView
 from sassafrasgrade.work_commands import Note, StopRun, StopUnknownRun
 from sassafrasgrade.works import (
@@ -273,11 +273,20 @@
     return [note, *stop_job_runs(job, "job cancelled")]
 
 
-def lose_worker(tables, worker, now):
-    """Removes a worker whose runs are surely over."""
+def lose_worker(tables, worker, now, has_ended=True):
+    """Removes a worker whose runs are surely over.
+
+    Args:
+        tables: The tables.
+        worker: The worker.
+        now: Present clock in seconds.
+        has_ended: Whether its life is over, so that it never comes back.
+    """
     for run in list(worker.runs_by_key.values()):
         forget_run(tables, run, now)
     tables.workers_by_id.pop(worker.worker_id, None)
+    if has_ended:
+        tables.ended_born_by_worker[worker.worker_id] = worker.born_ms
 
 
 def restart_worker(tables, worker, born_ms, now):
@@ -293,6 +302,22 @@
     worker.lease_until = 0.0
 
 
+def is_past_life(worker, fleet):
+    """Whether the list of hosts shows that a worker's life is over.
+
+    A host that moves or is maintained ends its worker, whose registration stays
+    listed until its heartbeats are missed.
+    """
+    host = fleet.hosts_by_name.get(worker.host)
+    if host is None:
+        return False
+    return (
+        host.state in ENDING_STATES
+        or host.pool != worker.pool
+        or host.worker_id not in ("", worker.worker_id)
+    )
+
+
 def unheard_workers(tables, fleet):
     """Returns workers that have not told this leader what they run, with pools.
 
@@ -311,10 +336,10 @@
     unheard = {
         worker.worker_id: worker.pool
         for worker in tables.workers_by_id.values()
-        if not worker.is_fenced
+        if not worker.is_fenced and not is_past_life(worker, fleet)
     }
     for host in fleet.hosts_by_name.values():
-        if host.worker_id and host.state == STATE_UP:
+        if host.worker_id and host.state not in ENDING_STATES:
             if host.worker_id not in tables.workers_by_id:
                 unheard[host.worker_id] = host.pool
     return unheard
--- a/sassafrasgrade/worker_directories.py
+++ b/sassafrasgrade/worker_directories.py
@@ -53,6 +53,8 @@
     if worker is not None and worker.address != entry.address:
         lose_worker(tables, worker, now)
         worker = None
+    if worker is None and _is_known_to_have_ended(tables, worker_id, entry):
+        return
     if worker is None:
         worker = _add_worker(tables, worker_id, entry)
     elif (
@@ -65,6 +67,16 @@
     _update_worker(worker, entry, now)
 
 
+def _is_known_to_have_ended(tables, worker_id, entry):
+    """Whether a registration is left over from a life that has ended."""
+    if worker_id not in tables.ended_born_by_worker:
+        return False
+    if entry.born_ms == tables.ended_born_by_worker[worker_id]:
+        return True
+    del tables.ended_born_by_worker[worker_id]
+    return False
+
+
 def _add_worker(tables, worker_id, entry):
     worker = Worker(
         worker_id,
--- a/sassafrasgrade/works.py
+++ b/sassafrasgrade/works.py
@@ -278,6 +278,9 @@
         remote_slowdown: Factor on tasks away from the rack of their data.
         dirty_job_ids: Jobs whose progress is to be stored.
         tickets: Tickets of the advice service.
+        ended_born_by_worker: Start of the last life of workers known to have
+            ended; their registrations may stay listed for seconds.
+        has_seen_work: Whether any job that ends by itself was accepted.
     """
 
     epoch: int = 0
@@ -291,6 +294,8 @@
     workers_by_id: dict[str, Worker] = field(default_factory=dict)
     dirty_job_ids: set[str] = field(default_factory=set)
     tickets: TicketTable = field(default_factory=TicketTable)
+    ended_born_by_worker: dict[str, int | None] = field(default_factory=dict)
+    has_seen_work: bool = False
 
     def adopt_configuration(self, configuration):
         """Takes a newer configuration; queues that were removed are kept.
