Remember the epoch, done hosts and sole leadership

Change: the number of the last leadership outlives the leader's key; leases count as lapsed only up to the last answered renewal; a wave's done hosts are stored, and a registration that outlives its heartbeats is used again; suspects are judged without lasting tasks, and not when most of a pool looks bad.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -21,6 +21,7 @@
       | an older list that lacks it                        | active     |
       | silence until its lease has lapsed                 | waiting    |
       | silence while its lease lives                      | active     |
+      | silence past its lease, while another may lead     | active     |
       | a restart of its worker                            | waiting    |
 
   Scenario Outline: a successor that knows <known> lets a task be "<state>"
@@ -153,3 +154,23 @@
       | one is short          | 4     | 3:0   | 2:0   |
       | both are short        | 6     | 20:4  | 5:1   |
       | too few for all       | 2     | 20:20 | 1:1   |
+
+  Scenario Outline: of 4 workers, <bad> that fail runs beside a lasting task get <tasks>
+    Then of 4 workers with a lasting task each, <bad> that fail get <tasks> of 40 tasks
+
+    Examples:
+      | bad | tasks |
+      | 0   | 40    |
+      | 1   | 1     |
+      | 2   | 2     |
+      | 3   | 30    |
+      | 4   | 40    |
+
+  Scenario Outline: a registration of a worker that was ended <case> is used: <used>
+    Then a registration of an ended worker "<case>" is used: "<used>"
+
+    Examples:
+      | case                              | used |
+      | at once                           | no   |
+      | at once, with a later start       | yes  |
+      | after its heartbeats would be out | yes  |
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -83,11 +83,11 @@
     show_view(context.tables, context.worker, NOW + 3, clock_ms=old_ms)
 
 
-def fall_silent(context, lease_until):
+def fall_silent(context, lease_until, led_at=NOW + 5):
     start_run(context.task, context.worker)
     context.worker.silent_since = NOW + 1
     context.worker.lease_until = lease_until
-    expire_leases(context.tables, NOW + 5)
+    expire_leases(context.tables, led_at)
 
 
 def restart(context):
@@ -123,6 +123,9 @@
     "an older list that lacks it": see_older,
     "silence until its lease has lapsed": lambda c: fall_silent(c, NOW + 4),
     "silence while its lease lives": lambda c: fall_silent(c, NOW + 6),
+    "silence past its lease, while another may lead": lambda c: fall_silent(
+        c, NOW + 4, led_at=NOW + 3
+    ),
     "a restart of its worker": restart,
 }
 
--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -1,5 +1,6 @@
 """Steps on stalled runs, pacing, occurrences, tickets and shares of hosts."""
 
+import msgspec
 from behave import then
 
 from features.support.work_tables import (
@@ -26,13 +27,16 @@
     Queue,
     Step,
 )
+from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.host_planning import plan_hosts
 from sassafrasgrade.systems.lengths import LearnedLengths
 from sassafrasgrade.systems.occurrences import create_due
 from sassafrasgrade.systems.pacing import pace_fillers
+from sassafrasgrade.systems.run_views import lose_worker
 from sassafrasgrade.systems.run_watch import stop_stalled
 from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_commands import MoveHost
+from sassafrasgrade.worker_directories import apply_item
 
 
 def show_progress(context, percent, age_s, changed_s=0.0):
@@ -99,7 +103,8 @@
 
 
 @then(
-    "fillers beside a task at {tail:g} of its target, paced at {pace:d}, get {percent:d}"
+    "fillers beside a task at {tail:g} of its target, paced at {pace:d}, "
+    "get {percent:d}"
 )
 def check_paced(context, tail, pace, percent):
     tables = create_tables(workers=1)
@@ -189,3 +194,42 @@
     moves = [command.pool for command in commands if isinstance(command, MoveHost)]
     found = ":".join(str(moves.count(name)) for name in names)
     assert found == given, (found, commands)
+
+
+@then(
+    "of 4 workers with a lasting task each, {bad:d} that fail get {tasks:d} "
+    "of 40 tasks"
+)
+def check_suspects(context, bad, tasks):
+    tables = create_tables(workers=4)
+    lasting = add_simple_job(tables, "f" * 16, count=4, is_perpetual=True)
+    workers = list(tables.workers_by_id.values())
+    for index, worker in enumerate(workers):
+        start_run(first_task(lasting, index), worker)
+    failing = workers[:bad] or workers
+    for worker in workers[:bad]:
+        worker.failures = 5.0
+    add_simple_job(tables, count=40, cpu_millis=1500)
+    commands = place_tasks(tables, POOL, LearnedLengths(), NOW, NOW_UNIX)
+    names = {worker.worker_id for worker in failing}
+    got = [c for c in commands if c.run.worker_id in names]
+    assert len(got) == tasks, (len(got), len(commands))
+
+
+@then('a registration of an ended worker "{case}" is used: "{used}"')
+def check_ended(context, case, used):
+    tables = create_tables(workers=1)
+    worker = tables.workers_by_id["worker-0"]
+    worker.born_ms = 5
+    lose_worker(tables, worker, NOW)
+    entry = {
+        "service": POOL,
+        "address": "127.0.0.1:1",
+        "zone": "z1",
+        "state": "ready",
+        "capacity": {"cpu": 1, "memMb": 1},
+        "born": 6 if "later" in case else 5,
+    }
+    item = Item("servers/worker-0", msgspec.json.encode(entry), 9)
+    apply_item(tables, item, NOW + 7 if "heartbeats" in case else NOW + 1)
+    assert ("worker-0" in tables.workers_by_id) == (used == "yes"), case
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -91,6 +91,8 @@
 # Time after a take-over on suspicion in which the leader before may still learn
 # of new jobs, in seconds.
 EARLY_S = 1.5
+# Hold on tasks that only the lifting of the barrier ends.
+UNTIL_LIFTED = float("inf")
 # A leader that hears less than this part of the workers for so long, in
 # seconds, leaves the lead to a node that may reach more of them.
 LEAST_REACHED_PART = 0.5
@@ -472,7 +474,7 @@
         if progress is not None:
             apply_progress(self.tables, job, progress)
         if not self.is_loaded and self.barrier_until:
-            self._hold_tasks(job, self.barrier_until)
+            self._hold_tasks(job, UNTIL_LIFTED)
         if CANCEL in values:
             self.cancel(job_id)
 
@@ -492,7 +494,7 @@
         if not self.barrier_until or not self.is_loaded:
             return
         unheard = unheard_workers(self.tables, self._hosts.fleet)
-        if self.timers.now() > self.barrier_until:
+        if self._leadership.led_at > self.barrier_until:
             unheard = {}
         if unheard is None:
             return
@@ -597,9 +599,10 @@
         if self._leadership.has_authority():
             self._carry_out_all(stop_stalled(self.tables, self.lengths, now))
             self._carry_out_all(pace_fillers(self.tables, now))
-        self._carry_out_all(expire_leases(self.tables, now))
+        self._carry_out_all(expire_leases(self.tables, self._leadership.led_at))
         self._repeat_stops(now)
         self._drop_missing(now)
+        self._recheck_ended(now)
         if self._is_cut_off(now):
             self._is_releasing = True
             IOLoop.current().add_callback(
@@ -614,6 +617,15 @@
             self._writer.schedule(False)
         self.place_soon()
 
+    def _recheck_ended(self, now):
+        """Reads registrations again once lives taken for ended would be gone."""
+        lives = self.tables.ended_by_worker
+        expired = [name for name, life in lives.items() if life.until < now]
+        for name in expired:
+            del lives[name]
+        if expired:
+            self._workers.read_again()
+
     def _is_cut_off(self, now):
         """Whether other nodes may reach many more workers than this one."""
         if self._is_releasing or now - self._began_at < SETTLED_S:
--- a/sassafrasgrade/fleet_hosts.py
+++ b/sassafrasgrade/fleet_hosts.py
@@ -60,6 +60,8 @@
         is_reported: Whether its completion is stored.
         is_running_reported: Whether its begin is stored.
         revision: Store revision of its progress; 0 for none.
+        stored_done: Number of hosts in the stored progress.
+        stored_at: Clock of the last storing.
     """
 
     wave: Wave
@@ -69,6 +71,8 @@
     is_reported: bool = False
     is_running_reported: bool = False
     revision: int = 0
+    stored_done: int = 0
+    stored_at: float = 0.0
 
     @property
     def left(self):
--- a/sassafrasgrade/host_keepers.py
+++ b/sassafrasgrade/host_keepers.py
@@ -44,10 +44,17 @@
 
 
 class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
-    """Unix time at which a wave was first seen, and whether it is completed."""
+    """Progress of a wave.
+
+    Attributes:
+        began_at: Unix time at which it was first seen.
+        is_completed: Whether it is completed.
+        done: Hosts whose maintenance has begun.
+    """
 
     began_at: float
     is_completed: bool
+    done: tuple[str, ...] = ()
 
 
 class HostKeeper:
@@ -110,6 +117,8 @@
                 row.is_running_reported = True
                 row.is_reported = record.is_completed
                 row.revision = item.revision
+                row.done.update(record.done)
+                row.stored_done = len(record.done)
         self._has_waves = True
 
     def close(self):
@@ -274,7 +283,8 @@
         puts = [Put(f"{names.WAVE_STATUS_PREFIX}{command.wave}", value)]
         key = f"{WAVES_PREFIX}{command.wave}"
         began_at = time.time() - (self._timers.now() - row.seen_at)
-        record = WaveProgress(began_at, command.is_completed)
+        done = tuple(sorted(row.done))
+        record = WaveProgress(began_at, command.is_completed, done)
         puts.append(Put(key, msgspec.msgpack.encode(record)))
         # The revision keeps a late write from undoing a newer one.
         conditions = [(LEADER_KEY, self._dispatcher.token), (key, row.revision)]
@@ -286,6 +296,7 @@
                 await self._load_waves()
             return
         row.revision = result.unwrap()
+        row.stored_done = len(done)
         row.is_running_reported = True
         row.is_reported = command.is_completed
         logger.info("wave reported", extra={"wave": command.wave, "state": state})
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -24,6 +24,8 @@
 OWN_PREFIX = "own/"
 LEADER_KEY = "own/leader"
 NODES_PREFIX = "own/nodes/"
+# Number of the last leadership; outlives the leader's key.
+EPOCH_KEY = "own/epoch"
 # Life of a node's lease without renewal, in seconds: the leader goes on through
 # store outages of that length; a lost leader is replaced sooner on suspicion.
 LEASE_TTL_S = 6.0
@@ -141,6 +143,11 @@
         is_fresh = self._timers.now() - self._renewed_at < HOST_ORDERS_S
         return is_fresh and self.has_authority()
 
+    @property
+    def led_at(self):
+        """Clock at which this node surely led: its last renewal was sent."""
+        return self._renewed_at
+
     @property
     def other_records(self):
         """``NodeRecord`` of the live nodes that are neither leader nor this one."""
@@ -280,8 +287,7 @@
             return
         token = self.token
         record = self._own_record(self._past_epoch + 1)
-        put = Put(LEADER_KEY, _encode(record), self.lease)
-        result = await self._store.commit([(LEADER_KEY, 0)], [put])
+        result = await self._store.commit([(LEADER_KEY, 0)], self._puts(record))
         logger.info(
             "key taken again", extra={"token": token, "outcome": _outcome(result)}
         )
@@ -296,6 +302,12 @@
             if not any(item.revision == token for item in items):
                 self._lose("another node took the vanished key")
 
+    def _puts(self, record):
+        return [
+            Put(LEADER_KEY, _encode(record), self.lease),
+            Put(EPOCH_KEY, str(record.epoch).encode()),
+        ]
+
     def _own_record(self, epoch):
         return LeaderRecord(
             self._settings.node_name, self.incarnation, self.address, epoch
@@ -345,6 +357,8 @@
                 self._gain(record, item.revision, False)
             else:
                 self._set_leader(record, item.revision, item.lease)
+        elif item.key == EPOCH_KEY and item.value is not None:
+            self._past_epoch = max(self._past_epoch, int(item.value))
         elif item.key.startswith(NODES_PREFIX):
             name = item.key.removeprefix(NODES_PREFIX)
             record = _decode(_nodes, item)
@@ -403,7 +417,10 @@
     async def _stand(self):
         self._candidate = None
         revision = self.leader_revision
-        is_proven = self.held_revision in (0, self._dead_revision)
+        # Without a word on any holder, only the first leadership of all is safe.
+        is_proven = self._past_epoch == 0 or (
+            self.held_revision != 0 and self.held_revision == self._dead_revision
+        )
         is_free = self.leader is None or revision in (
             self._dead_revision,
             self._suspected_revision,
@@ -414,9 +431,9 @@
         record = self._own_record(epoch)
         lease_before = self._leader_lease if self.leader is not None else 0
         expected = self.leader_revision if self.leader is not None else 0
-        put = Put(LEADER_KEY, _encode(record), self.lease)
         began = time.monotonic()
-        result = await self._store.commit([(LEADER_KEY, expected)], [put])
+        conditions = [(LEADER_KEY, expected)]
+        result = await self._store.commit(conditions, self._puts(record))
         logger.info(
             "stood for leader",
             extra={
--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -48,6 +48,8 @@
 # Time within which a host that is away counts for its pool, in seconds: less
 # than a move takes.
 SOON_S = 1.0
+# Pause between storings of a wave's progress, in seconds.
+STORE_PAUSE_S = 1.0
 # Pause before an order that was refused is repeated, in seconds.
 REFUSED_PAUSE_S = 0.5
 
@@ -170,6 +172,9 @@
         return [] if down else [ReportWave(row.wave.number, True)]
     slots = row.wave.most_at_once - len(down)
     commands = []
+    if len(row.done) > row.stored_done and now - row.stored_at > STORE_PAUSE_S:
+        row.stored_at = now
+        commands.append(ReportWave(row.wave.number, False))
     hosts = [fleet.hosts_by_name[n] for n in row.left if n in fleet.hosts_by_name]
     hosts.sort(key=lambda host: _wave_rank(tables, host))
     for host in hosts:
--- a/sassafrasgrade/systems/run_views.py
+++ b/sassafrasgrade/systems/run_views.py
@@ -5,6 +5,7 @@
 from sassafrasgrade.work_commands import Note, StopRun, StopUnknownRun
 from sassafrasgrade.works import (
     MS_PER_S,
+    EndedLife,
     Run,
     RunState,
     Task,
@@ -21,6 +22,9 @@
 AT_WORK_PERCENT = 100
 # Time in which the weight of a worker's past ends halves, in seconds.
 TRUST_HALF_LIFE_S = 5.0
+# Time for which the registration of an ended life may stay listed, in seconds:
+# three heartbeats and the time of a watch.
+LISTED_S = 6.0
 # Slack on clock readings that travelled over the network, in milliseconds.
 CLOCK_SLACK_MS = 50.0
 
@@ -286,7 +290,8 @@
         forget_run(tables, run, now)
     tables.workers_by_id.pop(worker.worker_id, None)
     if has_ended:
-        tables.ended_born_by_worker[worker.worker_id] = worker.born_ms
+        life = EndedLife(worker.born_ms, now + LISTED_S)
+        tables.ended_by_worker[worker.worker_id] = life
 
 
 def restart_worker(tables, worker, born_ms, now):
@@ -353,17 +358,23 @@
         worker.successes *= factor
 
 
-def expire_leases(tables, now):
-    """Forgets runs on silent workers whose leases have surely lapsed."""
+def expire_leases(tables, led_at):
+    """Forgets runs on silent workers whose leases have surely lapsed.
+
+    Args:
+        tables: The tables.
+        led_at: Clock at which this node surely led still: later another leader
+            may have renewed the leases of workers that it reaches.
+    """
     commands = []
     for worker in tables.workers_by_id.values():
-        if not worker.runs_by_key or now < worker.lease_until:
+        if not worker.runs_by_key or led_at < worker.lease_until:
             continue
         if worker.silent_since == 0:
             continue
         for run in list(worker.runs_by_key.values()):
             # A start in flight may still arrive: its own deadline is earlier
             # than the lease, so that it is void by now, too.
-            forget_run(tables, run, now)
+            forget_run(tables, run, led_at)
         commands.append(Note("worker-lapsed", {"worker": worker.worker_id}))
     return commands
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -38,7 +38,8 @@
         cpu_millis: Free thousandths of a core.
         memory_mb: Free memory.
         gpus: Free accelerators.
-        runs: Runs on it.
+        runs: Runs on it of tasks that end by themselves.
+        is_suspect: Whether it gets no more than probes.
     """
 
     worker: Worker
@@ -46,6 +47,7 @@
     memory_mb: int
     gpus: int
     runs: int
+    is_suspect: bool = False
 
     def fits(self, step):
         """Whether a task of the step fits."""
@@ -62,7 +64,7 @@
             self.cpu_millis -= step.cpu_millis
         self.memory_mb -= step.memory_mb
         self.gpus -= step.gpus
-        self.runs += 1
+        self.runs += not step.is_perpetual
 
 
 def room_of(worker: Worker):
@@ -91,6 +93,14 @@
     return worker.failures >= SUSPECT_FAILURES and worker.failures > worker.successes
 
 
+def mark_suspects(rooms):
+    """Marks suspect workers, unless most look bad: then the view is at fault."""
+    suspects = [room for room in rooms if is_suspect(room.worker)]
+    if len(suspects) * 2 <= len(rooms):
+        for room in suspects:
+            room.is_suspect = True
+
+
 def place_tasks(tables: WorkTables, pool_name, lengths, now, now_unix):
     """Starts what fits into a pool.
 
@@ -111,6 +121,7 @@
     ]
     if not rooms:
         return []
+    mark_suspects(rooms)
     commands = []
     misfits = Misfits()
     for job in order_jobs(tables, pool_name, lengths, now_unix):
@@ -266,7 +277,7 @@
         room.cpu_millis += step.cpu_millis
     room.memory_mb += step.memory_mb
     room.gpus += step.gpus
-    room.runs -= 1
+    room.runs -= not step.is_perpetual
 
 
 def create_run(task, worker, number, now):
@@ -293,7 +304,7 @@
             continue
         if step.most_per_worker and (counts[worker.worker_id] >= step.most_per_worker):
             continue
-        suspect = is_suspect(worker)
+        suspect = room.is_suspect
         if suspect and room.runs >= PROBES_AT_ONCE:
             continue
         rank = (
--- a/sassafrasgrade/worker_directories.py
+++ b/sassafrasgrade/worker_directories.py
@@ -53,7 +53,7 @@
     if worker is not None and worker.address != entry.address:
         lose_worker(tables, worker, now)
         worker = None
-    if worker is None and _is_known_to_have_ended(tables, worker_id, entry):
+    if worker is None and _is_known_to_have_ended(tables, worker_id, entry, now):
         return
     if worker is None:
         worker = _add_worker(tables, worker_id, entry)
@@ -67,13 +67,14 @@
     _update_worker(worker, entry, now)
 
 
-def _is_known_to_have_ended(tables, worker_id, entry):
+def _is_known_to_have_ended(tables, worker_id, entry, now):
     """Whether a registration is left over from a life that has ended."""
-    if worker_id not in tables.ended_born_by_worker:
+    life = tables.ended_by_worker.get(worker_id)
+    if life is None:
         return False
-    if entry.born_ms == tables.ended_born_by_worker[worker_id]:
+    if entry.born_ms == life.born_ms and now < life.until:
         return True
-    del tables.ended_born_by_worker[worker_id]
+    del tables.ended_by_worker[worker_id]
     return False
 
 
--- a/sassafrasgrade/works.py
+++ b/sassafrasgrade/works.py
@@ -269,6 +269,23 @@
         return self.labels[-1] if self.labels else ""
 
 
+@dataclass(frozen=True, slots=True)
+class EndedLife:
+    """A worker's life that is taken for ended.
+
+    Its registration stays listed until its heartbeats are missed. An order that
+    had been carried out before ends nothing, though: a worker that is listed
+    still after ``until`` is alive.
+
+    Attributes:
+        born_ms: Start of the life.
+        until: Clock until which its registration is ignored.
+    """
+
+    born_ms: int | None
+    until: float
+
+
 @dataclass(slots=True)
 class WorkTables:
     """Everything that the scheduling systems read and change.
@@ -278,8 +295,7 @@
         remote_slowdown: Factor on tasks away from the rack of their data.
         dirty_job_ids: Jobs whose progress is to be stored.
         tickets: Tickets of the advice service.
-        ended_born_by_worker: Start of the last life of workers known to have
-            ended; their registrations may stay listed for seconds.
+        ended_by_worker: ``EndedLife`` of workers that orders have ended.
         has_seen_work: Whether any job that ends by itself was accepted.
     """
 
@@ -294,7 +310,7 @@
     workers_by_id: dict[str, Worker] = field(default_factory=dict)
     dirty_job_ids: set[str] = field(default_factory=set)
     tickets: TicketTable = field(default_factory=TicketTable)
-    ended_born_by_worker: dict[str, int | None] = field(default_factory=dict)
+    ended_by_worker: dict[str, "EndedLife"] = field(default_factory=dict)
     has_seen_work: bool = False
 
     def adopt_configuration(self, configuration):
