--- a/sassafrasgrade/directories.py
+++ b/sassafrasgrade/directories.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from returns.result import Failure
+from returns.result import Failure, Success
 from tornado import gen
 from tornado.ioloop import IOLoop
 
@@ -12,8 +12,9 @@
 logger = logging.getLogger(__name__)
 
 # Longest wait of one watch call, in seconds; a watch that hears nothing for
-# longer is not trusted.
-WATCH_S = 2.5
+# longer is not trusted. With its margin it stays below the time in which a
+# configuration has to be in force everywhere.
+WATCH_S = 1.3
 
 
 class PrefixFollower:
@@ -38,6 +39,7 @@
         self._revision = None
         self._is_closed = False
         self._is_lost = False
+        self._is_rereading = False
 
     def start(self):
         """Starts following."""
@@ -48,8 +50,22 @@
         self._is_closed = True
 
     def read_again(self):
-        """Reads the whole range at the next turn."""
-        self._revision = None
+        """Reads the whole range now, beside a watch that may have gone silent."""
+        if not self._is_rereading and not self._is_closed:
+            self._is_rereading = True
+            IOLoop.current().add_callback(self._reread)
+
+    async def _reread(self):
+        try:
+            found = await self._store.read_range(self._prefix)
+        finally:
+            self._is_rereading = False
+        if self._is_closed or isinstance(found, Failure):
+            return
+        items, revision = found.unwrap()
+        if self._revision is None or revision >= self._revision:
+            self._revision = revision
+            self._on_range(items)
 
     async def _run(self):
         backoff = Backoff(0.05, 0.5)
@@ -76,6 +92,9 @@
             take = self._on_items
         if self._is_closed:
             return found
+        if revision is not None and revision != self._revision:
+            # The range was read meanwhile and holds more than this answer.
+            return Success(None)
         if isinstance(found, Failure):
             if isinstance(found.failure(), HistoryCompacted):
                 self._revision = None
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -4,37 +4,18 @@
 import time
 from functools import singledispatchmethod
 
-import msgspec
 from tornado.ioloop import IOLoop
 
 from sassafrasgrade.advice_desks import AdviceDesk
-from sassafrasgrade.directories import PrefixFollower
 from sassafrasgrade.host_keepers import HostKeeper
-from sassafrasgrade.job_records import (
-    CANCEL,
-    JOBS_PREFIX,
-    PROGRESS,
-    REQUEST,
-    add_job,
-    adopt_unstored,
-    apply_progress,
-    decode_progress,
-    decode_submitted,
-    encode,
-    progress_of,
-    split_key,
-)
-from sassafrasgrade.leaderships import LEASE_TTL_S
-from sassafrasgrade.node_messages import HandedRun, HandOver
-from sassafrasgrade.platform import names
+from sassafrasgrade.job_sweeps import JobSweeper
 from sassafrasgrade.platform.workers import OrderOutcome
 from sassafrasgrade.progress_writers import ProgressWriter
-from sassafrasgrade.systems.host_planning import describe_pools
 from sassafrasgrade.systems.lengths import LearnedLengths
 from sassafrasgrade.systems.occurrences import create_due, forget_done
 from sassafrasgrade.systems.pacing import pace_fillers
+from sassafrasgrade.systems.pool_moves import describe_pools
 from sassafrasgrade.systems.run_views import (
-    adopt_handed_runs,
     apply_view,
     cancel_job,
     decay_trust,
@@ -43,7 +24,6 @@
     is_past_life,
     lose_worker,
     restart_worker,
-    unheard_workers,
 )
 from sassafrasgrade.systems.run_watch import copy_late_runs, stop_stalled
 from sassafrasgrade.systems.task_placement import (
@@ -51,6 +31,7 @@
     place_tasks,
     step_key_of,
 )
+from sassafrasgrade.table_loaders import TableLoader
 from sassafrasgrade.work_commands import (
     MaintainHost,
     MoveHost,
@@ -61,8 +42,7 @@
     StopRun,
     StopUnknownRun,
 )
-from sassafrasgrade.worker_directories import apply_item, apply_range
-from sassafrasgrade.worker_sessions import CLOCK_DRIFT, WorkerSession
+from sassafrasgrade.worker_sessions import WorkerSession
 from sassafrasgrade.works import MS_PER_S, RunState, WorkState, WorkTables
 
 logger = logging.getLogger(__name__)
@@ -72,8 +52,6 @@
 WORKER_LEASE_S = 4.5
 # Silence of the store after which leases are extended to the most allowed.
 STORE_SILENT_S = 1.0
-# Pause between looks for jobs whose message from their node was lost.
-JOBS_PAUSE_S = 1.0
 # How long placement waits for other changes, in seconds.
 PLACE_GATHER_S = 0.003
 # Rest after a placement, in parts of what it took: so that a long backlog does
@@ -86,13 +64,6 @@
 DESCRIBE_S = 1.0
 # Time without work for a worker that refused a start as unhealthy or full.
 REFUSED_PAUSE_S = 0.3
-# Time after which a worker that is neither listed nor answering is dropped.
-MISSING_S = 2.5
-# Time after a take-over on suspicion in which the leader before may still learn
-# of new jobs, in seconds.
-EARLY_S = 1.5
-# Hold on tasks that only the lifting of the barrier ends.
-UNTIL_LIFTED = float("inf")
 # A leader that hears less than this part of the workers for so long, in
 # seconds, leaves the lead to a node that may reach more of them.
 LEAST_REACHED_PART = 0.5
@@ -111,9 +82,19 @@
         epoch: Number of the leadership.
         counters: ``NodeCounters``.
         handed: ``HandOver`` of the leader before, if it stopped gracefully.
+        is_predecessor_gone: Whether the leader before has surely stopped.
     """
 
-    def __init__(self, services, leadership, token, epoch, counters, handed=None):
+    def __init__(
+        self,
+        services,
+        leadership,
+        token,
+        epoch,
+        counters,
+        handed=None,
+        is_predecessor_gone=False,
+    ):
         self.timers = services.timers
         self.token = token
         self.settings = services.settings
@@ -124,12 +105,6 @@
             epoch=epoch, remote_slowdown=services.settings.bounds_remote_slowdown
         )
         self.lengths = LearnedLengths()
-        self.is_loaded = False
-        self._handed = handed
-        self.is_predecessor_gone = False
-        self._has_jobs = self._has_workers = False
-        self.barrier_until = 0.0
-        self._held_pools = None
         self._is_closed = False
         self._sessions_by_id = {}
         self._place_due = False
@@ -141,56 +116,43 @@
         self._writer = ProgressWriter(
             services.store, self.tables, token, self._note_stored, self._note_other
         )
-        self._workers = PrefixFollower(
-            services.store,
-            names.WORKERS_PREFIX,
-            self._take_all_workers,
-            self._take_workers,
-            name="workers",
-        )
-        self._jobs = PrefixFollower(
-            services.store,
-            JOBS_PREFIX,
-            self._take_all_jobs,
-            self._take_jobs,
-            pause_s=JOBS_PAUSE_S,
-            name="jobs",
+        self.loader = TableLoader(
+            services, self, leadership, handed, is_predecessor_gone
         )
         self._hosts = HostKeeper(services, self)
         self._advice = AdviceDesk(services, self)
+        self._sweeper = JobSweeper(services, self)
 
     def lose_worker(self, worker):
         """Forgets a worker that an order has ended."""
         lose_worker(self.tables, worker, self.timers.now())
-        self._sync_sessions()
+        self.sync_sessions()
         self.place_soon()
 
     def has_authority(self):
         """Whether orders may be given."""
         return not self._is_closed and self._leadership.has_authority()
 
+    @property
+    def is_loaded(self):
+        """Whether jobs and workers were read from the store."""
+        return self.loader.is_loaded
+
+    @property
+    def fleet(self):
+        """Hosts and waves."""
+        return self._hosts.fleet
+
     def has_host_authority(self):
         """Whether hosts may be ordered."""
         return not self._is_closed and self._leadership.has_host_authority()
 
-    @property
-    def is_informed(self):
-        """Whether the leader before handed over all that it knew."""
-        return self._handed is not None and self._handed.is_complete
-
     def start(self, configuration):
         """Starts loading jobs and workers."""
         if configuration is not None:
             self.tables.adopt_configuration(configuration)
-        if self.tables.epoch > 1 and not self.is_informed:
-            most_s = self.settings.bounds_hold_most_ms / MS_PER_S
-            if not self.is_predecessor_gone:
-                # It may renew leases until its own has lapsed.
-                most_s += LEASE_TTL_S
-            self.barrier_until = self.timers.now() + most_s * CLOCK_DRIFT
         self._periodic = self.timers.subscribe(TICK_S, self._tick)
-        self._jobs.start()
-        self._workers.start()
+        self.loader.start()
         self._hosts.start()
 
     def renew(self, token, epoch):
@@ -203,8 +165,7 @@
         """Stops giving orders at once."""
         self._is_closed = True
         self._writer.close()
-        self._workers.close()
-        self._jobs.close()
+        self.loader.close()
         self._hosts.close()
         if self._periodic is not None:
             self._periodic.stop()
@@ -263,7 +224,7 @@
         commands = apply_view(self.tables, worker, view, sent_at, now)
         self._carry_out_all(commands)
         if not was_fenced:
-            self._lift_barrier()
+            self.loader.lift_barrier()
         if commands or not was_fenced:
             self.place_soon()
         self._store_soon(worker)
@@ -356,7 +317,7 @@
         """Another incarnation answers at a worker's address."""
         logger.info("worker gone", extra={"worker": worker.worker_id})
         lose_worker(self.tables, worker, self.timers.now())
-        self._sync_sessions()
+        self.sync_sessions()
         self.place_soon()
 
     def note_silent(self, worker, detail):
@@ -370,20 +331,8 @@
 
     # Workers and jobs from the store.
 
-    def _take_all_workers(self, items):
-        apply_range(self.tables, items, self.timers.now())
-        self._has_workers = True
-        self._begin_if_loaded()
-        self._sync_sessions()
-        self.place_soon()
-
-    def _take_workers(self, items):
-        for item in items:
-            apply_item(self.tables, item, self.timers.now())
-        self._sync_sessions()
-        self.place_soon()
-
-    def _sync_sessions(self):
+    def sync_sessions(self):
+        """Opens and closes sessions so that each worker has one."""
         if not self.is_loaded:
             return
         for worker_id, session in list(self._sessions_by_id.items()):
@@ -396,150 +345,8 @@
                 self._sessions_by_id[worker_id] = session
                 session.start()
 
-    def _take_all_jobs(self, items):
-        parts, revisions_by_id = {}, {}
-        for item in items:
-            job_id, part = split_key(item.key)
-            parts.setdefault(job_id, {})[part] = item.value
-            if part == PROGRESS:
-                revisions_by_id[job_id] = item.revision
-        for job_id, values in parts.items():
-            is_new = job_id not in self.tables.jobs_by_id
-            self._load_job(job_id, values)
-            if is_new and job_id in self.tables.jobs_by_id:
-                job = self.tables.jobs_by_id[job_id]
-                job.progress_revision = revisions_by_id.get(job_id, 0)
-        self._has_jobs = True
-        self._begin_if_loaded()
-        self.place_soon()
-
-    def _begin_if_loaded(self):
-        if self.is_loaded or not (self._has_jobs and self._has_workers):
-            return
-        self.is_loaded = True
-        handed_runs = self._handed.runs if self._handed is not None else ()
-        if self._handed is not None:
-            adopt_unstored(self.tables, self._handed.progress_by_job)
-        adopt_handed_runs(self.tables, handed_runs, self.timers.now())
-        logger.info(
-            "jobs loaded",
-            extra={
-                "jobs": len(self.tables.jobs_by_id),
-                "open": len(self.tables.open_jobs_by_id),
-                "handed_runs": len(handed_runs),
-                "token": self.token,
-                "epoch": self.tables.epoch,
-            },
-        )
-        self._sync_sessions()
-
-    def export_hand_over(self, revision):
-        """Returns a ``HandOver`` with all that may be under way.
-
-        Args:
-            revision: Revision of the leader's key.
-        """
-        now = self.timers.now()
-        runs = tuple(
-            HandedRun(
-                run.task.name,
-                run.number,
-                worker.worker_id,
-                max(0.0, worker.lease_until - now),
-            )
-            for worker in self.tables.workers_by_id.values()
-            for run in worker.runs_by_key.values()
-        )
-        progress_by_job = {
-            job_id: encode(progress_of(self.tables.jobs_by_id[job_id]))
-            for job_id in self.tables.dirty_job_ids
-        }
-        is_complete = self.is_loaded and not self.barrier_until
-        return HandOver(revision, is_complete, runs, progress_by_job)
-
-    def _load_job(self, job_id, values):
-        if job_id in self.tables.jobs_by_id or REQUEST not in values:
-            if CANCEL in values:
-                self.cancel(job_id)
-            return
-        try:
-            submitted = decode_submitted(values[REQUEST])
-            progress = values.get(PROGRESS)
-            progress = decode_progress(progress) if progress else None
-        except msgspec.DecodeError as error:
-            logger.error("unreadable job", extra={"job": job_id, "error": str(error)})
-            return
-        job = add_job(self.tables, job_id, submitted, time.time())
-        self.lengths.note_job(job)
-        if progress is not None:
-            apply_progress(self.tables, job, progress)
-        if not self.is_loaded and self.barrier_until:
-            self._hold_tasks(job, UNTIL_LIFTED)
-        if CANCEL in values:
-            self.cancel(job_id)
-
-    @staticmethod
-    def _hold_tasks(job, until):
-        for occurrence in job.occurrences.values():
-            for row in occurrence.steps:
-                for task in row.tasks:
-                    task.held_until = until
-
-    def _lift_barrier(self):
-        """Frees tasks held at take-over, pool by pool.
-
-        A pool's tasks are free once all its workers told what they run, or the
-        leases that the leader before gave have surely lapsed.
-        """
-        if not self.barrier_until or not self.is_loaded:
-            return
-        unheard = unheard_workers(self.tables, self._hosts.fleet)
-        if self._leadership.led_at > self.barrier_until:
-            unheard = {}
-        if unheard is None:
-            return
-        pools = set(unheard.values())
-        if self._held_pools is not None:
-            # A worker that came later runs nothing of the leader before.
-            pools &= self._held_pools
-        if pools == self._held_pools:
-            return
-        self._held_pools = pools
-        for task in self.tables.tasks_by_name.values():
-            if task.held_until and self.tables.pool_of(task.job) not in pools:
-                task.held_until = 0.0
-        if not pools:
-            self.barrier_until = 0.0
-        logger.info(
-            "take-over", extra={"unheard": unheard, "held_pools": sorted(pools)}
-        )
-        self.place_soon()
-
-    def _take_jobs(self, items):
-        parts = {}
-        for item in items:
-            job_id, part = split_key(item.key)
-            if part != PROGRESS and item.value is not None:
-                parts.setdefault(job_id, {})[part] = item.value
-        for job_id, values in parts.items():
-            if values.keys() == {CANCEL}:
-                self.cancel(job_id)
-            else:
-                self._load_job(job_id, values)
-        if parts:
-            self.place_soon()
-
     # What nodes tell and ask.
 
-    def accept(self, job_id, record):
-        """Takes in a job that was stored."""
-        if self.is_loaded and job_id not in self.tables.jobs_by_id:
-            job = add_job(self.tables, job_id, decode_submitted(record), time.time())
-            self.lengths.note_job(job)
-            if self.barrier_until and not self.is_predecessor_gone:
-                self._hold_tasks(job, self._began_at + EARLY_S)
-            self.place_soon()
-
     def cancel(self, job_id):
         """Takes in a cancellation that was stored."""
         job = self.tables.jobs_by_id.get(job_id)
@@ -601,14 +408,15 @@
             self._carry_out_all(pace_fillers(self.tables, now))
         self._carry_out_all(expire_leases(self.tables, self._leadership.led_at))
         self._repeat_stops(now)
-        self._drop_missing(now)
-        self._recheck_ended(now)
+        self._sweeper.sweep(now)
+        self.loader.drop_missing(now)
+        self.loader.recheck_ended(now)
         if self._is_cut_off(now):
             self._is_releasing = True
             IOLoop.current().add_callback(
                 self._leadership.release, "most workers are out of reach"
             )
-        self._lift_barrier()
+        self.loader.lift_barrier()
         self._carry_out_all(self._hosts.plan(now))
         if now - self._described_at > DESCRIBE_S:
             self._described_at = now
@@ -617,15 +425,6 @@
             self._writer.schedule(False)
         self.place_soon()
 
-    def _recheck_ended(self, now):
-        """Reads registrations again once lives taken for ended would be gone."""
-        lives = self.tables.ended_by_worker
-        expired = [name for name, life in lives.items() if life.until < now]
-        for name in expired:
-            del lives[name]
-        if expired:
-            self._workers.read_again()
-
     def _is_cut_off(self, now):
         """Whether other nodes may reach many more workers than this one."""
         if self._is_releasing or now - self._began_at < SETTLED_S:
@@ -647,21 +446,6 @@
                 if wants and now - run.stopped_at > STOP_REPEAT_S:
                     self._send_stop(run)
 
-    def _drop_missing(self, now):
-        if self.barrier_until:
-            return
-        for worker in list(self.tables.workers_by_id.values()):
-            if (
-                worker.missing_since
-                and now - worker.missing_since > MISSING_S
-                and worker.silent_since
-                and not worker.runs_by_key
-                and now > worker.lease_until
-            ):
-                logger.info("worker dropped", extra={"worker": worker.worker_id})
-                lose_worker(self.tables, worker, now, has_ended=False)
-                self._sync_sessions()
-
     def _note_stored(self, ends_by_worker):
         for worker_id, seen_end in ends_by_worker.items():
             worker = self.tables.workers_by_id.get(worker_id)
--- a/sassafrasgrade/host_keepers.py
+++ b/sassafrasgrade/host_keepers.py
@@ -15,11 +15,8 @@
 from sassafrasgrade.platform.clouds import CloudClient, HostOrderOutcome
 from sassafrasgrade.platform.messages import Wave
 from sassafrasgrade.platform.stores import Put
-from sassafrasgrade.systems.host_planning import (
-    REFUSED_PAUSE_S,
-    plan_hosts,
-    worker_of,
-)
+from sassafrasgrade.systems.host_planning import REFUSED_PAUSE_S, plan_hosts
+from sassafrasgrade.systems.host_states import worker_of
 from sassafrasgrade.work_commands import MaintainHost, MoveHost, ReportWave
 
 logger = logging.getLogger(__name__)
@@ -92,7 +89,7 @@
         IOLoop.current().add_callback(self._load_waves)
         if self._dispatcher.tables.epoch > 1:
             wait_s = CLOUD_TIMEOUT_S + ORDERS_MARGIN_S
-            if not self._dispatcher.is_informed:
+            if not self._dispatcher.loader.is_informed:
                 wait_s += HOST_ORDERS_S
             self._orders_after = self._timers.now() + wait_s
             self._last_order_at = self._timers.now()
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -44,7 +44,7 @@
 # Suspend after which the lead counts only once a renewal is answered, seconds.
 PAUSE_S = 0.3
 # Longest wait of one watch call, in seconds.
-WATCH_S = 2.5
+WATCH_S = 1.3
 
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -168,7 +168,9 @@
         """Stops leading and tells all nodes what may run."""
         if self._dispatcher is None:
             return
-        message = self._dispatcher.export_hand_over(self.leadership.leader_revision)
+        message = self._dispatcher.loader.export_hand_over(
+            self.leadership.leader_revision
+        )
         self.leadership.step_down(reason)
         self._server.send_all(message)
 
@@ -272,9 +274,14 @@
         if handed is not None and handed.revision != self.leadership.past_revision:
             handed = None
         self._dispatcher = Dispatcher(
-            self.services, self.leadership, token, epoch, self.counters, handed
+            self.services,
+            self.leadership,
+            token,
+            epoch,
+            self.counters,
+            handed,
+            is_proven,
         )
-        self._dispatcher.is_predecessor_gone = is_proven
         self._words_by_node.clear()
         self._dispatcher.start(self.configuration)
         self._dispatcher.take_waves(self._waves_by_key)
@@ -346,7 +353,7 @@
     @take_node_message.register
     def _(self, message: JobAccepted, stream):
         if self._dispatcher is not None:
-            self._dispatcher.accept(message.job_id, message.record)
+            self._dispatcher.loader.accept(message.job_id, message.record)
 
     @take_node_message.register
     def _(self, message: JobCancelled, stream):
--- a/sassafrasgrade/platform/stores.py
+++ b/sassafrasgrade/platform/stores.py
@@ -24,7 +24,7 @@
 HTTP_TOO_MANY = 429
 HTTP_UNAVAILABLE = 503
 # Margin over the store's own wait on a watch, in seconds.
-WATCH_MARGIN_S = 0.7
+WATCH_MARGIN_S = 0.6
 
 _pages = msgspec.json.Decoder(StorePage)
 _replies = msgspec.json.Decoder(StoreReply)
--- /dev/null
+++ b/sassafrasgrade/systems/pool_moves.py
@@ -0,0 +1,239 @@
+"""Moves hosts between pools: to a backlog, and to the standby pool when idle.
+
+Load pattern: the pools' demand peaks by turns. Hosts that run nothing go to the
+standby pool, which is free of charge, and from there to the pool whose backlog
+grows.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from sassafrasgrade.fleet_hosts import STATE_UP, HostRow
+from sassafrasgrade.systems.host_states import MOST_ORDERS, is_free, worker_of
+from sassafrasgrade.work_commands import MoveHost, Note
+
+# Hosts that a pool keeps even when it is idle.
+LEAST_HOSTS = 1
+# Part of a pool's cores that its demand may fill before it gets another host.
+FULL_PART = 0.85
+# Time that a host runs nothing before it goes to the standby pool, in seconds.
+IDLE_S = 1.5
+# Time after a move in which a host is not moved again, in seconds.
+SETTLE_S = 1.0
+# Time within which a host that is away counts for its pool, in seconds: less
+# than a move takes.
+SOON_S = 1.0
+
+
+@dataclass(slots=True)
+class PoolNeed:
+    """What a pool has and needs.
+
+    Attributes:
+        hosts: Hosts that are in it or on their way.
+        wanted: Hosts that its demand needs.
+    """
+
+    hosts: list[HostRow] = field(default_factory=list)
+    wanted: int = LEAST_HOSTS
+
+
+def plan_moves(tables, fleet, settings, now):
+    """Returns the moves of one tick; hosts that it takes become reserved."""
+    standby = [pool for pool in tables.pools_by_name.values() if pool.is_standby]
+    if not standby or not tables.has_seen_work:
+        # Without any demand yet, hosts stay where the operators put them.
+        return []
+    needs = measure_needs(tables, fleet, now)
+    commands = []
+    free = _free_by_pool(tables, fleet, now)
+    short = {name for name, need in needs.items() if len(need.hosts) < need.wanted}
+    while short and len(commands) < MOST_ORDERS:
+        # One host at a time to the pool that has the least part of its need.
+        name = min(short, key=lambda n: (len(needs[n].hosts) / needs[n].wanted, n))
+        need = needs[name]
+        host = _take_host(free, needs, name, standby[0].name, tables, now)
+        if host is None:
+            short.discard(name)
+            continue
+        commands.append(_move(tables, host, name, settings, now, "backlog"))
+        need.hosts.append(host)
+        if len(need.hosts) >= need.wanted:
+            short.discard(name)
+    for name, need in needs.items():
+        for host in free.get(name, []):
+            if len(need.hosts) <= need.wanted:
+                break
+            if len(commands) >= MOST_ORDERS:
+                break
+            is_idle = host.idle_since and now - host.idle_since >= IDLE_S
+            if is_idle and host in need.hosts:
+                need.hosts.remove(host)
+                commands.append(
+                    _move(tables, host, standby[0].name, settings, now, "idle")
+                )
+    return commands
+
+
+def _free_by_pool(tables, fleet, now):
+    """Returns free hosts by pool, those with the longest idle time first."""
+    free = {}
+    for host in fleet.hosts_by_name.values():
+        if is_free(tables, host, now):
+            free.setdefault(host.pool, []).append(host)
+    for hosts in free.values():
+        hosts.sort(key=lambda host: (host.idle_since, host.name))
+    return free
+
+
+def _take_host(free, needs, taker, standby_name, tables, now):
+    """Chooses a host for a pool: a standby one, or one that is over elsewhere."""
+    kinds = _kinds_of(needs[taker].hosts)
+    for host in free.get(standby_name, []):
+        if not kinds or _kind(host) in kinds:
+            free[standby_name].remove(host)
+            return host
+    givers = [
+        name
+        for name, need in needs.items()
+        if name != taker and len(need.hosts) > need.wanted and free.get(name)
+    ]
+    givers.sort(key=lambda name: needs[name].wanted - len(needs[name].hosts))
+    for name in givers:
+        for host in free[name]:
+            if host in needs[name].hosts and (not kinds or _kind(host) in kinds):
+                free[name].remove(host)
+                needs[name].hosts.remove(host)
+                return host
+    return None
+
+
+def _kind(host):
+    return host.labels[0] if host.labels else ""
+
+
+def _kinds_of(hosts):
+    return {_kind(host) for host in hosts}
+
+
+def _move(tables, host, pool, settings, now, reason):
+    is_standby = tables.pools_by_name[pool].is_standby
+    settle_s = 0.0 if is_standby else SETTLE_S
+    host.busy_until = now + settings.bounds_move_s + settle_s
+    host.arrives_at = now + settings.bounds_move_s
+    worker = worker_of(tables, host)
+    if worker is not None:
+        worker.is_reserved = True
+    host.idle_since = 0.0
+    return MoveHost(host.name, pool, reason)
+
+
+def describe_pools(tables, fleet, now):
+    """Returns notes on pools where jobs wait, for the log."""
+    waiting = {}
+    for job in tables.open_jobs_by_id.values():
+        if not job.has_started:
+            pool = tables.pool_of(job)
+            waiting[pool] = waiting.get(pool, 0) + 1
+    if not waiting:
+        return []
+    needs = measure_needs(tables, fleet, now)
+    return [
+        Note(
+            "pool",
+            {
+                "pool": name,
+                "waiting_jobs": waiting[name],
+                "hosts": len(need.hosts),
+                "wanted": need.wanted,
+                "list_age_s": round(now - fleet.listed_at, 2),
+            },
+        )
+        for name, need in needs.items()
+        if name in waiting
+    ]
+
+
+def measure_needs(tables, fleet, now):
+    """Returns what each pool that runs work has and needs, by pool name."""
+    needs = {
+        name: PoolNeed()
+        for name, pool in tables.pools_by_name.items()
+        if not pool.is_standby
+    }
+    capacities = {}
+    for host in fleet.hosts_by_name.values():
+        need = needs.get(host.pool)
+        if need is None:
+            continue
+        worker = worker_of(tables, host)
+        is_coming = host.arrives_at > now or now < host.busy_until < now + SOON_S
+        is_up = worker is None and host.state == STATE_UP and not host.idle_since
+        if is_coming or is_up or (worker is not None and _counts(worker)):
+            need.hosts.append(host)
+        capacities[host.pool] = host.capacity
+    demands = demand_by_pool(tables, now)
+    spreads = spread_by_pool(tables)
+    for name, need in needs.items():
+        capacity = capacities.get(name)
+        if capacity is not None:
+            need.wanted = hosts_for(demands.get(name, (0, 0)), capacity)
+            need.wanted = max(need.wanted, spreads.get(name, 0))
+    return needs
+
+
+def spread_by_pool(tables):
+    """Returns the hosts that limits per worker ask for, by pool."""
+    spreads = {}
+    for job in tables.open_jobs_by_id.values():
+        pool = tables.pool_of(job)
+        for step in job.request.steps:
+            if step.most_per_worker and step.is_perpetual:
+                hosts = math.ceil(step.count / step.most_per_worker)
+                spreads[pool] = max(spreads.get(pool, 0), hosts)
+    return spreads
+
+
+def _counts(worker):
+    return not (
+        worker.is_draining
+        or worker.is_reserved
+        or worker.missing_since
+        or worker.silent_since
+    )
+
+
+def hosts_for(demand, capacity):
+    """Returns how many hosts a demand of (thousandths of a core, MB) needs."""
+    cpu = demand[0] / max(1, capacity.cpu_millis)
+    memory = demand[1] / max(1, capacity.memory_mb)
+    return max(LEAST_HOSTS, math.ceil(max(cpu, memory) / FULL_PART))
+
+
+def demand_by_pool(tables, now):
+    """Sums what running and startable tasks ask for, by pool."""
+    demands = {}
+    for worker in tables.workers_by_id.values():
+        for run in worker.runs_by_key.values():
+            _add_demand(demands, worker.pool, run.task.step, 1)
+    for job in tables.open_jobs_by_id.values():
+        pool = tables.pool_of(job)
+        for occurrence in job.occurrences.values():
+            for row in occurrence.steps:
+                if row.left and not any(
+                    occurrence.steps[n].left for n in row.step.after
+                ):
+                    count = sum(
+                        1
+                        for task in row.tasks
+                        if not task.is_done and not task.runs_by_number
+                    )
+                    _add_demand(demands, pool, row.step, count)
+    return demands
+
+
+def _add_demand(demands, pool, step, count):
+    cpu, memory = demands.get(pool, (0, 0))
+    if not step.is_filler:
+        cpu += count * step.cpu_millis
+    demands[pool] = (cpu, memory + count * step.memory_mb)
--- /dev/null
+++ b/sassafrasgrade/systems/upkeep_waves.py
@@ -0,0 +1,166 @@
+"""Plans maintenance waves within their caps and the budgets of lasting tasks.
+
+Hosts that run nothing go first; only when a wave gets late are others emptied.
+"""
+
+from sassafrasgrade.fleet_hosts import STATE_UPKEEP, WaveRow
+from sassafrasgrade.systems.host_states import (
+    MOST_ORDERS,
+    is_at_work,
+    is_free,
+    is_standby,
+    worker_of,
+)
+from sassafrasgrade.systems.task_placement import choose_room, is_usable, room_of
+from sassafrasgrade.work_commands import MaintainHost, ReportWave, StopRun
+from sassafrasgrade.works import RunState, step_row_of
+
+# Slack on the time that an upkeep takes, in seconds: the platform's start and
+# the answer of the order are apart.
+UPKEEP_SLACK_S = 0.4
+# Part of a wave's time in which only idle hosts are taken.
+PATIENT_PART = 0.45
+# Pause between storings of a wave's progress, in seconds.
+STORE_PAUSE_S = 1.0
+
+
+def plan_waves(tables, fleet, settings, now):
+    """Returns the commands of all waves under way."""
+    commands = []
+    for number in sorted(fleet.waves_by_number):
+        row = fleet.waves_by_number[number]
+        if not row.is_reported:
+            commands += _plan_wave(tables, fleet, row, settings, now)
+    return commands
+
+
+def _plan_wave(tables, fleet, row: WaveRow, settings, now):
+    if not row.is_running_reported:
+        return [ReportWave(row.wave.number, False)]
+    for name in row.left:
+        if name not in fleet.hosts_by_name and fleet.listed_at > row.seen_at:
+            row.done.add(name)
+    down = _hosts_down(fleet, row, now)
+    if not row.left:
+        return [] if down else [ReportWave(row.wave.number, True)]
+    slots = row.wave.most_at_once - len(down)
+    commands = []
+    if len(row.done) > row.stored_done and now - row.stored_at > STORE_PAUSE_S:
+        row.stored_at = now
+        commands.append(ReportWave(row.wave.number, False))
+    hosts = [fleet.hosts_by_name[n] for n in row.left if n in fleet.hosts_by_name]
+    hosts.sort(key=lambda host: _wave_rank(tables, host))
+    for host in hosts:
+        if slots <= 0 or len(commands) >= MOST_ORDERS:
+            break
+        if is_free(tables, host, now):
+            commands.append(_maintain(tables, host, row, settings, now))
+            slots -= 1
+    if slots > 0 and _is_urgent(row, settings, now):
+        commands += _evacuate(tables, hosts, slots, now)
+    return commands
+
+
+def _hosts_down(fleet, row, now):
+    """Returns hosts of a wave that are down, by own orders or by the list.
+
+    The list also shows what the leader before ordered.
+    """
+    down = {name for name, until in row.down_until_by_host.items() if until > now}
+    for name in row.wave.hosts:
+        host = fleet.hosts_by_name.get(name)
+        if host is not None and host.state == STATE_UPKEEP:
+            down.add(name)
+    return down
+
+
+def _wave_rank(tables, host):
+    worker = worker_of(tables, host)
+    runs = len(worker.runs_by_key) if worker is not None else 0
+    return (not is_standby(tables, host), runs, host.rack, host.name)
+
+
+def _maintain(tables, host, row, settings, now):
+    away_s = settings.bounds_upkeep_s + UPKEEP_SLACK_S
+    host.busy_until = now + away_s
+    row.down_until_by_host[host.name] = now + away_s
+    worker = worker_of(tables, host)
+    if worker is not None:
+        worker.is_reserved = True
+    return MaintainHost(host.name, row.wave.number)
+
+
+def _is_urgent(row, settings, now):
+    """Whether the wave can no longer wait for hosts to become idle."""
+    spent = now - row.seen_at
+    return spent > row.wave.duration_s * PATIENT_PART
+
+
+def _evacuate(tables, hosts, slots, now):
+    """Empties hosts of the wave: nothing new, and lasting tasks move away."""
+    commands = []
+    reserved = 0
+    for host in hosts:
+        worker = worker_of(tables, host)
+        if worker is None or host.busy_until > now or not worker.runs_by_key:
+            continue
+        if reserved >= slots:
+            break
+        reserved += 1
+        worker.is_reserved = True
+        evacuate_worker(tables, worker, commands, now)
+    return commands
+
+
+def evacuate_worker(tables, worker, commands, now):
+    """Adds stops of lasting tasks on a worker that their budgets allow."""
+    for run in list(worker.runs_by_key.values()):
+        if not run.task.step.is_perpetual or not is_at_work(tables, run, now):
+            continue
+        if may_stop(tables, run.task, commands, now) and _has_room_elsewhere(
+            tables, worker, run.task, now
+        ):
+            commands.append(StopRun(run, "host is to be maintained"))
+
+
+def _has_room_elsewhere(tables, worker, task, now):
+    """Whether a task that is stopped on a worker could start on another."""
+    rooms = [
+        room_of(other)
+        for other in tables.workers_by_id.values()
+        if other.pool == worker.pool and is_usable(other, now)
+    ]
+    return choose_room(task, rooms) is not None
+
+
+def may_stop(tables, task, planned, now):
+    """Whether a lasting task may be stopped within its step's budget.
+
+    Args:
+        tables: The tables.
+        task: The task.
+        planned: Stops decided in the same tick.
+        now: Present clock in seconds.
+    """
+    stopped = {id(command.run.task) for command in planned}
+    away = 0
+    for other in step_row_of(task).tasks:
+        if other is task:
+            continue
+        at_work = any(
+            is_at_work(tables, run, now) for run in other.runs_by_number.values()
+        )
+        if not at_work or id(other) in stopped:
+            away += 1
+    return away < max(1, task.step.may_miss)
+
+
+def evacuate_draining(tables):
+    """Moves lasting tasks off workers that leave soon."""
+    return [
+        StopRun(run, "worker drains")
+        for worker in tables.workers_by_id.values()
+        if worker.is_draining
+        for run in worker.runs_by_key.values()
+        if run.state is RunState.RUNNING and run.task.step.is_perpetual
+    ]
--- /dev/null
+++ b/sassafrasgrade/table_loaders.py
@@ -0,0 +1,289 @@
+"""Loads the leader's tables from the store, and takes over what ran before."""
+
+import logging
+import time
+
+import msgspec
+
+from sassafrasgrade.directories import PrefixFollower
+from sassafrasgrade.job_records import (
+    CANCEL,
+    JOBS_PREFIX,
+    PROGRESS,
+    REQUEST,
+    add_job,
+    adopt_unstored,
+    apply_progress,
+    decode_progress,
+    decode_submitted,
+    encode,
+    progress_of,
+    split_key,
+)
+from sassafrasgrade.leaderships import LEASE_TTL_S
+from sassafrasgrade.node_messages import HandedRun, HandOver
+from sassafrasgrade.platform import names
+from sassafrasgrade.systems.run_views import (
+    adopt_handed_runs,
+    lose_worker,
+    unheard_workers,
+)
+from sassafrasgrade.worker_directories import apply_item, apply_range
+from sassafrasgrade.worker_sessions import CLOCK_DRIFT
+from sassafrasgrade.works import MS_PER_S
+
+logger = logging.getLogger(__name__)
+
+# Pause between looks for jobs whose message from their node was lost.
+JOBS_PAUSE_S = 1.0
+# Time after which a worker that is neither listed nor answering is dropped.
+MISSING_S = 2.5
+# Time after a take-over on suspicion in which the leader before may still learn
+# of new jobs, in seconds.
+EARLY_S = 1.5
+# Hold on tasks that only the lifting of the barrier ends.
+UNTIL_LIFTED = float("inf")
+
+
+class TableLoader:
+    """Part of the leader that keeps jobs and workers in step with the store.
+
+    A leader that takes over without a word from the one before holds back what
+    may run on workers that it has not heard.
+
+    Args:
+        services: ``NodeServices``.
+        dispatcher: The ``Dispatcher``.
+        leadership: ``Leadership``.
+        handed: ``HandOver`` of the leader before, or None.
+        is_predecessor_gone: Whether the leader before has surely stopped.
+    """
+
+    def __init__(self, services, dispatcher, leadership, handed, is_predecessor_gone):
+        self._dispatcher = dispatcher
+        self._leadership = leadership
+        self._tables = dispatcher.tables
+        self._timers = services.timers
+        self._settings = services.settings
+        self._handed = handed
+        self._is_predecessor_gone = is_predecessor_gone
+        self.is_loaded = False
+        self.barrier_until = 0.0
+        self._began_at = self._timers.now()
+        self._has_jobs = self._has_workers = False
+        self._held_pools = None
+        self._workers = PrefixFollower(
+            services.store,
+            names.WORKERS_PREFIX,
+            self._take_all_workers,
+            self._take_workers,
+            name="workers",
+        )
+        self._jobs = PrefixFollower(
+            services.store,
+            JOBS_PREFIX,
+            self._take_all_jobs,
+            self._take_jobs,
+            pause_s=JOBS_PAUSE_S,
+            name="jobs",
+        )
+
+    def start(self):
+        """Starts loading."""
+        if self._tables.epoch > 1 and not self.is_informed:
+            most_s = self._settings.bounds_hold_most_ms / MS_PER_S
+            if not self._is_predecessor_gone:
+                # It may renew leases until its own has lapsed.
+                most_s += LEASE_TTL_S
+            self.barrier_until = self._timers.now() + most_s * CLOCK_DRIFT
+        self._jobs.start()
+        self._workers.start()
+
+    def close(self):
+        """Stops following the store."""
+        self._workers.close()
+        self._jobs.close()
+
+    def _take_all_workers(self, items):
+        apply_range(self._tables, items, self._timers.now())
+        self._has_workers = True
+        self._begin_if_loaded()
+        self._dispatcher.sync_sessions()
+        self._dispatcher.place_soon()
+
+    def _take_workers(self, items):
+        for item in items:
+            apply_item(self._tables, item, self._timers.now())
+        self._dispatcher.sync_sessions()
+        self._dispatcher.place_soon()
+
+    def _take_all_jobs(self, items):
+        parts, revisions_by_id = {}, {}
+        for item in items:
+            job_id, part = split_key(item.key)
+            parts.setdefault(job_id, {})[part] = item.value
+            if part == PROGRESS:
+                revisions_by_id[job_id] = item.revision
+        for job_id, values in parts.items():
+            is_new = job_id not in self._tables.jobs_by_id
+            self._load_job(job_id, values)
+            if is_new and job_id in self._tables.jobs_by_id:
+                job = self._tables.jobs_by_id[job_id]
+                job.progress_revision = revisions_by_id.get(job_id, 0)
+        self._has_jobs = True
+        self._begin_if_loaded()
+        self._dispatcher.place_soon()
+
+    def _take_jobs(self, items):
+        parts = {}
+        for item in items:
+            job_id, part = split_key(item.key)
+            if part != PROGRESS and item.value is not None:
+                parts.setdefault(job_id, {})[part] = item.value
+        for job_id, values in parts.items():
+            if values.keys() == {CANCEL}:
+                self._dispatcher.cancel(job_id)
+            else:
+                self._load_job(job_id, values)
+        if parts:
+            self._dispatcher.place_soon()
+
+    def _load_job(self, job_id, values):
+        if job_id in self._tables.jobs_by_id or REQUEST not in values:
+            if CANCEL in values:
+                self._dispatcher.cancel(job_id)
+            return
+        try:
+            submitted = decode_submitted(values[REQUEST])
+            progress = values.get(PROGRESS)
+            progress = decode_progress(progress) if progress else None
+        except msgspec.DecodeError as error:
+            logger.error("unreadable job", extra={"job": job_id, "error": str(error)})
+            return
+        job = add_job(self._tables, job_id, submitted, time.time())
+        self._dispatcher.lengths.note_job(job)
+        if progress is not None:
+            apply_progress(self._tables, job, progress)
+        if not self.is_loaded and self.barrier_until:
+            self._hold_tasks(job, UNTIL_LIFTED)
+        if CANCEL in values:
+            self._dispatcher.cancel(job_id)
+
+    def accept(self, job_id, record):
+        """Takes in a job that was stored."""
+        if self.is_loaded and job_id not in self._tables.jobs_by_id:
+            job = add_job(self._tables, job_id, decode_submitted(record), time.time())
+            self._dispatcher.lengths.note_job(job)
+            if self.barrier_until and not self._is_predecessor_gone:
+                self._hold_tasks(job, self._began_at + EARLY_S)
+            self._dispatcher.place_soon()
+
+    def _begin_if_loaded(self):
+        if self.is_loaded or not (self._has_jobs and self._has_workers):
+            return
+        self.is_loaded = True
+        handed_runs = self._handed.runs if self._handed is not None else ()
+        if self._handed is not None:
+            adopt_unstored(self._tables, self._handed.progress_by_job)
+        adopt_handed_runs(self._tables, handed_runs, self._timers.now())
+        logger.info(
+            "jobs loaded",
+            extra={
+                "jobs": len(self._tables.jobs_by_id),
+                "open": len(self._tables.open_jobs_by_id),
+                "handed_runs": len(handed_runs),
+                "token": self._dispatcher.token,
+                "epoch": self._tables.epoch,
+            },
+        )
+        self._dispatcher.sync_sessions()
+
+    @property
+    def is_informed(self):
+        """Whether the leader before handed over all that it knew."""
+        return self._handed is not None and self._handed.is_complete
+
+    def export_hand_over(self, revision):
+        """Returns a ``HandOver`` with all that may be under way.
+
+        Args:
+            revision: Revision of the leader's key.
+        """
+        now = self._timers.now()
+        runs = tuple(
+            HandedRun(
+                run.task.name,
+                run.number,
+                worker.worker_id,
+                max(0.0, worker.lease_until - now),
+            )
+            for worker in self._tables.workers_by_id.values()
+            for run in worker.runs_by_key.values()
+        )
+        progress_by_job = {
+            job_id: encode(progress_of(self._tables.jobs_by_id[job_id]))
+            for job_id in self._tables.dirty_job_ids
+        }
+        is_complete = self.is_loaded and not self.barrier_until
+        return HandOver(revision, is_complete, runs, progress_by_job)
+
+    @staticmethod
+    def _hold_tasks(job, until):
+        for occurrence in job.occurrences.values():
+            for row in occurrence.steps:
+                for task in row.tasks:
+                    task.held_until = until
+
+    def lift_barrier(self):
+        """Frees tasks held at take-over, pool by pool.
+
+        A pool's tasks are free once all its workers told what they run, or the
+        leases that the leader before gave have surely lapsed.
+        """
+        if not self.barrier_until or not self.is_loaded:
+            return
+        unheard = unheard_workers(self._tables, self._dispatcher.fleet)
+        if self._leadership.led_at > self.barrier_until:
+            unheard = {}
+        if unheard is None:
+            return
+        pools = set(unheard.values())
+        if self._held_pools is not None:
+            # A worker that came later runs nothing of the leader before.
+            pools &= self._held_pools
+        if pools == self._held_pools:
+            return
+        self._held_pools = pools
+        for task in self._tables.tasks_by_name.values():
+            if task.held_until and self._tables.pool_of(task.job) not in pools:
+                task.held_until = 0.0
+        if not pools:
+            self.barrier_until = 0.0
+        logger.info(
+            "take-over", extra={"unheard": unheard, "held_pools": sorted(pools)}
+        )
+        self._dispatcher.place_soon()
+
+    def recheck_ended(self, now):
+        """Reads registrations again once lives taken for ended would be gone."""
+        lives = self._tables.ended_by_worker
+        expired = [name for name, life in lives.items() if life.until < now]
+        for name in expired:
+            del lives[name]
+        if expired:
+            self._workers.read_again()
+
+    def drop_missing(self, now):
+        if self.barrier_until:
+            return
+        for worker in list(self._tables.workers_by_id.values()):
+            if (
+                worker.missing_since
+                and now - worker.missing_since > MISSING_S
+                and worker.silent_since
+                and not worker.runs_by_key
+                and now > worker.lease_until
+            ):
+                logger.info("worker dropped", extra={"worker": worker.worker_id})
+                lose_worker(self._tables, worker, now, has_ended=False)
+                self._dispatcher.sync_sessions()
