--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -67,5 +67,11 @@
   Scenario: a bad settings file is refused with the remedy
     Then a node with "grace_s = soon" in its bounds exits with 2 and names "grace_s"
 
-  Scenario: a short seeded soak breaks no promise
-    Then the soak with seed 7 for 6 seconds breaks no promise
+  # Seed 21 failed once: a port of a node had been taken by another process.
+  Scenario Outline: a short seeded soak with seed <seed> breaks no promise
+    Then the soak with seed <seed> for 6 seconds breaks no promise
+
+    Examples:
+      | seed |
+      | 7    |
+      | 21   |
