--- /dev/null
+++ b/sassafrasgrade/tools/standins/fleets.py
@@ -0,0 +1,242 @@
+"""Real nodes as processes beside stand-ins of store, workers and hosts."""
+
+import asyncio
+import base64
+import itertools
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from pathlib import Path
+
+from tornado.httpserver import HTTPServer
+from tornado.ioloop import IOLoop
+
+from sassafrasgrade.platform import names
+from sassafrasgrade.timers import TimerService
+from sassafrasgrade.tools.standins.fleet_handlers import StandInFleet, cloud_application
+from sassafrasgrade.tools.standins.proxies import Lane
+from sassafrasgrade.tools.standins.store_handlers import StoreServer
+
+ADDRESS = "127.0.0.1"
+POOL = "pool-work"
+STANDBY = "pool-standby"
+QUEUE_HOST = "jobs.example"
+QUEUE_PREFIX = "/work/"
+STOP_WAIT_S = 10.0
+
+
+def free_ports(count):
+    """Returns TCP ports that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind((ADDRESS, 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+class NodeProcess:
+    """One node: its settings, its lane to the store, its process."""
+
+    def __init__(self, number, folder, ports, store_port, cloud_port):
+        self.name = f"node-{number}"
+        self.clients_port, self.ready_port, peers, metrics, self.lane_port = ports
+        self.metrics_port = metrics
+        self.lane = Lane(ADDRESS, store_port)
+        self.process = None
+        self._output = folder / f"{self.name}.out"
+        self._settings = folder / f"{self.name}.ini"
+        self._settings.write_text(
+            f"[node]\nname = {self.name}\ndata_centre = z1\naddress = {ADDRESS}\n"
+            f"[listen]\nclients = {ADDRESS}:{self.clients_port}\n"
+            f"readiness = {ADDRESS}:{self.ready_port}\n"
+            f"peers_port = {peers}\nmetrics_port = {metrics}\n"
+            f"[store]\naddress = {ADDRESS}:{self.lane_port}\n"
+            f"[cloud]\naddress = {ADDRESS}:{cloud_port}\n"
+        )
+
+    def start(self):
+        """Starts the process; its output goes to a file."""
+        with open(self._output, "ab") as output:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "sassafrasgrade.nodes",
+                    f"--settings={self._settings}",
+                ],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def send_signal(self, number):
+        """Sends a signal if the process lives; returns whether it did."""
+        if self.process is None or self.process.poll() is not None:
+            return False
+        self.process.send_signal(number)
+        return True
+
+    def log_records(self):
+        """Returns the JSON lines of its output."""
+        if not self._output.exists():
+            return []
+        records = []
+        for line in self._output.read_text().splitlines():
+            try:
+                records.append(json.loads(line))
+            except ValueError:
+                continue
+        return records
+
+    def output_text(self):
+        """Returns all of its output."""
+        return self._output.read_text() if self._output.exists() else ""
+
+
+class FleetHarness:
+    """Stand-ins on a thread's event loop, and nodes as processes.
+
+    Args:
+        folder: Folder for settings and outputs.
+        node_count: Number of nodes.
+        host_count: Hosts of the work pool; half as many stand by.
+    """
+
+    def __init__(self, folder, node_count=3, host_count=4):
+        self._loop = None
+        self._ready = threading.Event()
+        self._thread = threading.Thread(target=self._run_loop, daemon=True)
+        self._thread.start()
+        self._ready.wait()
+        store_port, cloud_port, *rest = free_ports(2 + 5 * node_count + 200)
+        ports = iter(rest)
+        self.nodes = [
+            NodeProcess(
+                number,
+                Path(folder),
+                list(itertools.islice(ports, 5)),
+                store_port,
+                cloud_port,
+            )
+            for number in range(node_count)
+        ]
+        self.version = 0
+        self.call(self._create_stand_ins, store_port, cloud_port, ports, host_count)
+
+    def _run_loop(self):
+        asyncio.set_event_loop(asyncio.new_event_loop())
+        self._loop = IOLoop.current()
+        self._loop.add_callback(self._ready.set)
+        self._loop.start()
+
+    def call(self, function, *arguments):
+        """Runs a function on the stand-ins' loop; returns its result."""
+        done = threading.Event()
+        result = []
+
+        def run():
+            try:
+                result.append((True, function(*arguments)))
+            except Exception as error:  # handed to the calling thread
+                result.append((False, error))
+            done.set()
+
+        self._loop.add_callback(run)
+        if not done.wait(STOP_WAIT_S):
+            raise TimeoutError("the stand-ins' loop did not answer")
+        succeeded, value = result[0]
+        if not succeeded:
+            raise value
+        return value
+
+    def _create_stand_ins(self, store_port, cloud_port, ports, host_count):
+        self.timers = TimerService()
+        self.store = StoreServer(self.timers)
+        self.fleet = StandInFleet(self.store, self.timers, ADDRESS, ports)
+        servers = [
+            (HTTPServer(self.store.application()), store_port),
+            (HTTPServer(cloud_application(self.fleet, STANDBY)), cloud_port),
+        ]
+        for server, port in servers:
+            server.listen(port, ADDRESS)
+        for node in self.nodes:
+            node.lane.listen(node.lane_port, ADDRESS)
+        for number in range(host_count):
+            self.fleet.add_host(f"host-{number}", POOL)
+        for number in range(host_count, host_count + host_count // 2):
+            self.fleet.add_host(f"host-{number}", STANDBY, is_standby=True)
+        self._put_configuration()
+
+    def _put_configuration(self):
+        self.version += 1
+        queue = {
+            "name": "queue-1",
+            "host": QUEUE_HOST,
+            "prefix": QUEUE_PREFIX,
+            "service": POOL,
+            "timeoutMs": 3000,
+            "targetDurationMs": 600,
+            "maxAttempts": 4,
+            "stretch": 1.6,
+        }
+        pools = [
+            {"name": POOL, "enforcesCapacity": True},
+            {"name": STANDBY, "enforcesCapacity": True, "standby": True},
+        ]
+        value = {"version": self.version, "routes": [queue], "services": pools}
+        self._put(names.CONFIGURATION_KEY, value)
+
+    def _put(self, key, value):
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        self.store.state.commit([], [{"key": key, "value": text}], [])
+        self.store.notify()
+
+    def change_configuration(self):
+        """Writes the next version of the configuration."""
+        self.call(self._put_configuration)
+
+    def order_wave(self, number, hosts, cap=1, duration_s=20):
+        """Asks for the maintenance of hosts."""
+        value = {"wave": number, "machines": hosts, "durationS": duration_s}
+        self.call(self._put, f"{names.WAVE_PREFIX}{number}", value | {"cap": cap})
+
+    def stored(self, prefix):
+        """Returns decoded values of a prefix by key, for JSON values."""
+        rows, _ = self.call(self.store.state.page, prefix, "")
+        return {row["key"]: base64.b64decode(row["value"]) for row in rows}
+
+    def leader_name(self):
+        """Returns the name of the node that holds the leader's key, or None."""
+        values = self.stored("own/leader")
+        for value in values.values():
+            for node in self.nodes:
+                if node.name.encode() in value:
+                    return node.name
+        return None
+
+    def node(self, name):
+        """Returns a node by name."""
+        return next(node for node in self.nodes if node.name == name)
+
+    def start(self):
+        """Starts all nodes."""
+        for node in self.nodes:
+            node.start()
+
+    def stop(self):
+        """Ends the processes that this harness started, and the stand-ins."""
+        for node in self.nodes:
+            node.send_signal(signal.SIGCONT)
+            node.send_signal(signal.SIGKILL)
+        for node in self.nodes:
+            if node.process is not None:
+                node.process.wait(STOP_WAIT_S)
+        self._loop.add_callback(self._loop.stop)
+        self._thread.join(STOP_WAIT_S)
+
+
