--- /dev/null
+++ b/features/nodes.feature
@@ -0,0 +1,71 @@
+Feature: Nodes run jobs on the platform and keep their promises under faults
+
+  Scenario Outline: jobs are completed after <fault>
+    Given a fleet of 3 nodes and 4 hosts
+    When 12 jobs are submitted and "<fault>" strikes
+    Then all accepted jobs are completed within 25 seconds
+    And no task ran twice
+
+    Examples:
+      | fault                                       |
+      | nothing                                     |
+      | the leader is killed                        |
+      | the leader is paused for 3 seconds          |
+      | the leader is told to stop                  |
+      | all nodes are killed and started again      |
+      | the store is silent for 3 seconds           |
+      | the store loses answers of 4 commits        |
+      | the store carries out 3 commits late        |
+      | the store forgets its history               |
+      | the store takes the leader's key away       |
+      | the store turns the leader away             |
+      | a worker crashes and stays listed           |
+      | a worker restarts                           |
+      | a worker is silent for 7 seconds            |
+      | a worker stands still                       |
+      | all hosts are due for maintenance           |
+
+  Scenario Outline: a request that <case> is answered <status>
+    Given a fleet of 1 nodes and 2 hosts
+    Then a request that "<case>" is answered <status>
+
+    Examples:
+      | case                                 | status |
+      | submits a job                        | 200    |
+      | submits a job again                  | 200    |
+      | names an unknown queue               | 404    |
+      | has an id that is too short          | 404    |
+      | has a body that is not JSON          | 400    |
+      | has a step without tasks             | 400    |
+      | has a step after a later one         | 400    |
+      | has a text where a number belongs    | 400    |
+      | has an unknown field                 | 200    |
+      | asks for a job that does not exist   | 410    |
+      | cancels a job that does not exist    | 410    |
+      | counts what waits                    | 200    |
+      | has a body over the limit            | 413    |
+
+  Scenario Outline: bad data in the store, <data>, ends no process
+    Given a fleet of 1 nodes and 2 hosts
+    When "<data>" is written to the store
+    Then a new job is completed
+
+    Examples:
+      | data                              |
+      | a worker entry of bad bytes       |
+      | a worker entry without an address |
+      | a worker entry of unknown state   |
+      | a configuration of a wrong type   |
+      | an older configuration            |
+      | a wave of a wrong type            |
+      | a job record of bad bytes         |
+
+  Scenario: a node without configuration is not ready and refuses
+    Given a fleet of 1 nodes and 2 hosts without configuration
+    Then the node is not ready and answers 503
+
+  Scenario: a bad settings file is refused with the remedy
+    Then a node with "grace_s = soon" in its bounds exits with 2 and names "grace_s"
+
+  Scenario: a short seeded soak breaks no promise
+    Then the soak with seed 7 for 6 seconds breaks no promise
--- /dev/null
+++ b/features/steps/node_steps.py
@@ -0,0 +1,163 @@
+"""Steps on fleets of real nodes beside stand-ins of the platform."""
+
+import subprocess
+import sys
+import tempfile
+import time
+
+from behave import given, then, when
+
+from features.support.node_fleets import FAULTS, NodeFleet, a_job
+from features.support.waiting import wait_until
+from sassafrasgrade.platform import names
+from sassafrasgrade.tools.soaks import run_seed
+from sassafrasgrade.tools.standins.fleets import QUEUE_PREFIX
+from sassafrasgrade.tools.standins.worker_states import find_violations
+
+EXIT_TIMEOUT_S = 20.0
+
+
+@given("a fleet of {nodes:d} nodes and {hosts:d} hosts")
+def start_fleet(context, nodes, hosts):
+    context.cluster = context.fleet = NodeFleet(nodes, hosts)
+    context.fleet.start()
+
+
+@given("a fleet of {nodes:d} nodes and {hosts:d} hosts without configuration")
+def start_without_configuration(context, nodes, hosts):
+    context.cluster = context.fleet = NodeFleet(nodes, hosts)
+    store = context.fleet.harness.store
+    context.fleet.harness.call(store.state.commit, [], [], [names.CONFIGURATION_KEY])
+    context.fleet.harness.start()
+    wait_until(context.fleet.harness.leader_name, EXIT_TIMEOUT_S, "the node leads")
+
+
+@when('{count:d} jobs are submitted and "{fault}" strikes')
+def submit_and_strike(context, count, fault):
+    context.job_ids = [f"{number:016x}" for number in range(count)]
+    half = count // 2
+    for job_id in context.job_ids[:half]:
+        assert context.fleet.submit(job_id), job_id
+    FAULTS[fault](context.fleet)
+    for job_id in context.job_ids[half:]:
+        assert context.fleet.submit(job_id), job_id
+
+
+@then("all accepted jobs are completed within {seconds:d} seconds")
+def await_completed(context, seconds):
+    def are_completed():
+        states = {job: context.fleet.state(job) for job in context.job_ids}
+        return all(state == "completed" for state in states.values())
+
+    wait_until(are_completed, seconds, "all jobs are completed")
+
+
+@then("no task ran twice")
+def check_once(context):
+    harness = context.fleet.harness
+    history = harness.call(list, harness.fleet.history)
+    assert not find_violations(history, time.monotonic()), history
+    for node in harness.nodes:
+        assert "Traceback" not in node.output_text(), node.name
+
+
+def send(context, method, job_id="1" * 16, body=None, prefix=QUEUE_PREFIX):
+    return context.fleet.request(method, prefix + job_id, body)
+
+
+def wrong_step(**step):
+    return {"spec": "{}", "steps": [{"count": 1, "cpu": 1} | step]}
+
+
+CASES = {
+    "submits a job": lambda c: send(c, "POST", body=a_job()),
+    "submits a job again": lambda c: [send(c, "POST", body=a_job()) for _ in "ab"][1],
+    "names an unknown queue": lambda c: send(c, "POST", body=a_job(), prefix="/no/"),
+    "has an id that is too short": lambda c: send(c, "POST", "12", a_job()),
+    "has a body that is not JSON": lambda c: send(c, "POST", body=b"{steps"),
+    "has a step without tasks": lambda c: send(c, "POST", body=wrong_step(count=0)),
+    "has a step after a later one": lambda c: send(
+        c, "POST", body=wrong_step(after=[0])
+    ),
+    "has a text where a number belongs": lambda c: send(
+        c, "POST", body=wrong_step(cpu="many")
+    ),
+    "has an unknown field": lambda c: send(c, "POST", body=a_job() | {"colour": 1}),
+    "asks for a job that does not exist": lambda c: send(c, "GET"),
+    "cancels a job that does not exist": lambda c: send(c, "DELETE"),
+    "counts what waits": lambda c: send(c, "GET", ""),
+    "has a body over the limit": lambda c: send(c, "POST", body=b"x" * 300_000),
+}
+
+
+@then('a request that "{case}" is answered {status:d}')
+def check_status(context, case, status):
+    if case == "counts what waits":
+        wait_until(lambda: CASES[case](context).status == status, 5.0, "the count")
+        return
+    reply = CASES[case](context)
+    assert reply.status == status, (case, reply.status, reply.body)
+
+
+WORKER = '{"service": "pool-work", "state": "%s", "zone": "z1"%s}'
+DATA = {
+    "a worker entry of bad bytes": ("servers/i-x", b"\xff\xfe"),
+    "a worker entry without an address": ("servers/i-x", WORKER % ("ready", "")),
+    "a worker entry of unknown state": (
+        "servers/i-x",
+        WORKER % ("odd", ', "address": "127.0.0.1:1", "capacity": {}'),
+    ),
+    "a configuration of a wrong type": ("op/config", '{"version": "new"}'),
+    "an older configuration": ("op/config", '{"version": 0, "routes": []}'),
+    "a wave of a wrong type": ("op/wave/9", '{"wave": "x"}'),
+    "a job record of bad bytes": ("jobs/" + "a" * 16 + "/request", b"\x00\xff"),
+}
+
+
+@when('"{data}" is written to the store')
+def write_bad(context, data):
+    import base64
+
+    key, value = DATA[data]
+    value = value if isinstance(value, bytes) else value.encode()
+    row = {"key": key, "value": base64.b64encode(value).decode()}
+    store = context.fleet.harness.store
+    context.fleet.harness.call(store.state.commit, [], [row], [])
+    context.fleet.harness.call(store.notify)
+
+
+@then("a new job is completed")
+def check_new_job(context):
+    job_id = "b" * 16
+    assert context.fleet.submit(job_id)
+    wait_until(
+        lambda: context.fleet.state(job_id) == "completed", 15.0, "the job is done"
+    )
+    assert "Traceback" not in context.fleet.harness.nodes[0].output_text()
+
+
+@then("the node is not ready and answers {status:d}")
+def check_not_ready(context, status):
+    assert not context.fleet.is_ready()
+    assert send(context, "POST", body=a_job()).status == status
+
+
+@then('a node with "{line}" in its bounds exits with {status:d} and names "{name}"')
+def check_bad_settings(context, line, status, name):
+    with tempfile.NamedTemporaryFile("w", suffix=".ini") as settings:
+        settings.write(f"[node]\nname = n\ndata_centre = z\n[bounds]\n{line}\n")
+        settings.flush()
+        done = subprocess.run(
+            [sys.executable, "-m", "sassafrasgrade.nodes", "--settings", settings.name],
+            capture_output=True,
+            text=True,
+            timeout=EXIT_TIMEOUT_S,
+        )
+    assert done.returncode == status, done
+    assert name in done.stderr, done.stderr
+
+
+@then("the soak with seed {seed:d} for {seconds:d} seconds breaks no promise")
+def check_soak(context, seed, seconds):
+    folder = tempfile.mkdtemp(prefix=f"sassafrasgrade-soak-{seed}-")
+    assert not run_seed(seed, seconds, 3, folder), folder
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -7,7 +7,6 @@
     CAPACITY,
     NOW,
     POOL,
-    STANDBY,
     add_simple_job,
     create_tables,
     first_task,
@@ -235,9 +234,7 @@
     wave = Wave(number=1, hosts=tuple(fleet.hosts_by_name), most_at_once=9)
     row = WaveRow(wave, NOW - 100, is_running_reported=True)
     fleet.waves_by_number[1] = row
-    settings = check_node_settings(
-        {"NODE_NAME": "n", "NODE_DATA_CENTRE": "z"}
-    ).unwrap()
+    settings = check_node_settings({"NODE_NAME": "n", "NODE_DATA_CENTRE": "z"}).unwrap()
     context.commands = plan_hosts(tables, fleet, settings, NOW)
 
 
@@ -270,9 +267,7 @@
 }
 
 
-@then(
-    'a leader hands over after {silent:g} s when others have "{others}": "{handed}"'
-)
+@then('a leader hands over after {silent:g} s when others have "{others}": "{handed}"')
 def check_hand_over(context, silent, others, handed):
     assert should_hand_over(silent, WORDS[others], NOW) == (handed == "yes")
 
--- a/features/support/clusters.py
+++ b/features/support/clusters.py
@@ -29,8 +29,12 @@
 
 
 def free_octet():
-    """Returns a second octet that no other run of this machine likely uses."""
-    return 20 + os.getpid() % 200
+    """Returns a second octet that no other run of this machine likely uses.
+
+    Features that CI runs side by side get a lane each, so that they never meet.
+    """
+    lane = os.environ.get("SASSAFRASGRADE_LANE")
+    return 20 + (int(lane) if lane else os.getpid()) % 200
 
 
 class ProcessCluster:
--- /dev/null
+++ b/features/support/node_fleets.py
@@ -0,0 +1,195 @@
+"""Fleets of real nodes for scenarios: jobs, states and faults."""
+
+import json
+import signal
+import tempfile
+import threading
+from functools import partial
+
+from features.support.calls import call
+from features.support.waiting import wait_until
+from sassafrasgrade.tools.standins.fleets import (
+    ADDRESS,
+    QUEUE_HOST,
+    QUEUE_PREFIX,
+    FleetHarness,
+)
+from sassafrasgrade.tools.standins.proxies import LaneFaults
+
+START_TIMEOUT_S = 15.0
+TASK_MS = 400
+
+
+class NodeFleet:
+    """A ``FleetHarness`` with the calls that scenarios need."""
+
+    def __init__(self, nodes, hosts):
+        folder = tempfile.mkdtemp(prefix="sassafrasgrade-nodes-")
+        self.folder = folder
+        self.harness = FleetHarness(folder, nodes, hosts)
+        self._timers = []
+
+    def start(self):
+        """Starts the nodes and waits until all are ready and one leads."""
+        self.harness.start()
+        wait_until(self.is_ready, START_TIMEOUT_S, "all nodes are ready")
+        wait_until(self.harness.leader_name, START_TIMEOUT_S, "a leader")
+
+    def stop(self):
+        """Ends the processes (called by the hooks of behave)."""
+        for timer in self._timers:
+            timer.join()
+        self.harness.stop()
+
+    def is_ready(self):
+        """Whether all nodes answer that they are ready."""
+        return all(
+            call(f"http://{ADDRESS}:{node.ready_port}/-/ready").status == 200
+            for node in self.harness.nodes
+        )
+
+    def leader(self):
+        """Returns the node that leads."""
+        name = wait_until(self.harness.leader_name, START_TIMEOUT_S, "a leader")
+        return self.harness.node(name)
+
+    def later(self, delay_s, function, *arguments):
+        """Calls a function after a delay."""
+        timer = threading.Timer(delay_s, partial(function, *arguments))
+        timer.start()
+        self._timers.append(timer)
+
+    def request(self, method, path, body=None, node=0, headers=None):
+        """Sends a request to a node's clients' address."""
+        port = self.harness.nodes[node].clients_port
+        all_headers = {"Host": QUEUE_HOST, "Content-Type": "application/json"}
+        url = f"http://{ADDRESS}:{port}{path}"
+        return call(url, method, body, all_headers | (headers or {}))
+
+    def submit(self, job_id, body=None):
+        """Submits a job, again until it is accepted; returns whether it was."""
+        for attempt in range(40):
+            node = attempt % len(self.harness.nodes)
+            reply = self.request("POST", QUEUE_PREFIX + job_id, body or a_job(), node)
+            if reply.status == 200:
+                return True
+            threading.Event().wait(0.2)
+        return False
+
+    def state(self, job_id):
+        """Returns a job's state from any node that answers."""
+        for node in range(len(self.harness.nodes)):
+            reply = self.request("GET", QUEUE_PREFIX + job_id, node=node)
+            if reply.status == 200:
+                return reply.json()["state"]
+        return ""
+
+
+def a_job(**step):
+    """Returns the body of a job of two steps."""
+    fields = {"cpu": 1000, "memMb": 64, "estimateMs": TASK_MS} | step
+    return {
+        "spec": json.dumps({"ms": TASK_MS, "cpu": 1000}),
+        "steps": [fields | {"count": 3}, fields | {"count": 1, "after": [0]}],
+    }
+
+
+def restart_when_ended(fleet, node):
+    """Starts a node again once its process has ended."""
+    wait_until(lambda: node.process.poll() is not None, 10.0, "the process ends")
+    node.start()
+
+
+def kill_and_restart(fleet, nodes):
+    """Kills nodes and starts them again."""
+    for node in nodes:
+        node.send_signal(signal.SIGKILL)
+    for node in nodes:
+        restart_when_ended(fleet, node)
+
+
+def pause_leader(fleet):
+    """Stops the leader's process for three seconds."""
+    leader = fleet.leader()
+    leader.send_signal(signal.SIGSTOP)
+    fleet.later(3.0, leader.send_signal, signal.SIGCONT)
+
+
+def terminate_leader(fleet):
+    """Stops the leader gracefully and starts it again."""
+    leader = fleet.leader()
+    leader.send_signal(signal.SIGTERM)
+    restart_when_ended(fleet, leader)
+
+
+def silence_store(fleet):
+    """Lets the store swallow all calls for three seconds."""
+    store = fleet.harness.store
+    store.is_silent = True
+    fleet.later(3.0, partial(setattr, store, "is_silent", False))
+
+
+def revoke_leader(fleet):
+    """Ends the leader's lease in the store."""
+    store = fleet.harness.store
+    lease = store.state.items_by_key["own/leader"].lease
+    fleet.harness.call(store.state.end_lease, lease)
+    fleet.harness.call(store.notify)
+
+
+def turn_leader_away(fleet):
+    """Cuts the leader from the store for five seconds."""
+    lane = fleet.leader().lane
+    fleet.harness.call(lane.set_faults, LaneFaults(cut=True))
+    clear = partial(fleet.harness.call, lane.set_faults, LaneFaults())
+    fleet.later(5.0, clear)
+
+
+def restart_worker(fleet):
+    """Ends a worker; another starts on its host."""
+    stand_in = fleet.harness.fleet
+    pool = stand_in.pools_by_host["host-0"]
+    fleet.harness.call(stand_in.crash, "host-0")
+    fleet.harness.call(stand_in.add_host, "host-0", pool)
+
+
+def darken_worker(fleet):
+    """Lets a worker swallow all calls for seven seconds."""
+    worker = fleet.harness.fleet.workers_by_host["host-1"]
+    worker.is_dark = True
+    fleet.later(7.0, partial(setattr, worker, "is_dark", False))
+
+
+def set_store(name, value):
+    """Returns a fault that sets an attribute of the store."""
+    return lambda fleet: setattr(fleet.harness.store, name, value)
+
+
+FAULTS = {
+    "nothing": lambda fleet: None,
+    "the leader is killed": lambda f: kill_and_restart(f, [f.leader()]),
+    "the leader is paused for 3 seconds": pause_leader,
+    "the leader is told to stop": terminate_leader,
+    "all nodes are killed and started again": lambda f: kill_and_restart(
+        f, f.harness.nodes
+    ),
+    "the store is silent for 3 seconds": silence_store,
+    "the store loses answers of 4 commits": set_store("lose_next", 4),
+    "the store carries out 3 commits late": set_store("late_next", 3),
+    "the store forgets its history": lambda f: f.harness.call(
+        f.harness.store.state.compact
+    ),
+    "the store takes the leader's key away": revoke_leader,
+    "the store turns the leader away": turn_leader_away,
+    "a worker crashes and stays listed": lambda f: f.harness.call(
+        f.harness.fleet.crash, "host-0", True
+    ),
+    "a worker restarts": restart_worker,
+    "a worker is silent for 7 seconds": darken_worker,
+    "a worker stands still": lambda f: setattr(
+        f.harness.fleet.workers_by_host["host-0"].state, "hangs", True
+    ),
+    "all hosts are due for maintenance": lambda f: f.harness.order_wave(
+        1, sorted(f.harness.fleet.pools_by_host), cap=2
+    ),
+}
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -292,7 +292,9 @@
         }
         if reply.detail:
             fields["detail"] = reply.detail
-        logger.info("run started" if not nothing_done else "start refused", extra=fields)
+        logger.info(
+            "run started" if not nothing_done else "start refused", extra=fields
+        )
         self.counters.note_start(reply.outcome.value)
         if reply.outcome is OrderOutcome.DONE:
             run.answered_at = now
@@ -332,9 +334,7 @@
 
     def note_fenced(self, worker):
         """A worker has seen a higher token: another node leads."""
-        logger.warning(
-            "fenced", extra={"worker": worker.worker_id if worker else None}
-        )
+        logger.warning("fenced", extra={"worker": worker.worker_id if worker else None})
         self._note_other()
 
     def _note_other(self):
--- a/sassafrasgrade/host_keepers.py
+++ b/sassafrasgrade/host_keepers.py
@@ -148,7 +148,11 @@
         if self._cloud is None:
             return []
         self._list_if_old(now)
-        if not self._has_waves or now < self._orders_after or not self._dispatcher.has_host_authority():
+        if (
+            not self._has_waves
+            or now < self._orders_after
+            or not self._dispatcher.has_host_authority()
+        ):
             return []
         return plan_hosts(self._dispatcher.tables, self.fleet, self._settings, now)
 
--- a/sassafrasgrade/node_counters.py
+++ b/sassafrasgrade/node_counters.py
@@ -20,7 +20,9 @@
             "request_seconds", "Time from headers to answer.", ["kind"]
         )
         self._store_calls = self._counter(
-            "store_calls", "Calls to the store by kind and outcome.", ["kind", "outcome"]
+            "store_calls",
+            "Calls to the store by kind and outcome.",
+            ["kind", "outcome"],
         )
         self._store_seconds = self._histogram(
             "store_call_seconds", "Duration of calls to the store.", ["kind"]
--- a/sassafrasgrade/node_links.py
+++ b/sassafrasgrade/node_links.py
@@ -94,9 +94,7 @@
 
     def _greet(self, link):
         self._heard_at = self._node.timers.now()
-        link.send(
-            NodeHello(self._node.settings.node_name, self._node.incarnation, 0)
-        )
+        link.send(NodeHello(self._node.settings.node_name, self._node.incarnation, 0))
 
     def _take(self, message):
         self._heard_at = self._spoke_at = self._node.timers.now()
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -140,9 +140,7 @@
         address, _, port = self.settings.listen_readiness.rpartition(":")
         application.listen(int(port), address)
         application.listen(self.settings.listen_metrics_port, address)
-        self._server.listen(
-            self.settings.listen_peers_port, self.settings.node_address
-        )
+        self._server.listen(self.settings.listen_peers_port, self.settings.node_address)
         self._operator.start()
         self.leadership.start()
         self.timers.subscribe(BEAT_S, self._beat)
--- a/sassafrasgrade/platform/stores.py
+++ b/sassafrasgrade/platform/stores.py
@@ -171,7 +171,9 @@
             )
         )
     if code == HTTP_NOT_FOUND:
-        return Failure(LeaseGone(f"{kind} named a lease that ended", "Grant a new one."))
+        return Failure(
+            LeaseGone(f"{kind} named a lease that ended", "Grant a new one.")
+        )
     if code == HTTP_GONE:
         return Failure(
             HistoryCompacted("the watched history was discarded", "Read the range.")
--- a/sassafrasgrade/settings.py
+++ b/sassafrasgrade/settings.py
@@ -162,7 +162,9 @@
             ipaddress.ip_address(address)
         except ValueError:
             message = f"Expected an IP address - at `$.{name}`"
-            return Failure(_wrong_value(source, msgspec.structs.asdict(settings), message))
+            return Failure(
+                _wrong_value(source, msgspec.structs.asdict(settings), message)
+            )
     return Success(settings)
 
 
--- a/sassafrasgrade/store_batches.py
+++ b/sassafrasgrade/store_batches.py
@@ -132,7 +132,9 @@
         return batch
 
     def _drop_existing(self, batch, items):
-        existing = {item.key for item in items if item.revision and item.value is not None}
+        existing = {
+            item.key for item in items if item.revision and item.value is not None
+        }
         rest = []
         for creation in batch:
             if creation.key in existing:
--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -8,7 +8,13 @@
 import math
 from dataclasses import dataclass, field
 
-from sassafrasgrade.fleet_hosts import STATE_UP, STATE_UPKEEP, FleetHosts, HostRow, WaveRow
+from sassafrasgrade.fleet_hosts import (
+    STATE_UP,
+    STATE_UPKEEP,
+    FleetHosts,
+    HostRow,
+    WaveRow,
+)
 from sassafrasgrade.systems.run_views import AT_WORK_PERCENT
 from sassafrasgrade.systems.task_placement import choose_room, is_usable, room_of
 from sassafrasgrade.work_commands import (
--- a/sassafrasgrade/systems/pacing.py
+++ b/sassafrasgrade/systems/pacing.py
@@ -17,9 +17,7 @@
     commands = []
     for worker in tables.workers_by_id.values():
         runs = [
-            run
-            for run in worker.runs_by_key.values()
-            if run.state is RunState.RUNNING
+            run for run in worker.runs_by_key.values() if run.state is RunState.RUNNING
         ]
         fillers = [run for run in runs if run.task.step.is_filler]
         if not fillers:
@@ -45,6 +43,4 @@
     slowed = [run for run in fillers if run.pace < FULL_PERCENT]
     if slowed:
         worker.paced_at = now
-    return [
-        PaceRun(run, min(FULL_PERCENT, run.pace + STEP_PERCENT)) for run in slowed
-    ]
+    return [PaceRun(run, min(FULL_PERCENT, run.pace + STEP_PERCENT)) for run in slowed]
--- a/sassafrasgrade/systems/run_views.py
+++ b/sassafrasgrade/systems/run_views.py
@@ -135,7 +135,12 @@
             task.held_until = max(task.held_until, lapses_at)
             continue
         run = Run(
-            task, handed.number, handed.worker_id, RunState.RUNNING, now, answered_at=now
+            task,
+            handed.number,
+            handed.worker_id,
+            RunState.RUNNING,
+            now,
+            answered_at=now,
         )
         worker.lease_until = max(worker.lease_until, lapses_at)
         worker.runs_by_key[(task.name, run.number)] = run
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -262,9 +262,7 @@
         worker = room.worker
         if not room.fits(step) or (step.label and step.label not in worker.labels):
             continue
-        if step.most_per_worker and (
-            counts[worker.worker_id] >= step.most_per_worker
-        ):
+        if step.most_per_worker and (counts[worker.worker_id] >= step.most_per_worker):
             continue
         suspect = is_suspect(worker)
         if suspect and room.runs >= PROBES_AT_ONCE:
--- a/sassafrasgrade/tools/operators.py
+++ b/sassafrasgrade/tools/operators.py
@@ -12,6 +12,7 @@
 from sassafrasgrade.commits import TablesCommitter, load_configuration
 from sassafrasgrade.configurations import compare_configurations
 from sassafrasgrade.errors import RolloutIncomplete
+from sassafrasgrade.node_settings import read_node_settings
 from sassafrasgrade.peers import merge_peers, parse_peer
 from sassafrasgrade.platforms import PlatformClient
 from sassafrasgrade.readers import read_tables
@@ -19,6 +20,7 @@
 from sassafrasgrade.routers import Router
 from sassafrasgrade.settings import require_settings
 from sassafrasgrade.tools.formats import describe_change, print_json
+from sassafrasgrade.tools.traces import print_trace
 from sassafrasgrade.tools.views import print_outcome, print_status, print_tables
 
 EXIT_FAILED = 1
@@ -233,6 +235,25 @@
             return
         print_status(configuration, replies)
 
+    def validate(self, settings):
+        """Checks a node's settings file.
+
+        Args:
+            settings: Path of the INI file.
+        """
+        _unwrap(read_node_settings(settings))
+        print(f"{settings} is valid")
+
+    def trace(self, job, logs, json=False):
+        """Shows how one job went, from the log files of all nodes.
+
+        Args:
+            job: Identifier of the job.
+            logs: Pattern of log files, in quotes.
+            json: Whether to print JSON.
+        """
+        raise SystemExit(print_trace(str(job), logs, json))
+
     def demo(self, seconds=8):
         """Runs the whole system in one process over the Kapu tables.
 
