Send each request of the load generator on one connection only

The load generator tried the next entry with the same request id when curl could not connect. curl repeats a request on a new connection when a kept one ends, and reports only that the new one was refused; the first copy had been read and was running. The second copy was then truthfully told that its key was in use. Ruled out: attempts, claims and their log; no false answer came from them. Change: a mark set before the first byte ends the tries; curl may not send twice. Test: a server that reads a second request on a kept connection and ends; before the change the next entry read the same request id.

--- a/features/once.feature
+++ b/features/once.feature
@@ -13,14 +13,10 @@
     Examples:
       | user      | seed | trouble               |
       | kapu      | 21   | lost platform answers |
+      | kapu      | 22   | an entry kill         |
       | kapu      | 23   | a paused entry        |
       | authority | 24   | a platform outage     |
 
-    @known_red
-    Examples: red, see KNOWN-RED.txt
-      | user      | seed | trouble               |
-      | kapu      | 22   | an entry kill         |
-
   Scenario: a key that ran gets its stored answer, and a key in use is refused
     Given a running cluster of kapu
     When a charge with the key "k-1" is sent to "entry-1"
@@ -67,3 +63,8 @@
       | a claims, a unknown       | b     | 1       | unknown |
       | a claims, b claims        | a     | 1       | granted |
       | a claims, a ran, a released | b   | 1       | ran     |
+
+  Scenario: a caller whose kept connection ends does not send the same request again
+    Given an entry that reads a second request on a kept connection and ends
+    When a caller sends 2 charges to it, and then to another entry
+    Then each charge was read once, and the second one counts as cut
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -10,8 +10,10 @@
 from returns.result import Success
 
 from features.support.calls import call
+from features.support.dying_servers import DyingServer
 from features.support.fleets import FakePlatform
 from features.support.waiting import wait_until
+from sassafrasgrade.answers import REQUEST_ID_HEADER
 from sassafrasgrade.claim_logs import CLAIMS_PREFIX
 from sassafrasgrade.claims import ClaimsKeeper, create_claim
 from sassafrasgrade.systems.claims import (
@@ -22,6 +24,7 @@
 )
 from sassafrasgrade.timers import FakeTimerService
 from sassafrasgrade.tools.standins.clusters import ClusterPlan
+from sassafrasgrade.tools.standins.loads import LoadClass, LoadGenerator, LoadPlan
 
 HOLD_MS = 5000
 CHARGES_A_SECOND = 200.0
@@ -265,3 +268,42 @@
 @then('the writer was sent "{sent}"')
 def check_sent(context, sent):
     assert (", ".join(context.links.sent) or "nothing") == sent, context.links.sent
+
+
+class OrderedTargets:
+    """Targets in a given order."""
+
+    def __init__(self, targets):
+        self._targets = iter(targets)
+
+    def pick(self):
+        """Returns the next target."""
+        return next(self._targets)
+
+
+@given("an entry that reads a second request on a kept connection and ends")
+def make_dying_entry(context):
+    context.dying = DyingServer(REQUEST_ID_HEADER)
+
+
+@when("a caller sends 2 charges to it, and then to another entry")
+def send_to_dying(context):
+    context.other = DyingServer(REQUEST_ID_HEADER)
+
+    async def play():
+        await context.dying.start()
+        await context.other.start()
+        charges = LoadClass("charges", "/charges", 0.0)
+        dying, other = context.dying.address, context.other.address
+        plan = LoadPlan([dying, other], [charges], checks_ready=False)
+        load = LoadGenerator(plan, OrderedTargets([dying, dying, other]))
+        return [await load.send(charges, 0.0, key) for key in ("k-1", "k-2")]
+
+    context.outcomes = asyncio.run(play())
+
+
+@then("each charge was read once, and the second one counts as cut")
+def check_dying(context):
+    read = context.dying.read_ids + context.other.read_ids
+    assert len(read) == len(set(read)) == 2, read
+    assert context.outcomes[1][0] == "cut", context.outcomes
--- /dev/null
+++ b/features/support/dying_servers.py
@@ -0,0 +1,42 @@
+"""A server that ends while a request on a kept connection is under way."""
+
+import asyncio
+
+ANSWER = b"HTTP/1.1 200 Answer\r\nContent-Length: 2\r\n\r\nok"
+LOOPBACK = "127.0.0.1"
+END_OF_HEADERS = b"\r\n\r\n"
+
+
+class DyingServer:
+    """Answers one request, reads the next whole and ends without an answer.
+
+    Attributes:
+        read_ids: Request ids that were read whole, in order.
+        address: Base URL.
+    """
+
+    def __init__(self, id_header):
+        self._id_header = id_header.lower()
+        self._server = None
+        self.read_ids = []
+        self.address = ""
+
+    async def start(self):
+        """Listens on a free port."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"http://{LOOPBACK}:{port}"
+
+    async def _serve(self, reader, writer):
+        while not reader.at_eof():
+            try:
+                head = (await reader.readuntil(END_OF_HEADERS)).decode()
+            except (asyncio.IncompleteReadError, asyncio.CancelledError):
+                break
+            fields = [line.partition(": ") for line in head.splitlines()]
+            self.read_ids += [v for n, _, v in fields if n.lower() == self._id_header]
+            if len(self.read_ids) > 1:
+                self._server.close()
+                break
+            writer.write(ANSWER)
+        writer.close()
--- a/sassafrasgrade/tools/standins/loads.py
+++ b/sassafrasgrade/tools/standins/loads.py
@@ -6,6 +6,7 @@
 import uuid
 import zlib
 from collections import Counter
+from dataclasses import dataclass
 
 import msgspec
 import pycurl
@@ -17,6 +18,7 @@
     HTTP_TRANSPORT_FAILURE,
     create_http_client,
     fetch_response,
+    prepare_direct,
 )
 from sassafrasgrade.tools.standins.backends import (
     CHECKSUM_HEADER,
@@ -164,14 +166,15 @@
 
     Args:
         plan: ``LoadPlan``.
+        balancer: What picks targets, or None for a ``Balancer``.
     """
 
-    def __init__(self, plan):
+    def __init__(self, plan, balancer=None):
         self._plan = plan
         self._random = random.Random(plan.seed)
         self._http = create_http_client(CLIENTS_AT_ONCE)
         self._probes = create_http_client(len(plan.targets))
-        self._balancer = Balancer(
+        self._balancer = balancer or Balancer(
             plan.targets, self._random, self._probes, plan.checks_ready
         )
         self.results_by_class = {item.name: ClassResult() for item in plan.classes}
@@ -235,7 +238,7 @@
         key = uuid.UUID(int=self._random.getrandbits(128)).hex
         outcome = reason = ""
         for _ in range(load_class.repeats + 1):
-            outcome, reason, seconds, request_id = await self._send(
+            outcome, reason, seconds, request_id = await self.send(
                 load_class, service_ms, key
             )
             if self._plan.keeps_requests:
@@ -252,7 +255,7 @@
         else:
             result.reasons[reason] += 1
 
-    async def _send(self, load_class, service_ms, key):
+    async def send(self, load_class, service_ms, key):
         """Sends once; returns (outcome, reason, seconds, request id)."""
         request_id = uuid.UUID(int=self._random.getrandbits(128)).hex
         token = request_id[:12]
@@ -262,6 +265,7 @@
         if load_class.keyed:
             headers[KEY_HEADER] = key
         started = time.monotonic()
+        sending = _SingleSending()
         for _ in range(LONGEST_CONNECT_TRIES):
             response = await fetch_response(
                 self._http,
@@ -273,10 +277,11 @@
                     allow_nonstandard_methods=True,
                     connect_timeout=CONNECT_TIMEOUT_S,
                     request_timeout=load_class.deadline_ms / 1000 + GIVE_UP_MARGIN_S,
+                    prepare_curl_callback=sending.prepare,
                 ),
             )
             errno = getattr(response.error, "errno", None)
-            if errno != pycurl.E_COULDNT_CONNECT:
+            if errno != pycurl.E_COULDNT_CONNECT or sending.has_begun:
                 break
         seconds = time.monotonic() - started
         outcome, reason = judge_answer(response, request_id, token)
@@ -286,6 +291,32 @@
         return outcome, reason, seconds, request_id
 
 
+@dataclass(slots=True)
+class _SingleSending:
+    """Sends a request on one connection only.
+
+    curl repeats a request on a new connection when a kept one ends, and then
+    reports that it could not connect although the request may have been read.
+
+    Attributes:
+        has_begun: Whether a first byte may have left.
+    """
+
+    has_begun: bool = False
+
+    def prepare(self, curl):
+        """Sets the options that tornado's client does not know."""
+        prepare_direct(curl)
+        curl.setopt(pycurl.PREREQFUNCTION, self.begin)
+
+    def begin(self, *addresses):
+        """Called by curl on a ready connection, before the first byte."""
+        if self.has_begun:
+            return pycurl.PREREQFUNC_ABORT
+        self.has_begun = True
+        return pycurl.PREREQFUNC_OK
+
+
 def judge_answer(response, request_id, token):
     """Returns (outcome, reason) of a response as its caller sees it.
 
