Read only the newest configuration over thin links

Cause: a watch returns every version since its revision. Behind 5 Mbit/s, with 1,080 routes and a version each 0.28 s, versions came faster than they could be read; watches were given up halfway and repeated with more to read each time. Change: after a slow or failed watch the follower of the configuration reads the range, which holds the newest value only, until it is unchanged.

--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -75,3 +75,16 @@
       | seed |
       | 7    |
       | 21   |
+
+  Scenario Outline: <versions> versions of <kb> KB, one each <gap> s, over <mbps> Mbit/s
+    Given a follower of a configuration behind a link of <mbps> Mbit/s
+    When <versions> versions of <kb> KB are written, one each <gap> s
+    Then each is in force or replaced within <seconds> s of its writing
+
+    Examples: as many routes as the grown deployments add, changed in quick succession
+      | mbps | kb  | versions | gap   | seconds |
+      | 5    | 300 | 18       | 0.277 | 2.0     |
+      | 5    | 390 | 12       | 0.33  | 2.0     |
+      | 5    | 390 | 40       | 0.1   | 2.0     |
+      | 100  | 390 | 18       | 0.277 | 2.0     |
+      | 5    | 10  | 18       | 0.277 | 2.0     |
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -1,5 +1,6 @@
 """Steps on fleets of real nodes beside stand-ins of the platform."""
 
+import asyncio
 import subprocess
 import sys
 import tempfile
@@ -8,13 +9,17 @@
 from behave import given, then, when
 
 from features.support.node_fleets import FAULTS, NodeFleet, a_job
+from features.support.thin_links import ThinLinkStore
 from features.support.waiting import wait_until
+from sassafrasgrade.directories import PrefixFollower
 from sassafrasgrade.platform import names
 from sassafrasgrade.tools.soaks import run_seed
 from sassafrasgrade.tools.standins.fleets import QUEUE_PREFIX
 from sassafrasgrade.tools.standins.worker_states import find_violations
 
 EXIT_TIMEOUT_S = 20.0
+# Time after the last version in which all links have caught up.
+THIN_LINK_TAIL_S = 15.0
 
 
 @given("a fleet of {nodes:d} nodes and {hosts:d} hosts")
@@ -161,3 +166,37 @@
 def check_soak(context, seed, seconds):
     folder = tempfile.mkdtemp(prefix=f"sassafrasgrade-soak-{seed}-")
     assert not run_seed(seed, seconds, 3, folder), folder
+
+
+@given("a follower of a configuration behind a link of {mbps:d} Mbit/s")
+def keep_link(context, mbps):
+    context.link_mbps = mbps
+
+
+@when("{versions:d} versions of {kb:d} KB are written, one each {gap:f} s")
+def write_versions(context, versions, kb, gap):
+    written_at = [1.0 + number * gap for number in range(versions)]
+    store = ThinLinkStore(context.link_mbps, kb, written_at)
+    context.adopted = []
+
+    def take(items):
+        newest = max((item.revision for item in items), default=0)
+        context.adopted.append((store.now, newest))
+
+    follower = PrefixFollower(store, "op/", take, take, skips_versions=True)
+
+    async def follow():
+        while store.now < written_at[-1] + THIN_LINK_TAIL_S:
+            await follower.follow_once()
+
+    asyncio.run(follow())
+    context.written_at = written_at
+
+
+@then("each is in force or replaced within {seconds:f} s of its writing")
+def check_ages(context, seconds):
+    ages = [
+        min(at for at, newest in context.adopted if newest >= version) - written
+        for version, written in enumerate(context.written_at, 1)
+    ]
+    assert max(ages) <= seconds, max(ages)
--- a/sassafrasgrade/directories.py
+++ b/sassafrasgrade/directories.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from returns.result import Failure, Success
+from returns.result import Failure
 from tornado import gen
 from tornado.ioloop import IOLoop
 
@@ -15,6 +15,9 @@
 # longer is not trusted. With its margin it stays below the time in which a
 # configuration has to be in force everywhere.
 WATCH_S = 1.3
+# An answer that takes longer to arrive, in seconds, came over a link on which
+# changes may be written faster than they can be read.
+SLOW_TRANSFER_S = 0.2
 
 
 class PrefixFollower:
@@ -27,9 +30,21 @@
         on_items: Called with the items of a watch.
         pause_s: Least time between two watch calls, in seconds.
         name: Name of the dependency for the log.
+        skips_versions: Whether only the newest value of a key matters. A watch
+            returns all values since its revision, more than a thin link carries
+            while large ones change quickly; the range holds the newest only.
     """
 
-    def __init__(self, store, prefix, on_range, on_items, pause_s=0.0, name=""):
+    def __init__(
+        self,
+        store,
+        prefix,
+        on_range,
+        on_items,
+        pause_s=0.0,
+        name="",
+        skips_versions=False,
+    ):
         self._store = store
         self._prefix = prefix
         self._on_range = on_range
@@ -40,6 +55,9 @@
         self._is_closed = False
         self._is_lost = False
         self._is_rereading = False
+        self._skips_versions = skips_versions
+        self._skips_now = False
+        self._newest_revision = 0
 
     def start(self):
         """Starts following."""
@@ -51,7 +69,7 @@
 
     def read_again(self):
         """Reads the whole range now, beside a watch that may have gone silent."""
-        if not self._is_rereading and not self._is_closed:
+        if not (self._is_rereading or self._is_closed or self._skips_now):
             self._is_rereading = True
             IOLoop.current().add_callback(self._reread)
 
@@ -70,7 +88,7 @@
     async def _run(self):
         backoff = Backoff(0.05, 0.5)
         while not self._is_closed:
-            result = await self._follow_once()
+            result = await self.follow_once()
             if self._is_closed:
                 return
             if isinstance(result, Failure):
@@ -82,28 +100,49 @@
             if self._pause_s:
                 await gen.sleep(self._pause_s)
 
-    async def _follow_once(self):
+    async def follow_once(self):
+        """Makes one call and takes in its answer; returns its ``Result``."""
         revision = self._revision
-        if revision is None:
-            found = await self._store.read_range(self._prefix)
-            take = self._on_range
+        if revision is None or self._skips_now:
+            found = await self._read_newest(revision)
         else:
-            found = await self._store.watch(self._prefix, revision, WATCH_S)
-            take = self._on_items
-        if self._is_closed:
-            return found
-        if revision is not None and revision != self._revision:
-            # The range was read meanwhile and holds more than this answer.
-            return Success(None)
+            found = await self._watch(revision)
         if isinstance(found, Failure):
             if isinstance(found.failure(), HistoryCompacted):
                 self._revision = None
+            elif self._skips_versions:
+                self._skips_now = True
+        return found
+
+    async def _read_newest(self, revision):
+        found = await self._store.read_range(self._prefix)
+        if isinstance(found, Failure) or self._is_overtaken(revision):
             return found
         items, self._revision = found.unwrap()
-        if items or revision is None:
-            take(items)
+        newest = max((item.revision for item in items), default=0)
+        # Nothing new since the last read: a watch costs nothing while it waits.
+        self._skips_now = self._skips_now and newest > self._newest_revision
+        self._newest_revision = newest
+        self._on_range(items)
         return found
 
+    async def _watch(self, revision):
+        found = await self._store.watch(self._prefix, revision, WATCH_S)
+        if isinstance(found, Failure) or self._is_overtaken(revision):
+            return found
+        changes = found.unwrap()
+        self._revision = changes.revision
+        if changes.items:
+            self._newest_revision = changes.items[-1].revision
+            is_slow = changes.transfer_s > SLOW_TRANSFER_S
+            self._skips_now = self._skips_versions and is_slow
+            self._on_items(changes.items)
+        return found
+
+    def _is_overtaken(self, revision):
+        """Whether the range was read meanwhile, or nobody listens any more."""
+        return self._is_closed or self._revision != revision
+
     def _note_lost(self, error):
         if not self._is_lost:
             self._is_lost = True
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -340,7 +340,7 @@
             found = await self._store.watch(OWN_PREFIX, self._revision, WATCH_S)
             if isinstance(found, Failure):
                 return found
-            items, self._revision = found.unwrap()
+            items, self._revision = found.unwrap().items, found.unwrap().revision
         for item in items:
             self._take_item(item)
         if self.leader is None:
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -128,6 +128,7 @@
             self._take_operator_items,
             self._take_operator_items,
             name="operator",
+            skips_versions=True,
         )
         self._clients = HTTPServer(ClientsDelegate(self))
         self._waves_by_key = {}
--- a/sassafrasgrade/platform/stores.py
+++ b/sassafrasgrade/platform/stores.py
@@ -59,6 +59,21 @@
     lease: int = 0
 
 
+@dataclass(frozen=True)
+class Changes:
+    """Answer to a watch.
+
+    Attributes:
+        items: Changed ``Item`` values, oldest first.
+        revision: Revision to continue from.
+        transfer_s: Time from the answer's first byte to its last, in seconds.
+    """
+
+    items: tuple
+    revision: int
+    transfer_s: float
+
+
 class StoreClient:
     """Speaks with the store; every method returns a ``Result``.
 
@@ -100,7 +115,7 @@
             after = page.items[-1].key
 
     async def watch(self, prefix, after_revision, wait_s):
-        """Waits for changes; returns (items, revision to continue from)."""
+        """Waits for changes; returns ``Changes``."""
         query = urlencode(
             {
                 "prefix": prefix,
@@ -222,4 +237,10 @@
 
 def _read_events(response):
     page = _pages.decode(response.body)
-    return tuple(_decode_item(event) for event in page.events), page.revision
+    items = tuple(_decode_item(event) for event in page.events)
+    return Changes(items, page.revision, _transfer_s(response))
+
+
+def _transfer_s(response):
+    times = response.time_info
+    return max(0.0, times.get("total", 0.0) - times.get("starttransfer", 0.0))
