Serve callers until the balancer has noticed that a node stops

Cause: a node told to stop ended 0.2 s after its last answer. Change: a stopping node accepts for 2.2 s, then answers until no request came for 0.6 s, at most until the grace period ends. It withdraws from membership at once but goes on watching the store, by which it knows whether the store answers. Test: table of phases; a follower told to stop answers on open and new connections and ends with code 0.

--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -88,3 +88,23 @@
       | 5    | 390 | 40       | 0.1   | 2.0     |
       | 100  | 390 | 18       | 0.277 | 2.0     |
       | 5    | 10  | 18       | 0.277 | 2.0     |
+
+  Scenario Outline: a stopping node is <phase> after <s> s with <open> open, the last <ago> s ago
+    Given a stop that may take 5 seconds
+    Then it is "<phase>" after <s> s with <open> open and the last <ago> s ago
+
+    Examples:
+      | s   | open | ago | phase     |
+      | 0.3 | 0    | 9   | accepting |
+      | 2.1 | 0    | 9   | accepting |
+      | 2.3 | 1    | 9   | answering |
+      | 2.3 | 0    | 0.2 | answering |
+      | 2.3 | 0    | 0.7 | ended     |
+      | 4.9 | 1    | 9   | answering |
+      | 5.0 | 1    | 0   | ended     |
+
+  Scenario: a follower that is told to stop still serves open and new connections
+    Given a fleet of 3 nodes and 2 hosts
+    When a follower with an open connection is told to stop and says that it is not ready
+    Then requests on the open and on a new connection are answered, the last of each
+    And its process ends by itself with code 0
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -1,6 +1,8 @@
 """Steps on fleets of real nodes beside stand-ins of the platform."""
 
 import asyncio
+import http.client
+import signal
 import subprocess
 import sys
 import tempfile
@@ -8,13 +10,19 @@
 
 from behave import given, then, when
 
+from features.support.calls import call
 from features.support.node_fleets import FAULTS, NodeFleet, a_job
 from features.support.thin_links import ThinLinkStore
 from features.support.waiting import wait_until
 from sassafrasgrade.directories import PrefixFollower
+from sassafrasgrade.drains import Drain
 from sassafrasgrade.platform import names
 from sassafrasgrade.tools.soaks import run_seed
-from sassafrasgrade.tools.standins.fleets import QUEUE_PREFIX
+from sassafrasgrade.tools.standins.fleets import (
+    ADDRESS as LOOPBACK,
+    QUEUE_HOST,
+    QUEUE_PREFIX,
+)
 from sassafrasgrade.tools.standins.worker_states import find_violations
 
 EXIT_TIMEOUT_S = 20.0
@@ -200,3 +208,52 @@
         for version, written in enumerate(context.written_at, 1)
     ]
     assert max(ages) <= seconds, max(ages)
+
+
+@given("a stop that may take {seconds:d} seconds")
+def make_drain(context, seconds):
+    context.drain = Drain(100.0, 100.0 + seconds)
+
+
+@then('it is "{phase}" after {s:f} s with {count:d} open and the last {ago} s ago')
+def check_phase(context, phase, s, count, ago):
+    now = 100.0 + s
+    found = context.drain.phase(now, count, now - float(ago))
+    assert found.name.lower() == phase, found
+
+
+@when(
+    "a follower with an open connection is told to stop and says that it is not ready"
+)
+def stop_with_connection(context):
+    leader = context.fleet.leader()
+    nodes = context.fleet.harness.nodes
+    context.node = next(node for node in nodes if node is not leader)
+    context.open = http.client.HTTPConnection(LOOPBACK, context.node.clients_port)
+    is_served = lambda: ask_pending(context.open)[0] == 200  # noqa: E731
+    wait_until(is_served, EXIT_TIMEOUT_S, "the node knows the count")
+    context.node.send_signal(signal.SIGTERM)
+    ready_url = f"http://{LOOPBACK}:{context.node.ready_port}/-/ready"
+    wait_until(lambda: call(ready_url).status == 503, EXIT_TIMEOUT_S, "not ready")
+
+
+def ask_pending(connection):
+    """Asks for a queue's count; returns (status, ``Connection`` header)."""
+    connection.request("GET", QUEUE_PREFIX, headers={"Host": QUEUE_HOST})
+    answer = connection.getresponse()
+    answer.read()
+    return answer.status, answer.headers.get("Connection")
+
+
+@then("requests on the open and on a new connection are answered, the last of each")
+def check_answers(context):
+    fresh = http.client.HTTPConnection(LOOPBACK, context.node.clients_port)
+    answers = [ask_pending(context.open), ask_pending(fresh)]
+    assert answers == [(200, "close")] * 2, answers
+
+
+@then("its process ends by itself with code 0")
+def check_end(context):
+    process = context.node.process
+    wait_until(lambda: process.poll() is not None, EXIT_TIMEOUT_S, "the process ends")
+    assert process.poll() == 0, process.poll()
--- a/sassafrasgrade/client_requests.py
+++ b/sassafrasgrade/client_requests.py
@@ -55,6 +55,7 @@
         self._start = start_line
         self._headers = headers
         self._began_at = self._node.timers.now()
+        self._node.last_request_at = self._began_at
         self._node.requests_under_way += 1
 
     def data_received(self, chunk):
@@ -88,7 +89,8 @@
         self._respond(reply)
 
     def _respond(self, reply):
-        seconds = self._node.timers.now() - self._began_at
+        self._node.last_request_at = now = self._node.timers.now()
+        seconds = now - self._began_at
         kind = KINDS_BY_METHOD.get(self._start.method, "other")
         self._node.counters.note_request(kind, reply.status, seconds)
         if self._is_over:
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -116,7 +116,8 @@
         self._lease_until = 0.0
         self._records_by_name = {}
         self._revision = None
-        self._is_closing = False
+        self._is_withdrawn = False
+        self._is_closed = False
         self._candidate = None
         self._store_answer_at = timers.now()
         self._dead_revision = 0
@@ -196,9 +197,13 @@
             self._suspected_revision = revision
             self._stand_soon()
 
-    async def close(self):
-        """Gives the leadership up and removes the node's keys."""
-        self._is_closing = True
+    def close(self):
+        """Stops watching the store."""
+        self._is_closed = True
+
+    async def withdraw(self):
+        """Gives the leadership up for good and removes the node's keys."""
+        self._is_withdrawn = True
         if self.leads:
             self._lose("stopping")
         if self.lease:
@@ -227,14 +232,14 @@
 
     async def _keep_loop(self):
         backoff = Backoff(0.05, 0.5)
-        while not self._is_closing:
+        while not self._is_withdrawn:
             if not self.lease:
                 if not await self._register():
                     await gen.sleep(backoff.next_delay())
                     continue
                 backoff.reset()
             await gen.sleep(KEEP_PERIOD_S)
-            if self.lease and not self._is_closing:
+            if self.lease and not self._is_withdrawn:
                 await self._keep()
 
     async def _keep(self):
@@ -317,7 +322,7 @@
 
     async def _watch_loop(self):
         backoff = Backoff(0.05, 0.5)
-        while not self._is_closing:
+        while not self._is_closed:
             result = await self._watch_once()
             if not isinstance(result, Failure):
                 self._store_answer_at = self._timers.now()
@@ -337,7 +342,9 @@
             if not any(item.key == LEADER_KEY for item in items):
                 self._set_leader(None, 0)
         else:
-            found = await self._store.watch(OWN_PREFIX, self._revision, WATCH_S)
+            # Without renewals the watch alone shows that the store answers.
+            wait_s = KEEP_PERIOD_S if self._is_withdrawn else WATCH_S
+            found = await self._store.watch(OWN_PREFIX, self._revision, wait_s)
             if isinstance(found, Failure):
                 return found
             items, self._revision = found.unwrap().items, found.unwrap().revision
@@ -390,7 +397,7 @@
     # Standing for leader.
 
     def _stand_soon(self, is_handed=False):
-        if self._is_closing or not self.lease or self.leads:
+        if self._is_withdrawn or not self.lease or self.leads:
             return
         if self._candidate is not None:
             if not is_handed:
@@ -425,7 +432,7 @@
             self._dead_revision,
             self._suspected_revision,
         )
-        if self.leads or self._is_closing or not self.lease or not is_free:
+        if self.leads or self._is_withdrawn or not self.lease or not is_free:
             return
         epoch = self._past_epoch + 1
         record = self._own_record(epoch)
@@ -479,7 +486,7 @@
             self._take_item(item)
 
     def _gain(self, record, revision, is_proven):
-        if self.leads or self._is_closing or revision < self.leader_revision:
+        if self.leads or self._is_withdrawn or revision < self.leader_revision:
             return
         self.token = revision
         self.past_revision = self.held_revision
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -18,6 +18,7 @@
 from sassafrasgrade.client_requests import ClientsDelegate
 from sassafrasgrade.directories import PrefixFollower
 from sassafrasgrade.dispatchers import Dispatcher
+from sassafrasgrade.drains import Drain, DrainPhase
 from sassafrasgrade.http_clients import create_http_client
 from sassafrasgrade.intakes import Intake
 from sassafrasgrade.leaderships import Leadership
@@ -103,6 +104,7 @@
         self.configuration = None
         self.router = None
         self.requests_under_way = 0
+        self.last_request_at = 0.0
         self.is_stopping = False
         self.leadership = Leadership(
             self.store,
@@ -157,18 +159,30 @@
             return
         self.is_stopping = True
         logger.info("stopping", extra={"requests": self.requests_under_way})
-        deadline = self.timers.now() + self.settings.bounds_grace_s - STOP_MARGIN_S
+        began_at = self.timers.now()
+        deadline = began_at + self.settings.bounds_grace_s - STOP_MARGIN_S
         if self._dispatcher is not None:
             await self._dispatcher.flush()
             self._hand_over("stopping")
         await gen.sleep(BRIEF_PAUSE_S)
-        await self.leadership.close()
-        while self.requests_under_way and self.timers.now() < deadline:
-            await gen.sleep(BRIEF_PAUSE_S)
-        self._clients.stop()
-        await gen.sleep(BRIEF_PAUSE_S)
+        await self.leadership.withdraw()
+        await self._drain(Drain(began_at, deadline))
+        self.leadership.close()
         logger.info("stopped", extra={"requests": self.requests_under_way})
 
+    async def _drain(self, drain):
+        """Answers what callers still send until none does."""
+        is_accepting = True
+        while True:
+            now = self.timers.now()
+            phase = drain.phase(now, self.requests_under_way, self.last_request_at)
+            if phase > DrainPhase.ACCEPTING and is_accepting:
+                is_accepting = False
+                self._clients.stop()
+            if phase is DrainPhase.ENDED:
+                return
+            await gen.sleep(BRIEF_PAUSE_S)
+
     def _hand_over(self, reason):
         """Stops leading and tells all nodes what may run."""
         if self._dispatcher is None:
