--- a/sassafrasgrade/systems/pool_moves.py
+++ b/sassafrasgrade/systems/pool_moves.py
@@ -17,7 +17,7 @@
 # Part of a pool's cores that its demand may fill before it gets another host.
 FULL_PART = 0.85
 # Time that a host runs nothing before it goes to the standby pool, in seconds.
-IDLE_S = 1.5
+IDLE_S = 0.8
 # Time after a move in which a host is not moved again, in seconds.
 SETTLE_S = 1.0
 # Time within which a host that is away counts for its pool, in seconds: less
