Hand held tasks on to a second successor; give hosts to work that can be in time

Change: tasks that are held are handed over with what is left of their holds. Change: jobs are in time, of some use (up to three times the objective), or late; hosts go to the first kind first, and hosts over that need get no late work while another pool lacks some. Also: records of members and pages of a node in modules of their own.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -34,6 +34,8 @@
       | nothing                                        | waiting    |
       | a handed run on a listed worker                | active     |
       | a handed run on a worker that is not listed    | held       |
+      | a run handed on twice, on a listed worker      | active     |
+      | a run handed on twice, on a worker that is not listed | held |
       | handed progress that ends the job              | unshown    |
       | stored progress that ends the job              | completed  |
 
@@ -155,6 +157,27 @@
       | both are short        | 6     | 20:4  | 5:1   |
       | too few for all       | 2     | 20:20 | 1:1   |
 
+  Scenario Outline: a job <age> s after its arrival is <urgency>
+    Then a job that takes 0.5 s, <age> s after its arrival, is <urgency>
+
+    Examples: in time until 1.4 s, of some use until three times that
+      | age | urgency |
+      | 0.8 | in time |
+      | 1.0 | useful  |
+      | 3.6 | useful  |
+      | 3.8 | late    |
+
+  Scenario Outline: late work yields hosts: <tasks> tasks, <age> s old, <lacks> hosts lacking
+    Then of <tasks> tasks <age> s old, beside a pool that lacks <lacks> hosts, <starts> start
+
+    Examples: four hosts, each with a small task that runs
+      | tasks | age | lacks | starts |
+      | 4     | 2.0 | 0     | 4      |
+      | 4     | 2.0 | 1     | 3      |
+      | 4     | 9.0 | 2     | 2      |
+      | 4     | 9.0 | 9     | 1      |
+      | 4     | 0.1 | 9     | 4      |
+
   Scenario Outline: of 4 workers, <bad> that fail runs beside a lasting task get <tasks>
     Then of 4 workers with a lasting task each, <bad> that fail get <tasks> of 40 tasks
 
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -29,6 +29,7 @@
     adopt_handed_runs,
     expire_leases,
     restart_worker,
+    runs_to_hand_over,
     unheard_workers,
 )
 from sassafrasgrade.work_commands import StopRun
@@ -163,10 +164,25 @@
     adopt_handed_runs(context.tables, (run,), NOW)
 
 
+def hand_run_twice(context, worker_id):
+    hand_run(context, worker_id)
+    handed = runs_to_hand_over(context.tables, NOW)
+    context.tables = create_tables()
+    context.job = add_simple_job(context.tables)
+    context.task = first_task(context.job)
+    adopt_handed_runs(context.tables, handed, NOW)
+
+
 KNOWN = {
     "nothing": lambda c: None,
     "a handed run on a listed worker": lambda c: hand_run(c, "worker-1"),
     "a handed run on a worker that is not listed": lambda c: hand_run(c, "gone"),
+    "a run handed on twice, on a listed worker": lambda c: hand_run_twice(
+        c, "worker-1"
+    ),
+    "a run handed on twice, on a worker that is not listed": lambda c: hand_run_twice(
+        c, "gone"
+    ),
     "handed progress that ends the job": lambda c: adopt_unstored(
         c.tables, {c.job.job_id: encode(ended_progress())}
     ),
--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -34,7 +34,7 @@
 from sassafrasgrade.systems.pacing import pace_fillers
 from sassafrasgrade.systems.run_views import lose_worker
 from sassafrasgrade.systems.run_watch import stop_stalled
-from sassafrasgrade.systems.task_placement import place_tasks
+from sassafrasgrade.systems.task_placement import order_jobs, place_tasks
 from sassafrasgrade.work_commands import MoveHost
 from sassafrasgrade.worker_directories import apply_item
 
@@ -159,43 +159,88 @@
         assert step_key in tables.tickets.wanted
 
 
-@then('{hosts:d} free hosts for needs "{needs}" go as "{given}"')
-def check_shares(context, hosts, needs, given):
+POOL_NAMES = (POOL, "pool-2")
+
+
+def create_two_pools(hosts_by_pool):
+    """Returns tables and hosts of two pools with a queue each, and a standby pool."""
     tables = create_tables(workers=0)
-    names = [POOL, "pool-2"]
-    queues = tuple(Queue(name=f"queue-{n + 1}", pool=p) for n, p in enumerate(names))
-    pools = tuple(Pool(name=name) for name in names)
+    queues = tuple(
+        Queue(name=f"queue-{number}", pool=pool, objective_ms=600.0, stretch=1.6)
+        for number, pool in enumerate(POOL_NAMES, 1)
+    )
+    pools = tuple(Pool(name=name) for name in POOL_NAMES)
     standby = (Pool(name=STANDBY, is_standby=True),)
     tables.adopt_configuration(
         Configuration(version=2, queues=queues, pools=pools + standby)
     )
     fleet = FleetHosts(listed_at=NOW)
-    for number, pool in enumerate(names):
-        worker = add_worker(tables, f"worker-{number}")
-        worker.pool = pool
-        host = HostRow(worker.host, pool, "up", worker_id=worker.worker_id)
-        host.capacity = CAPACITY
-        fleet.hosts_by_name[host.name] = host
-    for number in range(hosts):
-        host = HostRow(f"free-{number}", STANDBY, "up")
-        host.capacity = CAPACITY
-        fleet.hosts_by_name[host.name] = host
-    for number, text in enumerate(needs.split(":")):
-        tasks = int(text)
-        if tasks:
-            # A task that fills more than half of a host needs one of its own.
-            request = JobRequest(
-                spec="s", steps=(Step(count=tasks, cpu_millis=13_600),)
-            )
-            submitted = SubmittedJob(f"queue-{number + 1}", NOW_UNIX, request)
-            add_job(tables, f"{number}" * 16, submitted, NOW_UNIX)
+    for pool, hosts in hosts_by_pool.items():
+        for number in range(hosts):
+            host = HostRow(f"host-{pool}-{number}", pool, "up", capacity=CAPACITY)
+            fleet.hosts_by_name[host.name] = host
+            if pool != STANDBY:
+                worker = add_worker(tables, f"{pool}-{number}")
+                worker.pool = pool
+                host.worker_id = worker.worker_id
+    return tables, fleet
+
+
+def add_large_job(tables, pool_number, tasks, accepted_at=NOW_UNIX):
+    """Adds a job whose tasks fill more than half of a host each."""
+    step = Step(count=tasks, cpu_millis=13_600, estimate_ms=500)
+    request = JobRequest(spec="s", steps=(step,))
+    submitted = SubmittedJob(f"queue-{pool_number}", accepted_at, request)
+    return add_job(tables, f"{pool_number}" * 16, submitted, accepted_at)
+
+
+def plan_on(tables, fleet):
+    """Plans the orders on hosts of one tick."""
     values = {"NODE_NAME": "n", "NODE_DATA_CENTRE": "z"}
-    commands = plan_hosts(tables, fleet, check_node_settings(values).unwrap(), NOW)
+    return plan_hosts(tables, fleet, check_node_settings(values).unwrap(), NOW)
+
+
+@then('{hosts:d} free hosts for needs "{needs}" go as "{given}"')
+def check_shares(context, hosts, needs, given):
+    tables, fleet = create_two_pools({POOL: 1, "pool-2": 1, STANDBY: hosts})
+    for number, text in enumerate(needs.split(":"), 1):
+        if int(text):
+            add_large_job(tables, number, int(text))
+    commands = plan_on(tables, fleet)
     moves = [command.pool for command in commands if isinstance(command, MoveHost)]
-    found = ":".join(str(moves.count(name)) for name in names)
+    found = ":".join(str(moves.count(name)) for name in POOL_NAMES)
     assert found == given, (found, commands)
 
 
+@then("a job that takes 0.5 s, {age:f} s after its arrival, is {urgency}")
+def check_urgency(context, age, urgency):
+    tables = create_tables()
+    job = add_simple_job(tables, estimate_ms=500)
+    lengths = LearnedLengths()
+    order_jobs(tables, POOL, lengths, NOW_UNIX + age)
+    assert job.urgency.name.lower().replace("_", " ") == urgency, job.urgency
+
+
+@then(
+    "of {tasks:d} tasks {age:f} s old, beside a pool that lacks {lacks:d} hosts, "
+    "{starts:d} start"
+)
+def check_yield(context, tasks, age, lacks, starts):
+    tables, fleet = create_two_pools({POOL: 4, "pool-2": 1})
+    running = add_simple_job(tables, "f" * 16, count=4)
+    workers = [w for w in tables.workers_by_id.values() if w.pool == POOL]
+    for index, worker in enumerate(workers):
+        start_run(first_task(running, index), worker)
+    add_large_job(tables, 1, tasks, NOW_UNIX - age)
+    add_large_job(tables, 2, lacks + 1)
+    lengths = LearnedLengths()
+    for pool in POOL_NAMES:
+        order_jobs(tables, pool, lengths, NOW_UNIX)
+    plan_on(tables, fleet)
+    commands = place_tasks(tables, POOL, lengths, NOW, NOW_UNIX)
+    assert len(commands) == starts, commands
+
+
 @then(
     "of 4 workers with a lasting task each, {bad:d} that fail get {tasks:d} "
     "of 40 tasks"
--- a/sassafrasgrade/host_keepers.py
+++ b/sassafrasgrade/host_keepers.py
@@ -10,7 +10,8 @@
 
 from sassafrasgrade.errors import RevisionConflict
 from sassafrasgrade.fleet_hosts import FleetHosts, WaveRow
-from sassafrasgrade.leaderships import HOST_ORDERS_S, LEADER_KEY
+from sassafrasgrade.leaderships import HOST_ORDERS_S
+from sassafrasgrade.member_records import LEADER_KEY
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.clouds import CloudClient, HostOrderOutcome
 from sassafrasgrade.platform.messages import Wave
--- a/sassafrasgrade/job_sweeps.py
+++ b/sassafrasgrade/job_sweeps.py
@@ -6,7 +6,7 @@
 from tornado.ioloop import IOLoop
 
 from sassafrasgrade.job_records import CANCEL, PROGRESS, REQUEST, job_key
-from sassafrasgrade.leaderships import LEADER_KEY
+from sassafrasgrade.member_records import LEADER_KEY
 
 logger = logging.getLogger(__name__)
 
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -4,7 +4,6 @@
 import time
 import uuid
 
-import msgspec
 from returns.result import Failure
 from tornado import gen
 from tornado.ioloop import IOLoop
@@ -15,17 +14,23 @@
     PlatformUnavailable,
     RevisionConflict,
 )
+from sassafrasgrade.member_records import (
+    EPOCH_KEY,
+    LEADER_KEY,
+    NODES_PREFIX,
+    OWN_PREFIX,
+    LeaderRecord,
+    NodeRecord,
+    decode_leader,
+    decode_node,
+    encode_record,
+)
 from sassafrasgrade.platform.stores import Put
 from sassafrasgrade.rendezvous import rank_names
 from sassafrasgrade.watchers import Backoff
 
 logger = logging.getLogger(__name__)
 
-OWN_PREFIX = "own/"
-LEADER_KEY = "own/leader"
-NODES_PREFIX = "own/nodes/"
-# Number of the last leadership; outlives the leader's key.
-EPOCH_KEY = "own/epoch"
 # Life of a node's lease without renewal, in seconds: the leader goes on through
 # store outages of that length; a lost leader is replaced sooner on suspicion.
 LEASE_TTL_S = 6.0
@@ -47,29 +52,6 @@
 WATCH_S = 1.3
 
 
-class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
-    """A live node: name, incarnation, address of its streams, strength."""
-
-    name: str
-    incarnation: str
-    address: str
-    cores: float
-
-
-class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
-    """The present leader and the count of leaderships so far."""
-
-    name: str
-    incarnation: str
-    address: str
-    epoch: int
-
-
-_nodes = msgspec.msgpack.Decoder(NodeRecord)
-_leaders = msgspec.msgpack.Decoder(LeaderRecord)
-_encode = msgspec.msgpack.Encoder().encode
-
-
 class Leadership:
     """Keeps the node's lease and decides by conditional writes who leads.
 
@@ -272,7 +254,7 @@
             self.address,
             self._settings.node_cores * self._settings.node_core_speed,
         )
-        put = Put(NODES_PREFIX + record.name, _encode(record), lease)
+        put = Put(NODES_PREFIX + record.name, encode_record(record), lease)
         written = await self._store.commit(puts=(put,))
         if isinstance(written, Failure):
             return False
@@ -309,7 +291,7 @@
 
     def _puts(self, record):
         return [
-            Put(LEADER_KEY, _encode(record), self.lease),
+            Put(LEADER_KEY, encode_record(record), self.lease),
             Put(EPOCH_KEY, str(record.epoch).encode()),
         ]
 
@@ -358,7 +340,7 @@
         if item.key == LEADER_KEY:
             if item.revision < self.leader_revision:
                 return
-            record = _decode(_leaders, item)
+            record = decode_leader(item)
             if record is not None and record.incarnation == self.incarnation:
                 # A write without an answer that was carried out after all.
                 self._gain(record, item.revision, False)
@@ -368,7 +350,7 @@
             self._past_epoch = max(self._past_epoch, int(item.value))
         elif item.key.startswith(NODES_PREFIX):
             name = item.key.removeprefix(NODES_PREFIX)
-            record = _decode(_nodes, item)
+            record = decode_node(item)
             if record is None:
                 self._records_by_name.pop(name, None)
             else:
@@ -479,7 +461,7 @@
         if item is None:
             self._stand_soon()
             return
-        record = _decode(_leaders, item)
+        record = decode_leader(item)
         if record is not None and record.incarnation == self.incarnation:
             self._gain(record, item.revision, False)
         else:
@@ -503,15 +485,5 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
 
 
-def _decode(decoder, item):
-    if item.value is None:
-        return None
-    try:
-        return decoder.decode(item.value)
-    except msgspec.DecodeError as error:
-        logger.warning("unreadable entry", extra={"key": item.key, "error": str(error)})
-        return None
-
-
 def _outcome(result):
     return result.failure().kind if isinstance(result, Failure) else "ok"
--- /dev/null
+++ b/sassafrasgrade/member_records.py
@@ -0,0 +1,56 @@
+"""Records of live nodes and of their leader, as the store holds them."""
+
+import logging
+
+import msgspec
+
+logger = logging.getLogger(__name__)
+
+OWN_PREFIX = "own/"
+LEADER_KEY = "own/leader"
+NODES_PREFIX = "own/nodes/"
+# Number of the last leadership; outlives the leader's key.
+EPOCH_KEY = "own/epoch"
+
+
+class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A live node: name, incarnation, address of its streams, strength."""
+
+    name: str
+    incarnation: str
+    address: str
+    cores: float
+
+
+class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The present leader and the count of leaderships so far."""
+
+    name: str
+    incarnation: str
+    address: str
+    epoch: int
+
+
+_nodes = msgspec.msgpack.Decoder(NodeRecord)
+_leaders = msgspec.msgpack.Decoder(LeaderRecord)
+encode_record = msgspec.msgpack.Encoder().encode
+
+
+def decode_node(item):
+    """Returns the ``NodeRecord`` of an item; None if deleted or unreadable."""
+    return _decode(_nodes, item)
+
+
+def decode_leader(item):
+    """Returns the ``LeaderRecord`` of an item; None if deleted or unreadable."""
+    return _decode(_leaders, item)
+
+
+def _decode(decoder, item):
+    if item.value is None:
+        return None
+    try:
+        return decoder.decode(item.value)
+    except msgspec.DecodeError as error:
+        logger.warning("unreadable entry", extra={"key": item.key, "error": str(error)})
+        return None
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -12,7 +12,7 @@
 from tornado import gen
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
-from tornado.web import Application, RequestHandler
+from tornado.web import Application
 
 from sassafrasgrade.bounded_logs import configure_bounded_logs
 from sassafrasgrade.client_requests import ClientsDelegate
@@ -36,6 +36,7 @@
     StateQuestion,
     StateReply,
 )
+from sassafrasgrade.node_pages import MetricsHandler, ReadyHandler
 from sassafrasgrade.node_settings import NodeSettings, read_node_settings
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.calls import JsonCaller
@@ -415,31 +416,6 @@
         self._compare_version(message.configuration_version)
 
 
-class ReadyHandler(RequestHandler):
-    """Tells the balancer whether the node takes new connections."""
-
-    def initialize(self, node):
-        """Takes the node."""
-        self._node = node
-
-    def get(self):
-        """Answers 200 or 503."""
-        self.set_status(200 if self._node.is_ready() else 503)
-
-
-class MetricsHandler(RequestHandler):
-    """Shows all metrics."""
-
-    def initialize(self, node):
-        """Takes the node."""
-        self._node = node
-
-    def get(self):
-        """Answers the page of metrics."""
-        self.set_header("Content-Type", "text/plain; charset=utf-8")
-        self.write(self._node.counters.expose())
-
-
 def run_node(settings=""):
     """Runs one node until it is told to stop.
 
--- a/sassafrasgrade/systems/pool_moves.py
+++ b/sassafrasgrade/systems/pool_moves.py
@@ -11,6 +11,7 @@
 from sassafrasgrade.fleet_hosts import STATE_UP, HostRow
 from sassafrasgrade.systems.host_states import MOST_ORDERS, is_free, worker_of
 from sassafrasgrade.work_commands import MoveHost, Note
+from sassafrasgrade.works import Urgency
 
 # Hosts that a pool keeps even when it is idle.
 LEAST_HOSTS = 1
@@ -31,10 +32,12 @@
 
     Attributes:
         hosts: Hosts that are in it or on their way.
-        wanted: Hosts that its demand needs.
+        urgent: Hosts that work which can be in time needs, with all that runs.
+        wanted: Hosts that all its work needs, late or not.
     """
 
     hosts: list[HostRow] = field(default_factory=list)
+    urgent: int = LEAST_HOSTS
     wanted: int = LEAST_HOSTS
 
 
@@ -45,21 +48,13 @@
         # Without any demand yet, hosts stay where the operators put them.
         return []
     needs = measure_needs(tables, fleet, now)
-    commands = []
     free = _free_by_pool(tables, fleet, now)
-    short = {name for name, need in needs.items() if len(need.hosts) < need.wanted}
-    while short and len(commands) < MOST_ORDERS:
-        # One host at a time to the pool that has the least part of its need.
-        name = min(short, key=lambda n: (len(needs[n].hosts) / needs[n].wanted, n))
-        need = needs[name]
-        host = _take_host(free, needs, name, standby[0].name, tables, now)
-        if host is None:
-            short.discard(name)
-            continue
-        commands.append(_move(tables, host, name, settings, now, "backlog"))
-        need.hosts.append(host)
-        if len(need.hosts) >= need.wanted:
-            short.discard(name)
+    source = _Source(tables, free, needs, standby[0].name)
+    commands = _fill(source, lambda need: need.urgent, settings, now)
+    _choose_yielding(tables, needs)
+    commands += _fill(
+        source, lambda need: need.wanted, settings, now, MOST_ORDERS - len(commands)
+    )
     for name, need in needs.items():
         for host in free.get(name, []):
             if len(need.hosts) <= need.wanted:
@@ -75,6 +70,60 @@
     return commands
 
 
+@dataclass(frozen=True, slots=True)
+class _Source:
+    """Where hosts for short pools come from."""
+
+    tables: object
+    free: dict[str, list[HostRow]]
+    needs: dict[str, PoolNeed]
+    standby_name: str
+
+
+def _fill(source, wanted_of, settings, now, most=MOST_ORDERS):
+    """Gives hosts to short pools, one at a time to the one with the least part."""
+    needs, commands = source.needs, []
+    short = {name for name, need in needs.items() if len(need.hosts) < wanted_of(need)}
+    while short and len(commands) < most:
+        name = min(short, key=lambda n: (len(needs[n].hosts) / wanted_of(needs[n]), n))
+        host = _take_host(source, name, wanted_of)
+        if host is None:
+            short.discard(name)
+            continue
+        commands.append(_move(source.tables, host, name, settings, now, "backlog"))
+        needs[name].hosts.append(host)
+        if len(needs[name].hosts) >= wanted_of(needs[name]):
+            short.discard(name)
+    return commands
+
+
+def _choose_yielding(tables, needs):
+    """Keeps late work off hosts that a pool with urgent work lacks.
+
+    Load pattern: the peak of one pool ends in a backlog of late jobs while the
+    next pool's peak begins.
+    """
+    missing = sum(max(0, need.urgent - len(need.hosts)) for need in needs.values())
+    for worker in tables.workers_by_id.values():
+        worker.is_yielding = False
+    for need in needs.values():
+        spare = min(missing, len(need.hosts) - need.urgent)
+        if spare <= 0:
+            continue
+        missing -= spare
+        workers = [worker_of(tables, host) for host in need.hosts]
+        workers = [worker for worker in workers if worker is not None]
+        workers.sort(
+            key=lambda worker: (_lasting_runs(worker), len(worker.runs_by_key))
+        )
+        for worker in workers[:spare]:
+            worker.is_yielding = True
+
+
+def _lasting_runs(worker):
+    return sum(run.task.step.is_perpetual for run in worker.runs_by_key.values())
+
+
 def _free_by_pool(tables, fleet, now):
     """Returns free hosts by pool, those with the longest idle time first."""
     free = {}
@@ -86,19 +135,20 @@
     return free
 
 
-def _take_host(free, needs, taker, standby_name, tables, now):
+def _take_host(source, taker, wanted_of):
     """Chooses a host for a pool: a standby one, or one that is over elsewhere."""
+    free, needs = source.free, source.needs
     kinds = _kinds_of(needs[taker].hosts)
-    for host in free.get(standby_name, []):
+    for host in free.get(source.standby_name, []):
         if not kinds or _kind(host) in kinds:
-            free[standby_name].remove(host)
+            free[source.standby_name].remove(host)
             return host
     givers = [
         name
         for name, need in needs.items()
-        if name != taker and len(need.hosts) > need.wanted and free.get(name)
+        if name != taker and len(need.hosts) > wanted_of(need) and free.get(name)
     ]
-    givers.sort(key=lambda name: needs[name].wanted - len(needs[name].hosts))
+    givers.sort(key=lambda name: wanted_of(needs[name]) - len(needs[name].hosts))
     for name in givers:
         for host in free[name]:
             if host in needs[name].hosts and (not kinds or _kind(host) in kinds):
@@ -145,6 +195,7 @@
                 "pool": name,
                 "waiting_jobs": waiting[name],
                 "hosts": len(need.hosts),
+                "urgent": need.urgent,
                 "wanted": need.wanted,
                 "list_age_s": round(now - fleet.listed_at, 2),
             },
@@ -172,13 +223,15 @@
         if is_coming or is_up or (worker is not None and _counts(worker)):
             need.hosts.append(host)
         capacities[host.pool] = host.capacity
-    demands = demand_by_pool(tables, now)
+    urgent = demand_by_pool(tables, Urgency.IN_TIME)
+    demands = demand_by_pool(tables, Urgency.LATE)
     spreads = spread_by_pool(tables)
     for name, need in needs.items():
         capacity = capacities.get(name)
         if capacity is not None:
-            need.wanted = hosts_for(demands.get(name, (0, 0)), capacity)
-            need.wanted = max(need.wanted, spreads.get(name, 0))
+            spread = spreads.get(name, 0)
+            need.urgent = max(spread, hosts_for(urgent.get(name, (0, 0)), capacity))
+            need.wanted = max(spread, hosts_for(demands.get(name, (0, 0)), capacity))
     return needs
 
 
@@ -210,13 +263,20 @@
     return max(LEAST_HOSTS, math.ceil(max(cpu, memory) / FULL_PART))
 
 
-def demand_by_pool(tables, now):
-    """Sums what running and startable tasks ask for, by pool."""
+def demand_by_pool(tables, least_urgency):
+    """Sums what running and startable tasks ask for, by pool.
+
+    Args:
+        tables: Jobs and workers.
+        least_urgency: ``Urgency`` down to which tasks that wait count.
+    """
     demands = {}
     for worker in tables.workers_by_id.values():
         for run in worker.runs_by_key.values():
             _add_demand(demands, worker.pool, run.task.step, 1)
     for job in tables.open_jobs_by_id.values():
+        if job.urgency > least_urgency:
+            continue
         pool = tables.pool_of(job)
         for occurrence in job.occurrences.values():
             for row in occurrence.steps:
--- a/sassafrasgrade/systems/run_views.py
+++ b/sassafrasgrade/systems/run_views.py
@@ -1,10 +1,12 @@
 """Takes in what workers say of their runs: starts, progress and ends."""
 
 from sassafrasgrade.fleet_hosts import ENDING_STATES
+from sassafrasgrade.node_messages import HandedRun
 from sassafrasgrade.platform.messages import RunEnd, WorkerView
 from sassafrasgrade.work_commands import Note, StopRun, StopUnknownRun
 from sassafrasgrade.works import (
     MS_PER_S,
+    UNTIL_LIFTED,
     EndedLife,
     Run,
     RunState,
@@ -153,6 +155,30 @@
         note_started(tables, task.job)
 
 
+def runs_to_hand_over(tables, now):
+    """Returns ``HandedRun`` values for all that may run, for a successor.
+
+    Tasks that wait for runs on workers which are not listed are among them, with
+    no worker: their leases may outlive several leaders.
+    """
+    runs = [
+        HandedRun(
+            run.task.name,
+            run.number,
+            worker.worker_id,
+            max(0.0, worker.lease_until - now),
+        )
+        for worker in tables.workers_by_id.values()
+        for run in worker.runs_by_key.values()
+    ]
+    held = [
+        HandedRun(task.name, task.last_number, "", task.held_until - now)
+        for task in tables.tasks_by_name.values()
+        if now < task.held_until < UNTIL_LIFTED
+    ]
+    return tuple(runs + held)
+
+
 def note_started(tables, job):
     """Notes that a task of a job was started."""
     if not job.has_started:
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -10,7 +10,16 @@
 from sassafrasgrade.platform.messages import Capacity
 from sassafrasgrade.systems.run_views import note_started
 from sassafrasgrade.work_commands import StartRun
-from sassafrasgrade.works import MS_PER_S, Job, Run, RunState, Task, Worker, WorkTables
+from sassafrasgrade.works import (
+    MS_PER_S,
+    Job,
+    Run,
+    RunState,
+    Task,
+    Urgency,
+    Worker,
+    WorkTables,
+)
 
 # Run numbers of one leadership; no task is started that often in its life.
 NUMBERS_PER_EPOCH = 100_000
@@ -27,6 +36,8 @@
 # Time that a start may take before the order is void, in ms; long enough for a
 # slow link and short enough that a late order cannot start a settled task.
 START_VALID_MS = 1500.0
+# Times its objective within which a job still earns a part (published rule).
+LATE_FACTOR = 3.0
 
 
 @dataclass(slots=True)
@@ -124,12 +135,13 @@
     mark_suspects(rooms)
     commands = []
     misfits = Misfits()
+    kept = [room for room in rooms if not room.worker.is_yielding]
     for job in order_jobs(tables, pool_name, lengths, now_unix):
         queue = tables.queues_by_name[job.queue_name]
         for group in _startable_groups(job, now):
-            usable = rooms
+            usable = kept if job.urgency >= Urgency.USEFUL else rooms
             if queue.advice is not None:
-                usable = _rooms_with_ticket(tables, group[0], rooms, now)
+                usable = _rooms_with_ticket(tables, group[0], usable, now)
             if misfits.covers(group[0].step):
                 continue
             placed = _place_group(tables, group, usable, now)
@@ -194,12 +206,21 @@
     """Returns the key by which jobs are served, smallest first."""
     queue = tables.queues_by_name[job.queue_name]
     if job.is_lasting:
-        return (0, job.accepted_at, job.job_id)
-    due_at = due_time(job, queue, lengths)
-    slack_s = due_at - now_unix - lengths.chain_left_s(job)
-    if slack_s < 0:
-        return (2, job.accepted_at, job.job_id)
-    return (1, -worth_density(job, lengths), job.job_id)
+        return (Urgency.LASTING, job.accepted_at, job.job_id)
+    job.urgency = urgency_of(job, queue, lengths, now_unix)
+    if job.urgency is Urgency.LATE:
+        return (job.urgency, job.accepted_at, job.job_id)
+    return (job.urgency, -worth_density(job, lengths), job.job_id)
+
+
+def urgency_of(job, queue, lengths, now_unix):
+    """Returns the ``Urgency`` of a job that ends by itself."""
+    begins_at = begin_time(job)
+    objective_s = due_time(job, queue, lengths) - begins_at
+    needed_s = now_unix + lengths.chain_left_s(job) - begins_at
+    if needed_s <= objective_s:
+        return Urgency.IN_TIME
+    return Urgency.USEFUL if needed_s <= objective_s * LATE_FACTOR else Urgency.LATE
 
 
 def worth_density(job, lengths):
@@ -218,11 +239,15 @@
 
 def due_time(job, queue, lengths):
     """Returns the Unix time until which a job earns its whole worth."""
-    chain_s = lengths.chain_s(job)
-    begins_at = job.accepted_at
+    allowed_s = lengths.chain_s(job) * queue.stretch + queue.objective_ms / MS_PER_S
+    return begin_time(job) + allowed_s
+
+
+def begin_time(job):
+    """Returns the Unix time from which a job's duration counts."""
     if job.request.repeats > 0 and job.occurrences:
-        begins_at = min(occurrence.due_at for occurrence in job.occurrences.values())
-    return begins_at + chain_s * queue.stretch + queue.objective_ms / MS_PER_S
+        return min(occurrence.due_at for occurrence in job.occurrences.values())
+    return job.accepted_at
 
 
 def _startable_groups(job, now):
@@ -314,6 +339,7 @@
             bool(task.failed_numbers) and worker.failures > worker.successes,
             bool(step.rack) and worker.rack != step.rack,
             step.is_filler and _serves_users(worker),
+            worker.is_yielding,
             room.cpu_millis,
             worker.worker_id,
         )
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -21,16 +21,17 @@
     split_key,
 )
 from sassafrasgrade.leaderships import LEASE_TTL_S
-from sassafrasgrade.node_messages import HandedRun, HandOver
+from sassafrasgrade.node_messages import HandOver
 from sassafrasgrade.platform import names
 from sassafrasgrade.systems.run_views import (
     adopt_handed_runs,
     lose_worker,
+    runs_to_hand_over,
     unheard_workers,
 )
 from sassafrasgrade.worker_directories import apply_item, apply_range
 from sassafrasgrade.worker_sessions import CLOCK_DRIFT
-from sassafrasgrade.works import MS_PER_S
+from sassafrasgrade.works import MS_PER_S, UNTIL_LIFTED
 
 logger = logging.getLogger(__name__)
 
@@ -41,8 +42,6 @@
 # Time after a take-over on suspicion in which the leader before may still learn
 # of new jobs, in seconds.
 EARLY_S = 1.5
-# Hold on tasks that only the lifting of the barrier ends.
-UNTIL_LIFTED = float("inf")
 
 
 class TableLoader:
@@ -209,17 +208,7 @@
         Args:
             revision: Revision of the leader's key.
         """
-        now = self._timers.now()
-        runs = tuple(
-            HandedRun(
-                run.task.name,
-                run.number,
-                worker.worker_id,
-                max(0.0, worker.lease_until - now),
-            )
-            for worker in self._tables.workers_by_id.values()
-            for run in worker.runs_by_key.values()
-        )
+        runs = runs_to_hand_over(self._tables, self._timers.now())
         progress_by_job = {
             job_id: encode(progress_of(self._tables.jobs_by_id[job_id]))
             for job_id in self._tables.dirty_job_ids
--- a/sassafrasgrade/works.py
+++ b/sassafrasgrade/works.py
@@ -1,7 +1,7 @@
 """Tables of jobs, their tasks and runs, and of the workers that run them."""
 
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 
 from sassafrasgrade.platform.messages import (
     Capacity,
@@ -14,6 +14,8 @@
 from sassafrasgrade.tickets import TicketTable
 
 MS_PER_S = 1000.0
+# Hold on tasks that only the lifting of the barrier after a take-over ends.
+UNTIL_LIFTED = float("inf")
 
 
 class WorkState(StrEnum):
@@ -26,6 +28,15 @@
     CANCELLED = "cancelled"
 
 
+class Urgency(IntEnum):
+    """What it is worth to start a job's tasks now, most first."""
+
+    LASTING = 0
+    IN_TIME = 1
+    USEFUL = 2
+    LATE = 3
+
+
 ENDED_STATES = frozenset(
     {WorkState.COMPLETED, WorkState.FAILED, WorkState.CANCELLED},
 )
@@ -171,6 +182,7 @@
         is_dirty: Whether progress is to be stored.
         version: Count of changes, to tell what a write has covered.
         progress_revision: Store revision of its progress; 0 for none.
+        urgency: Whether it can still be in time, as of the last placement.
     """
 
     job_id: str
@@ -186,6 +198,7 @@
     is_dirty: bool = False
     version: int = 0
     progress_revision: int = 0
+    urgency: Urgency = Urgency.IN_TIME
 
     @property
     def is_open(self):
@@ -234,6 +247,8 @@
         missing_since: Clock since when its entry is missing; 0 if listed.
         paced_at: Clock of the last change of its fillers' pace.
         is_reserved: Whether the planner keeps new work off it.
+        is_yielding: Whether it gets no work that is late already, since another
+            pool has more use for its host.
     """
 
     worker_id: str
@@ -262,6 +277,7 @@
     missing_since: float = 0.0
     paced_at: float = 0.0
     is_reserved: bool = False
+    is_yielding: bool = False
 
     @property
     def rack(self):
