Renew a lease before the lead is taken under it

Change: a candidate whose last renewal is older than 1.2 s renews first, or registers anew; all nodes renew at once when the store answers again.

--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -108,3 +108,14 @@
     When a follower with an open connection is told to stop and says that it is not ready
     Then requests on the open and on a new connection are answered, the last of each
     And its process ends by itself with code 0
+
+  Scenario Outline: a node whose lease was renewed <ago> s ago and <state> takes the lead after "<calls>"
+    Given a node whose lease was renewed <ago> s ago and <state>
+    When the leader hands over to it
+    Then it takes the lead after "<calls>"
+
+    Examples:
+      | ago | state        | calls       |
+      | 0.5 | lives        |             |
+      | 5.0 | lives        | keep        |
+      | 5.0 | has lapsed   | keep, grant |
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -12,11 +12,15 @@
 
 from features.support.calls import call
 from features.support.node_fleets import FAULTS, NodeFleet, a_job
+from features.support.scripted_stores import LEADER_REVISION, ScriptedStore
 from features.support.thin_links import ThinLinkStore
 from features.support.waiting import wait_until
 from sassafrasgrade.directories import PrefixFollower
 from sassafrasgrade.drains import Drain
+from sassafrasgrade.leaderships import Leadership
+from sassafrasgrade.node_settings import check_node_settings
 from sassafrasgrade.platform import names
+from sassafrasgrade.timers import FakeTimerService
 from sassafrasgrade.tools.soaks import run_seed
 from sassafrasgrade.tools.standins.fleets import (
     ADDRESS as LOOPBACK,
@@ -257,3 +261,56 @@
     process = context.node.process
     wait_until(lambda: process.poll() is not None, EXIT_TIMEOUT_S, "the process ends")
     assert process.poll() == 0, process.poll()
+
+
+async def create_leadership(store, timers):
+    """Returns the ``Leadership`` of a registered node that knows a leader."""
+    values = {"NODE_NAME": "node", "NODE_DATA_CENTRE": "z"}
+    seen = asyncio.Event()
+
+    def note_leader(leader):
+        seen.set()
+
+    leadership = Leadership(
+        store,
+        timers,
+        check_node_settings(values).unwrap(),
+        lambda token, epoch, is_proven: None,
+        lambda token, epoch: None,
+        lambda reason: None,
+        note_leader,
+        lambda: 0.0,
+    )
+    leadership.start()
+    await asyncio.wait_for(seen.wait(), EXIT_TIMEOUT_S)
+    while not leadership.lease:
+        await asyncio.sleep(0)
+    return leadership
+
+
+@given("a node whose lease was renewed {ago:f} s ago and {state}")
+def describe_lease(context, ago, state):
+    context.lease_age_s, context.has_lapsed = ago, state == "has lapsed"
+
+
+@when("the leader hands over to it")
+def hand_over_to(context):
+    async def play():
+        store, timers = ScriptedStore(), FakeTimerService()
+        leadership = await create_leadership(store, timers)
+        store.calls.clear()
+        store.has_lapsed = context.has_lapsed
+        timers.advance(context.lease_age_s)
+        leadership.take_hand_over(LEADER_REVISION)
+        await asyncio.wait_for(store.led.wait(), EXIT_TIMEOUT_S)
+        leadership.close()
+        return store.calls
+
+    context.calls = asyncio.run(play())
+
+
+@then('it takes the lead after "{calls}"')
+@then('it takes the lead after ""')
+def check_calls(context, calls=""):
+    before = context.calls[: context.calls.index("lead")]
+    assert ", ".join(before) == calls, context.calls
--- /dev/null
+++ b/features/support/scripted_stores.py
@@ -0,0 +1,61 @@
+"""A store for tests of leadership: notes the calls and answers at once."""
+
+import asyncio
+
+from returns.result import Failure, Success
+
+from sassafrasgrade.errors import LeaseGone
+from sassafrasgrade.member_records import LEADER_KEY, LeaderRecord, encode_record
+from sassafrasgrade.platform.stores import Item
+
+LEADER_REVISION = 5
+
+
+class ScriptedStore:
+    """Holds a leader's key of another node; all its watches wait.
+
+    Attributes:
+        calls: Kinds of calls in order, a leader's commit as ``lead``.
+        has_lapsed: Whether renewals find that the lease has ended.
+    """
+
+    def __init__(self):
+        self.calls = []
+        self.has_lapsed = False
+        self.led = asyncio.Event()
+        self._leases = 0
+
+    async def read_range(self, prefix):
+        """Returns the leader's key."""
+        record = LeaderRecord("other", "incarnation", "127.0.0.1:1", 1)
+        item = Item(LEADER_KEY, encode_record(record), LEADER_REVISION)
+        return Success(((item,), LEADER_REVISION))
+
+    async def watch(self, prefix, after_revision, wait_s):
+        """Never answers."""
+        await asyncio.Event().wait()
+
+    async def grant_lease(self, ttl_s):
+        """Grants the next lease."""
+        self._leases += 1
+        self.has_lapsed = False
+        self.calls.append("grant")
+        return Success(self._leases)
+
+    async def keep_lease(self, lease, timeout_s):
+        """Renews the lease, unless it has lapsed."""
+        self.calls.append("keep")
+        if self.has_lapsed:
+            return Failure(LeaseGone("the lease ended", ""))
+        return Success(None)
+
+    async def end_lease(self, lease):
+        """Ends a lease."""
+        return Success(None)
+
+    async def commit(self, conditions=(), puts=(), deletes=()):
+        """Accepts every commit."""
+        if any(put.key == LEADER_KEY for put in puts):
+            self.calls.append("lead")
+            self.led.set()
+        return Success(LEADER_REVISION + len(self.calls))
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -1,5 +1,6 @@
 """Membership and leadership of nodes, agreed through the platform's store."""
 
+import asyncio
 import logging
 import time
 import uuid
@@ -39,6 +40,9 @@
 KEEP_TIMEOUT_S = 0.5
 # Part of the lease that is not relied on: clock drift and the time of calls.
 LEASE_MARGIN_S = 0.15
+# Age of the last renewal up to which a lease may carry the leader's key, in
+# seconds: two renewals; an older one may lapse at once when the store returns.
+FRESH_LEASE_S = 1.2
 # Delay between candidates of neighbouring rank, in seconds.
 CANDIDATE_STEP_S = 0.06
 # Time for which a node that gave the lead up leaves it to others, in seconds.
@@ -100,6 +104,8 @@
         self._revision = None
         self._is_withdrawn = False
         self._is_closed = False
+        # Set when the lease is to be renewed at once.
+        self._renewal = asyncio.Event()
         self._candidate = None
         self._store_answer_at = timers.now()
         self._dead_revision = 0
@@ -220,10 +226,17 @@
                     await gen.sleep(backoff.next_delay())
                     continue
                 backoff.reset()
-            await gen.sleep(KEEP_PERIOD_S)
+            await self._wait_for_renewal()
             if self.lease and not self._is_withdrawn:
                 await self._keep()
 
+    async def _wait_for_renewal(self):
+        self._renewal.clear()
+        try:
+            await asyncio.wait_for(self._renewal.wait(), KEEP_PERIOD_S)
+        except TimeoutError:
+            return
+
     async def _keep(self):
         sent_at = self._timers.now()
         result = await self._store.keep_lease(self.lease, KEEP_TIMEOUT_S)
@@ -264,10 +277,17 @@
             await self.reacquire()
         self._note_lease(sent_at)
         logger.info("registered", extra={"lease": lease})
-        if self.leader is None and self._revision is not None:
+        if self._revision is not None and self._is_free():
             self._stand_soon()
         return True
 
+    def _is_free(self):
+        """Whether the lead may be taken: nobody has it, or its holder is lost."""
+        return self.leader is None or self.leader_revision in (
+            self._dead_revision,
+            self._suspected_revision,
+        )
+
     async def reacquire(self):
         """Takes a vanished leader's key again, under a new token."""
         if not self.leads or not self.lease:
@@ -307,7 +327,10 @@
         while not self._is_closed:
             result = await self._watch_once()
             if not isinstance(result, Failure):
-                self._store_answer_at = self._timers.now()
+                now = self._timers.now()
+                if now - self._store_answer_at > FRESH_LEASE_S + WATCH_S:
+                    self._renewal.set()
+                self._store_answer_at = now
                 backoff.reset()
                 continue
             if isinstance(result.failure(), HistoryCompacted):
@@ -405,16 +428,15 @@
 
     async def _stand(self):
         self._candidate = None
-        revision = self.leader_revision
         # Without a word on any holder, only the first leadership of all is safe.
         is_proven = self._past_epoch == 0 or (
             self.held_revision != 0 and self.held_revision == self._dead_revision
         )
-        is_free = self.leader is None or revision in (
-            self._dead_revision,
-            self._suspected_revision,
-        )
-        if self.leads or self._is_withdrawn or not self.lease or not is_free:
+        if self.leads or self._is_withdrawn or not self.lease or not self._is_free():
+            return
+        if self._timers.now() - self._renewed_at > FRESH_LEASE_S:
+            self._renewal.set()
+            IOLoop.current().call_later(CANDIDATE_STEP_S, self._stand_soon)
             return
         epoch = self._past_epoch + 1
         record = self._own_record(epoch)
