Wait for an event instead of turns of the loop in the test of leases

Cause: the test of a lease renewed before the lead is taken waited for the node's registration by sleeping for no time in a loop. Change: the scripted store sets an event once the node's key is written; the assertions are the same.

--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -283,8 +283,8 @@
     )
     leadership.start()
     await asyncio.wait_for(seen.wait(), EXIT_TIMEOUT_S)
-    while not leadership.lease:
-        await asyncio.sleep(0)
+    await asyncio.wait_for(store.registered.wait(), EXIT_TIMEOUT_S)
+    assert leadership.lease
     return leadership
 
 
--- a/features/support/scripted_stores.py
+++ b/features/support/scripted_stores.py
@@ -17,12 +17,15 @@
     Attributes:
         calls: Kinds of calls in order, a leader's commit as ``lead``.
         has_lapsed: Whether renewals find that the lease has ended.
+        led: Set once a leader's key was written.
+        registered: Set once the node's own key was written.
     """
 
     def __init__(self):
         self.calls = []
         self.has_lapsed = False
         self.led = asyncio.Event()
+        self.registered = asyncio.Event()
         self._leases = 0
 
     async def read_range(self, prefix):
@@ -58,4 +61,6 @@
         if any(put.key == LEADER_KEY for put in puts):
             self.calls.append("lead")
             self.led.set()
+        else:
+            self.registered.set()
         return Success(LEADER_REVISION + len(self.calls))
