Stop handed-over runs of closed jobs; never lead again by an old key

The successor had learned of the cancellation while it loaded; the handed-over run was added to the tables afterwards, so that the worker's list showed a known run and nothing stopped it. By reading, besides: a node that had stepped down and read its own key again (a watch that answers late, a range after lost history) took the write for one whose answer was lost, and led again under the old token beside its successor, with its lease still valid.

Change: adopting handed-over runs returns stops for those of closed jobs; the revision under which a node led last never makes it leader again; if no other node takes the key within 3 s, it campaigns for it under a new token.

--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -119,3 +119,11 @@
       | 0.5 | is valid     |             |
       | 5.0 | is valid     | keep        |
       | 5.0 | has lapsed   | keep, grant |
+
+  Scenario: a node that stepped down does not lead again by its own old key
+    When a node that became leader and then stepped down reads its own key again
+    Then it is not leader again
+
+  Scenario: a node that stepped down campaigns again if no other takes its key
+    When a node that became leader then steps down and no other takes its key
+    Then it leads again under a new token
--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -34,6 +34,7 @@
       | nothing                                        | waiting   |
       | a handed-over run on a listed worker           | active    |
       | a handed-over run on an unlisted worker        | held      |
+      | a handed-over run, after its job was cancelled | stopping  |
       | a run handed over twice, on a listed worker    | active    |
       | a run handed over twice, on an unlisted worker | held      |
       | handed-over progress that ends the job         | unshown   |
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -17,8 +17,10 @@
 from features.support.waiting import wait_until
 from sassafrasgrade.drains import Drain
 from sassafrasgrade.leaderships import Leadership
+from sassafrasgrade.member_records import LEADER_KEY, encode_record
 from sassafrasgrade.node_settings import check_node_settings
 from sassafrasgrade.platform import names
+from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.prefix_followers import PrefixFollower
 from sassafrasgrade.timers import FakeTimerService
 from sassafrasgrade.tools.soaks import run_seed
@@ -283,7 +285,7 @@
     assert process.poll() == 0, process.poll()
 
 
-async def create_leadership(store, timers):
+async def create_leadership(store, timers, on_gain=lambda token, epoch, gone: None):
     """Returns the ``Leadership`` of a registered node that knows a leader."""
     values = {"NODE_NAME": "node", "NODE_DATA_CENTRE": "z"}
     seen = asyncio.Event()
@@ -295,7 +297,7 @@
         store,
         timers,
         check_node_settings(values).unwrap(),
-        lambda token, epoch, is_predecessor_gone: None,
+        on_gain,
         lambda token, epoch: None,
         lambda reason: None,
         set_seen,
@@ -334,3 +336,59 @@
 def check_calls(context, calls=""):
     calls_before = context.calls[: context.calls.index("lead")]
     assert ", ".join(calls_before) == calls, context.calls
+
+
+@when("a node that became leader and then stepped down reads its own key again")
+def read_own_key_after_step_down(context):
+    context.gained = []
+
+    async def lead_and_step_down():
+        store, timers = ScriptedStore(), FakeTimerService()
+        leadership = await create_leadership(
+            store, timers, lambda token, epoch, gone: context.gained.append(token)
+        )
+        leadership.accept_handover(LEADER_REVISION)
+        await asyncio.wait_for(store.leader_key_written.wait(), WAIT_TIMEOUT_S)
+        while not leadership.is_leader:
+            await asyncio.sleep(0)
+        token = leadership.token
+        record = leadership.leader
+        leadership.step_down("handed over")
+        store.events.put_nowait(Item(LEADER_KEY, encode_record(record), token))
+        while leadership.store_answer_age_s() or not store.events.empty():
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        leadership.close()
+        return leadership.is_leader
+
+    context.is_leader = asyncio.run(lead_and_step_down())
+
+
+@when("a node that became leader then steps down and no other takes its key")
+def step_down_alone(context):
+    async def lead_and_step_down():
+        store, timers = ScriptedStore(), FakeTimerService()
+        leadership = await create_leadership(store, timers)
+        leadership.accept_handover(LEADER_REVISION)
+        await asyncio.wait_for(store.leader_key_written.wait(), WAIT_TIMEOUT_S)
+        while not leadership.is_leader:
+            await asyncio.sleep(0)
+        store.leader_key_written.clear()
+        leadership.step_down("handed over")
+        await asyncio.wait_for(store.leader_key_written.wait(), WAIT_TIMEOUT_S)
+        while not leadership.is_leader:
+            await asyncio.sleep(0)
+        leadership.close()
+        return leadership.token
+
+    context.token = asyncio.run(lead_and_step_down())
+
+
+@then("it leads again under a new token")
+def check_leads_again(context):
+    assert context.token > LEADER_REVISION + 1, context.token
+
+
+@then("it is not leader again")
+def check_not_leader_again(context):
+    assert not context.is_leader and len(context.gained) == 1, context.gained
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -27,6 +27,7 @@
 from sassafrasgrade.systems.host_planning import plan_hosts
 from sassafrasgrade.systems.run_updates import (
     adopt_handed_over_runs,
+    cancel_job,
     expire_leases,
     restart_worker,
     runs_to_hand_over,
@@ -148,6 +149,10 @@
         and job.is_open
         and task.blocked_until <= NOW,
         "held": task.blocked_until > NOW,
+        "stopping": any(
+            isinstance(command, StopRun) and command.run.task is task
+            for command in getattr(context, "commands", None) or ()
+        ),
         "unshown": job.pending_state is WorkState.COMPLETED
         and job.state is WorkState.RUNNING,
         "completed": job.state is WorkState.COMPLETED,
@@ -161,7 +166,12 @@
 
 def hand_over_run(context, worker_id):
     run = HandedOverRun(context.task.name, 4, worker_id, 3.0)
-    adopt_handed_over_runs(context.tables, (run,), NOW)
+    context.commands = adopt_handed_over_runs(context.tables, (run,), NOW)
+
+
+def hand_over_cancelled(context, worker_id):
+    cancel_job(context.tables, context.job)
+    hand_over_run(context, worker_id)
 
 
 def hand_over_twice(context, worker_id):
@@ -177,6 +187,9 @@
     "nothing": lambda c: None,
     "a handed-over run on a listed worker": lambda c: hand_over_run(c, "worker-1"),
     "a handed-over run on an unlisted worker": lambda c: hand_over_run(c, "gone"),
+    "a handed-over run, after its job was cancelled": lambda c: hand_over_cancelled(
+        c, "worker-1"
+    ),
     "a run handed over twice, on a listed worker": lambda c: hand_over_twice(
         c, "worker-1"
     ),
--- a/features/support/scripted_stores.py
+++ b/features/support/scripted_stores.py
@@ -6,15 +6,16 @@
 
 from sassafrasgrade.errors import LeaseGone
 from sassafrasgrade.member_records import LEADER_KEY, LeaderRecord, encode_record
-from sassafrasgrade.platform.stores import Item
+from sassafrasgrade.platform.stores import Changes, Item
 
 LEADER_REVISION = 5
 
 
 class ScriptedStore:
-    """Contains the leader's key of another node; its watches never answer.
+    """Contains the leader's key of another node; watches report what a test adds.
 
     Attributes:
+        events: Items that the next watch reports, one each.
         calls: Kinds of calls in order: ``grant``, ``keep`` for the renewal of a
             lease, ``lead`` for a commit that writes the leader's key.
         has_lapsed: Whether the lease has ended, so that renewals fail.
@@ -25,6 +26,7 @@
     def __init__(self):
         self.calls = []
         self.has_lapsed = False
+        self.events = asyncio.Queue()
         self.leader_key_written = asyncio.Event()
         self.registered = asyncio.Event()
         self._leases = 0
@@ -36,8 +38,9 @@
         return Success(((item,), LEADER_REVISION))
 
     async def watch(self, prefix, after_revision, wait_s):
-        """Never answers."""
-        await asyncio.Event().wait()
+        """Answers once a test has added an item."""
+        item = await self.events.get()
+        return Success(Changes((item,), item.revision, 0.0))
 
     async def grant_lease(self, ttl_s):
         """Grants a lease with the next number."""
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -114,6 +114,9 @@
         # Revision of a leader's key whose holder is known to have stopped.
         self._stopped_revision = 0
         self._suspected_revision = 0
+        # Revision under which this node led last. Its key may be read again after
+        # it stepped down, and must not make it leader beside its successor.
+        self._renounced_revision = 0
         # Keeps its value when the leader's key vanishes.
         self.last_leader_revision = 0
         self._leader_lease = 0
@@ -379,7 +382,7 @@
             if item.revision < self.leader_revision:
                 return
             record = decode_leader(item)
-            if record is not None and record.incarnation == self.incarnation:
+            if self._is_unclaimed(record, item.revision):
                 # A write of this node whose answer was lost has been applied.
                 self._become_leader(record, item.revision, False)
             else:
@@ -421,7 +424,7 @@
     # Campaigns.
 
     def _schedule_campaign(self, is_handover=False):
-        if self._is_withdrawn or not self.lease or self.is_leader:
+        if self._is_withdrawn or self._is_closed or not self.lease or self.is_leader:
             return
         if self._campaign_timeout is not None:
             if not is_handover:
@@ -523,11 +526,15 @@
         if item is None:
             self._schedule_campaign()
             return
-        record = decode_leader(item)
-        if record is not None and record.incarnation == self.incarnation:
-            self._become_leader(record, item.revision, False)
-        else:
-            self._apply_item(item)
+        self._apply_item(item)
+
+    def _is_unclaimed(self, record, revision):
+        """Whether a record names this node as leader by a write it does not know."""
+        return (
+            record is not None
+            and record.incarnation == self.incarnation
+            and revision > self._renounced_revision
+        )
 
     def _become_leader(self, record, revision, is_predecessor_gone):
         if self.is_leader or self._is_withdrawn or revision < self.leader_revision:
@@ -538,7 +545,10 @@
         self._on_gain(revision, record.epoch, is_predecessor_gone)
 
     def _lose_leadership(self, reason):
+        self._renounced_revision = self._stopped_revision = self.token
         self.token = 0
+        # If no other node takes the key, this one may be the only one that can.
+        IOLoop.current().call_later(RELEASE_PAUSE_S, self._schedule_campaign)
         self._on_loss(reason)
 
 
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -130,7 +130,12 @@
         tables: Tables with jobs and workers loaded.
         handed_over_runs: ``HandedOverRun`` values.
         now: Current clock in seconds.
+
+    Returns:
+        Commands that stop the runs of jobs that ended or were cancelled meanwhile:
+        the worker's list shows them as known, so that nothing else would.
     """
+    commands = []
     for handed_run in handed_over_runs:
         task = tables.tasks_by_name.get(handed_run.task)
         if task is None or task.is_done:
@@ -152,7 +157,11 @@
         worker.runs_by_key[(task.name, run.number)] = run
         task.runs_by_number[run.number] = run
         task.last_number = max(task.last_number, run.number)
-        record_start(tables, task.job)
+        if task.job.is_open:
+            record_start(tables, task.job)
+        else:
+            commands.append(StopRun(run, "job is no longer open"))
+    return commands
 
 
 def runs_to_hand_over(tables, now):
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -189,7 +189,9 @@
         handed_over_runs = self._handover.runs if self._handover is not None else ()
         if self._handover is not None:
             apply_unstored_progress(self._tables, self._handover.progress_by_job)
-        adopt_handed_over_runs(self._tables, handed_over_runs, self._timers.now())
+        commands = adopt_handed_over_runs(
+            self._tables, handed_over_runs, self._timers.now()
+        )
         logger.info(
             "jobs loaded",
             extra={
@@ -201,6 +203,8 @@
             },
         )
         self._dispatcher.sync_sessions()
+        for command in commands:
+            self._dispatcher.carry_out(command)
 
     @property
     def has_full_handover(self):
