Ignore steps of the time of day; measure task leases on the steady clock

Change: WallClock follows small differences at once and a step only after 30 s; nodes and managers take every time of day from their timer service; task leases are kept on the steady clock and translated for the systems.

Measured: new tables of steps (2.9 s, 48 min, back within 29 s, lasting) and of lapse times under steps of 2 min pass; 28 rows of jobs and scheduling passed. The functions are new, so no row failed on the old code.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -223,3 +223,27 @@
       | at once                             | no   |
       | at once, with a later start         | yes  |
       | after its heartbeats have timed out | yes  |
+
+  Scenario Outline: a time of day that steps by <step> s for <seconds> s, then back: <back>
+    Given a wall clock whose time of day steps by <step> s
+    When it is read each second for <seconds> s, and steps back at the end: <back>
+    Then it differs from the time without steps by <off> s
+
+    Examples: a step is ignored until it has lasted for 30 s
+      | step  | seconds | back | off   |
+      | 0.2   | 5       | no   | 0.2   |
+      | 2.9   | 5       | no   | 0     |
+      | -2.9  | 5       | no   | 0     |
+      | 2890  | 7       | yes  | 0     |
+      | -2890 | 29      | no   | 0     |
+      | 2.9   | 31      | no   | 2.9   |
+      | -2.9  | 31      | no   | -2.9  |
+
+  Scenario Outline: leases of tasks do not lapse by a step of <step> s of the time of day
+    Then task leases renewed before a step of <step> s lapse 65 s after now
+
+    Examples:
+      | step  |
+      | 0     |
+      | 120   |
+      | -120  |
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -139,7 +139,7 @@
         first_ms=NOW_UNIX * 1000,
         interval_ms=interval * 1000,
     )
-    job = add_job(tables, "e" * 16, SubmittedJob(QUEUE, NOW_UNIX, request), NOW_UNIX)
+    job = add_job(tables, "e" * 16, SubmittedJob(QUEUE, NOW_UNIX, request))
     create_due(tables, NOW_UNIX - early)
     assert len(job.occurrences) == created, job.occurrences
 
@@ -198,7 +198,7 @@
     step = Step(count=tasks, cpu_millis=13_600, estimate_ms=500)
     request = JobRequest(spec="s", steps=(step,))
     submitted = SubmittedJob(f"queue-{pool_number}", accepted_at, request)
-    return add_job(tables, f"{pool_number}" * 16, submitted, accepted_at)
+    return add_job(tables, f"{pool_number}" * 16, submitted)
 
 
 def plan_one_tick(tables, fleet):
--- a/features/support/work_tables.py
+++ b/features/support/work_tables.py
@@ -58,7 +58,7 @@
     fields = {"count": 1, "cpu_millis": 1000, "memory_mb": 100, "estimate_ms": 500}
     request = JobRequest(spec="s", steps=(Step(**(fields | step)),))
     submitted = SubmittedJob(QUEUE, accepted_at, request)
-    return add_job(tables, job_id, submitted, accepted_at)
+    return add_job(tables, job_id, submitted)
 
 
 def first_task(job, index=0):
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -400,11 +400,11 @@
             return
         if not self._leadership.has_authority():
             return
-        now = self.timers.now()
+        now, now_unix = self.timers.now(), self.timers.wall_time()
         began = time.monotonic()
         for pool in self.tables.pools_by_name:
             commands = place_tasks(
-                self.tables, pool, self.learned_durations, now, time.time()
+                self.tables, pool, self.learned_durations, now, now_unix
             )
             commands += copy_overdue_runs(
                 self.tables, pool, self.learned_durations, now
@@ -423,7 +423,7 @@
             return
         decay_outcome_counts(self.tables, TICK_S)
         forget_done(self.tables)
-        self._carry_out_all(create_due(self.tables, time.time()))
+        self._carry_out_all(create_due(self.tables, self.timers.wall_time()))
         if self._leadership.has_authority():
             self._carry_out_all(stop_stalled(self.tables, self.learned_durations, now))
             self._carry_out_all(pace_fillers(self.tables, now))
--- a/sassafrasgrade/host_controllers.py
+++ b/sassafrasgrade/host_controllers.py
@@ -1,7 +1,6 @@
 """Sends the planner's host orders and keeps the table of hosts up to date."""
 
 import logging
-import time
 from functools import singledispatchmethod
 
 import msgspec
@@ -116,7 +115,8 @@
             )
             if row is not None:
                 record = msgspec.msgpack.decode(item.value, type=WaveProgress)
-                row.seen_at = self._timers.now() - (time.time() - record.began_at)
+                age_s = self._timers.wall_time() - record.began_at
+                row.seen_at = self._timers.now() - age_s
                 row.is_running_reported = True
                 row.is_reported = record.is_completed
                 row.revision = item.revision
@@ -289,7 +289,7 @@
         value = msgspec.json.encode({"wave": command.wave, "state": state})
         puts = [Put(f"{names.WAVE_STATUS_PREFIX}{command.wave}", value)]
         key = f"{WAVES_PREFIX}{command.wave}"
-        began_at = time.time() - (self._timers.now() - row.seen_at)
+        began_at = self._timers.wall_time() - (self._timers.now() - row.seen_at)
         done = tuple(sorted(row.done))
         record = WaveProgress(began_at, command.is_completed, done)
         puts.append(Put(key, msgspec.msgpack.encode(record)))
--- a/sassafrasgrade/job_apis.py
+++ b/sassafrasgrade/job_apis.py
@@ -1,7 +1,6 @@
 """Handles callers' requests: submits jobs, shows their states, cancels them."""
 
 import logging
-import time
 
 import msgspec
 from returns.result import Failure
@@ -99,7 +98,8 @@
             return Reply(400, {"error": str(request.failure())})
         if self._node.is_store_lost():
             return self._refuse_without_store(queue, job_id)
-        record = encode(SubmittedJob(queue.name, time.time(), request.unwrap()))
+        accepted_at = self._node.timers.wall_time()
+        record = encode(SubmittedJob(queue.name, accepted_at, request.unwrap()))
         key = job_key(job_id, REQUEST)
         began = self._node.timers.now()
         outcome = await self._node.batcher.create(key, record, deadline_at)
--- a/sassafrasgrade/job_controllers.py
+++ b/sassafrasgrade/job_controllers.py
@@ -145,9 +145,8 @@
             self._revisions_by_shard[int(key[-2:])] = versioned.revision
             for record in shard.records:
                 self._records_by_id[record.spec.job_id] = record
-        now = self._timers.wall_time()
         hosts = placed_hosts(self._records_by_id.values())
-        self._renewed_at_by_host = dict.fromkeys(hosts, now)
+        self._renewed_at_by_host = dict.fromkeys(hosts, self._timers.now())
         return True
 
     def _apply_submissions(self, values):
@@ -196,13 +195,22 @@
             {name: records[name].pool for name in serving},
             reports,
             quotas,
-            {
-                host: renewed_at + TASK_LEASE_TTL_S + LAPSE_MARGIN_S
-                for host, renewed_at in self._renewed_at_by_host.items()
-            },
+            self._lapse_times(now),
             leaving_hosts=frozenset(leaving),
         )
 
+    def _lapse_times(self, now):
+        """Returns when each host's task leases have surely lapsed, as time of day.
+
+        Leases are measured on the steady clock: a step of the time of day must not
+        make tasks that still run count as lapsed.
+        """
+        to_wall_s = now - self._timers.now()
+        return {
+            host: renewed_at + TASK_LEASE_TTL_S + LAPSE_MARGIN_S + to_wall_s
+            for host, renewed_at in self._renewed_at_by_host.items()
+        }
+
     async def _renew_leases(self):
         """Renews the task leases of the hosts that have tasks."""
         now = self._timers.now()
@@ -213,12 +221,11 @@
             for record in self._records_by_id.values()
             if record.state is not JobState.LOST
         )
-        sent_at = self._timers.wall_time()
         if not hosts:
             return
         self._renewed_at = now
         # If the answer is lost, the leases may have been renewed nevertheless.
-        self._renewed_at_by_host.update(dict.fromkeys(hosts, sent_at))
+        self._renewed_at_by_host.update(dict.fromkeys(hosts, now))
         await self._platform.renew_tasks(sorted(hosts), TASK_LEASE_TTL_S)
 
     @singledispatchmethod
@@ -242,7 +249,7 @@
         tasks = []
         for job_id in command.job_ids:
             record = self._records_by_id[job_id]
-            self._renewed_at_by_host[record.host] = self._timers.wall_time()
+            self._renewed_at_by_host[record.host] = self._timers.now()
             self._sent_at_by_task[record.task_id] = self._timers.now()
             size = record.reserved
             tasks.append(
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -92,7 +92,7 @@
     )
 
 
-def add_job(tables: WorkTables, job_id, submitted: SubmittedJob, now_unix):
+def add_job(tables: WorkTables, job_id, submitted: SubmittedJob):
     """Adds a job to the tables; returns it, or the ``Job`` that is already there."""
     known = tables.jobs_by_id.get(job_id)
     if known is not None:
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -1,7 +1,6 @@
 """Loads the leader's tables from the store and takes over its predecessor's runs."""
 
 import logging
-import time
 
 import msgspec
 
@@ -164,7 +163,7 @@
                 extra={"job": job_id, "error": str(error)},
             )
             return
-        job = add_job(self._tables, job_id, submitted, time.time())
+        job = add_job(self._tables, job_id, submitted)
         self._dispatcher.learned_durations.record_job(job)
         if progress is not None:
             apply_progress(self._tables, job, progress)
@@ -176,7 +175,7 @@
     def accept(self, job_id, record):
         """Adds a newly stored job."""
         if self.is_loaded and job_id not in self._tables.jobs_by_id:
-            job = add_job(self._tables, job_id, decode_submitted(record), time.time())
+            job = add_job(self._tables, job_id, decode_submitted(record))
             self._dispatcher.learned_durations.record_job(job)
             if self.barrier_until and not self._is_predecessor_gone:
                 self._block_tasks(job, self._began_at + PREDECESSOR_ACCEPT_WINDOW_S)
--- a/sassafrasgrade/timers.py
+++ b/sassafrasgrade/timers.py
@@ -1,11 +1,61 @@
 """Timer services: clocks and periodic callbacks."""
 
+import logging
 import time
 from datetime import timedelta
 
 from tornado.ioloop import PeriodicCallback
 
+logger = logging.getLogger(__name__)
+
 MS_PER_S = 1000.0
+# Difference from the expected time of day up to which a clock counts as slewed, in
+# seconds; a larger one is a step.
+MAX_SLEW_S = 0.25
+# Time for which a step must last before it is taken for a correction, in seconds:
+# clocks that jump often jump back.
+STEP_ACCEPTED_AFTER_S = 30.0
+
+
+class WallClock:
+    """Time of day that ignores steps until they have lasted.
+
+    Args:
+        steady: Function that returns a steady clock in seconds.
+        time_of_day: Function that returns seconds since the epoch.
+    """
+
+    def __init__(self, steady, time_of_day):
+        self._steady = steady
+        self._time_of_day = time_of_day
+        self._offset_s = time_of_day() - steady()
+        self._stepped_offset_s = None
+        self._stepped_at = 0.0
+
+    def now(self):
+        """Returns seconds since the epoch."""
+        now = self._steady()
+        offset_s = self._time_of_day() - now
+        if abs(offset_s - self._offset_s) <= MAX_SLEW_S:
+            self._offset_s = offset_s
+            self._stepped_offset_s = None
+        else:
+            self._record_step(offset_s, now)
+        return now + self._offset_s
+
+    def _record_step(self, offset_s, now):
+        previous_s = self._stepped_offset_s
+        if previous_s is None or abs(offset_s - previous_s) > MAX_SLEW_S:
+            self._stepped_at = now
+            logger.warning(
+                "time of day stepped",
+                extra={"by_s": round(offset_s - self._offset_s, 3)},
+            )
+        self._stepped_offset_s = offset_s
+        if now - self._stepped_at >= STEP_ACCEPTED_AFTER_S:
+            logger.warning("stepped time of day accepted")
+            self._offset_s = offset_s
+            self._stepped_offset_s = None
 
 
 class TimerService:
@@ -13,6 +63,7 @@
 
     def __init__(self):
         self._callbacks = []
+        self._wall_clock = WallClock(self.now, time.time)
 
     def now(self):
         """Returns monotonic time in seconds."""
@@ -20,7 +71,7 @@
 
     def wall_time(self):
         """Returns seconds since the epoch."""
-        return time.time()
+        return self._wall_clock.now()
 
     def to_timedelta(self, seconds):
         """Returns a ``timedelta``, as tornado's timeouts take it."""
