Order hosts at the platform's rate, size the leader's client, finish waves

One host of 127 missed its wave, held by a task that ran many times as long as declared (two duties missed). By reading: a leader's long polls alone reach the limit of 400 concurrent calls at 400 workers; starts would then wait for polls to end.

Change: plans use 95 % of the platform's rate, from the settings; nodes call the store through a small client, leaders everything else through one for 3,000 calls; past four fifths of a wave's time, finite runs on its reserved hosts are stopped and start again elsewhere.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -247,3 +247,23 @@
       | 0     |
       | 120   |
       | -120  |
+
+  Scenario Outline: a pool that lacks <lacks> hosts gets <orders> in a tick, <rate> orders a second
+    Then a pool that lacks <lacks> hosts gets <orders> in a tick at <rate> a second
+
+    Examples: ten ticks a second; the platform's rate grows with the deployment
+      | lacks | rate | orders |
+      | 40    | 64   | 6      |
+      | 40    | 215  | 20     |
+      | 40    | 310  | 29     |
+      | 4     | 310  | 4      |
+      | 40    | 1    | 1      |
+
+  Scenario Outline: <seconds> s into a wave of 20 s, a long run on its last host is stopped: <stop>
+    Then <seconds> s into a wave of 20 s, a long run on its last host is stopped: <stop>
+
+    Examples:
+      | seconds | stop |
+      | 5       | no   |
+      | 12      | no   |
+      | 17      | yes  |
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -16,7 +16,7 @@
     first_task,
     start_run,
 )
-from sassafrasgrade.fleet_hosts import FleetHosts, HostRow
+from sassafrasgrade.fleet_hosts import FleetHosts, HostRow, WaveRow
 from sassafrasgrade.job_records import SubmittedJob, add_job
 from sassafrasgrade.node_settings import check_node_settings
 from sassafrasgrade.platform.messages import (
@@ -26,6 +26,7 @@
     Pool,
     Queue,
     Step,
+    Wave,
 )
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.host_planning import plan_hosts
@@ -35,7 +36,7 @@
 from sassafrasgrade.systems.run_updates import remove_worker
 from sassafrasgrade.systems.slow_runs import stop_stalled
 from sassafrasgrade.systems.task_placement import order_jobs, place_tasks
-from sassafrasgrade.work_commands import MoveHost
+from sassafrasgrade.work_commands import MoveHost, StopRun
 from sassafrasgrade.worker_registrations import apply_item
 
 
@@ -201,9 +202,9 @@
     return add_job(tables, f"{pool_number}" * 16, submitted)
 
 
-def plan_one_tick(tables, fleet):
+def plan_one_tick(tables, fleet, **values):
     """Returns the commands of one tick of host planning."""
-    values = {"NODE_NAME": "n", "NODE_DATA_CENTRE": "z"}
+    values |= {"NODE_NAME": "n", "NODE_DATA_CENTRE": "z"}
     return plan_hosts(tables, fleet, check_node_settings(values).unwrap(), NOW)
 
 
@@ -219,6 +220,32 @@
     assert found == given, (found, commands)
 
 
+@then(
+    "a pool that lacks {lacks:d} hosts gets {orders:d} in a tick at {rate:d} a second"
+)
+def check_order_rate(context, lacks, orders, rate):
+    tables, fleet = create_two_pools({POOL: 1, "pool-2": 1, STANDBY: lacks})
+    add_large_job(tables, 1, lacks + 1)
+    commands = plan_one_tick(tables, fleet, CLOUD_ORDERS_PER_S=str(rate))
+    assert len(commands) == orders, len(commands)
+
+
+@then(
+    "{seconds:d} s into a wave of 20 s, a long run on its last host is stopped: {stop}"
+)
+def check_wave_stops_run(context, seconds, stop):
+    tables, fleet = create_two_pools({POOL: 2, "pool-2": 1})
+    job = add_simple_job(tables)
+    start_run(first_task(job), tables.workers_by_id[f"{POOL}-0"])
+    wave = Wave(number=1, hosts=(f"host-{POOL}-0",), duration_s=20.0)
+    row = WaveRow(wave, NOW - seconds, is_running_reported=True)
+    fleet.waves_by_number[1] = row
+    commands = plan_one_tick(tables, fleet)
+    stops = [command for command in commands if isinstance(command, StopRun)]
+    assert bool(stops) == (stop == "yes"), commands
+    assert tables.workers_by_id[f"{POOL}-0"].is_reserved == (seconds > 9)
+
+
 @then("a job that takes 0.5 s, {age:f} s after its arrival, is {urgency}")
 def check_urgency(context, age, urgency):
     tables = create_tables()
--- a/sassafrasgrade/advice_requesters.py
+++ b/sassafrasgrade/advice_requesters.py
@@ -32,7 +32,9 @@
         self._is_running = False
         self._client = None
         if services.settings.advice_address:
-            self._client = AdviceClient(services.http, services.settings.advice_address)
+            self._client = AdviceClient(
+                services.leader_http(), services.settings.advice_address
+            )
 
     def wake(self):
         """Starts requesting tickets if any step waits for them."""
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -11,6 +11,7 @@
 from sassafrasgrade.job_sweeps import JobSweeper
 from sassafrasgrade.platform.workers import OrderOutcome
 from sassafrasgrade.progress_writers import ProgressWriter
+from sassafrasgrade.systems.host_states import PLAN_INTERVAL_S
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.occurrences import create_due, forget_done
 from sassafrasgrade.systems.pacing import pace_fillers
@@ -58,7 +59,7 @@
 # Minimum delay before the next placement, as a multiple of the time that the last
 # one took: a long backlog must not starve long polls and orders of CPU time.
 PLACEMENT_PAUSE_FACTOR = 3.0
-TICK_S = 0.1
+TICK_S = PLAN_INTERVAL_S
 # Delay before an unanswered stop is sent again, in seconds.
 STOP_RETRY_S = 0.6
 # Interval of log lines on pools where jobs wait, in seconds.
@@ -356,7 +357,7 @@
                 del self._sessions_by_id[worker_id]
         for worker_id, worker in self.tables.workers_by_id.items():
             if worker_id not in self._sessions_by_id:
-                session = WorkerSession(worker, self._services.http, self)
+                session = WorkerSession(worker, self._services.leader_http(), self)
                 self._sessions_by_id[worker_id] = session
                 session.start()
 
--- a/sassafrasgrade/host_controllers.py
+++ b/sassafrasgrade/host_controllers.py
@@ -73,7 +73,7 @@
         self._cloud = None
         if services.settings.cloud_address:
             self._cloud = CloudClient(
-                services.http,
+                services.leader_http(),
                 services.settings.cloud_address,
                 services.settings.node_name,
                 CLOUD_TIMEOUT_S,
--- a/sassafrasgrade/node_settings.py
+++ b/sassafrasgrade/node_settings.py
@@ -26,6 +26,7 @@
     # Services of the platform.
     "STORE_ADDRESS": "127.0.0.1:7400",
     "CLOUD_ADDRESS": "",
+    "CLOUD_ORDERS_PER_S": 64.0,
     "ADVICE_ADDRESS": "",
     # Limits and durations set by the platform and its users, in their units.
     "BOUNDS_DRAIN_MS": 2000.0,
@@ -58,6 +59,7 @@
         node_cores: The node's share of the host's processors, in cores.
         node_core_speed: Speed of these cores relative to a reference core.
         node_link_mbps: Bandwidth of the host's link; 0 if unknown.
+        cloud_orders_per_s: Host orders that the platform accepts from all nodes.
         bounds_drain_ms: How long a draining worker still accepts starts.
         bounds_grace_s: Time from SIGTERM to SIGKILL.
         bounds_hold_most_ms: Longest lease of a run on a worker.
@@ -86,6 +88,7 @@
     listen_metrics_port: Port
     store_address: Address
     cloud_address: OptionalAddress
+    cloud_orders_per_s: Annotated[float, msgspec.Meta(gt=0, le=100_000)]
     advice_address: OptionalAddress
     bounds_drain_ms: Milliseconds
     bounds_grace_s: Seconds
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -3,6 +3,7 @@
 import logging
 import os
 import signal
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -55,8 +56,11 @@
 logger = logging.getLogger(__name__)
 
 SETTINGS_VARIABLE = "SASSAFRASGRADE_NODE_FILE"
-# Concurrent outgoing calls: one long poll and two orders for each of many workers.
-MAX_CONCURRENT_CALLS = 400
+# Concurrent calls of a node to the store: watches, renewals and commits.
+MAX_STORE_CALLS = 48
+# Concurrent calls of a leader: one long poll and two orders for each of many workers.
+# Calls beyond that would wait behind long polls.
+MAX_LEADER_CALLS = 3000
 # Timeout of a store call, in seconds; the store answers in a few milliseconds.
 STORE_TIMEOUT_S = 0.8
 HEARTBEAT_PERIOD_S = 0.25
@@ -79,12 +83,16 @@
 
 @dataclass(frozen=True)
 class NodeServices:
-    """Services that the parts of a node share."""
+    """Services that the parts of a node share.
+
+    Attributes:
+        leader_http: Function that returns the ``CurlClient`` of a leader.
+    """
 
     settings: NodeSettings
     timers: SuspendAwareTimerService
-    http: object
     store: StoreClient
+    leader_http: Callable
 
 
 class Node:
@@ -99,12 +107,13 @@
         self.settings = settings
         self.timers = timers
         self.counters = NodeCounters()
-        self.http = create_http_client(MAX_CONCURRENT_CALLS)
-        caller = JsonCaller(self.http, settings.store_address)
+        self._leader_http = None
+        http = create_http_client(MAX_STORE_CALLS)
+        caller = JsonCaller(http, settings.store_address)
         self.store = StoreClient(
             caller, STORE_TIMEOUT_S, self.counters.count_store_call
         )
-        self.services = NodeServices(settings, timers, self.http, self.store)
+        self.services = NodeServices(settings, timers, self.store, self.leader_http)
         self.batcher = StoreBatcher(self.store, timers)
         self.job_api = JobApi(self)
         self.configuration = None
@@ -199,6 +208,12 @@
         self.leadership.step_down(reason)
         self._server.send_all(message)
 
+    def leader_http(self):
+        """Returns the client for calls of a leader; others need no memory for it."""
+        if self._leader_http is None:
+            self._leader_http = create_http_client(MAX_LEADER_CALLS)
+        return self._leader_http
+
     # Used by request handlers.
 
     def is_ready(self):
--- a/sassafrasgrade/systems/host_states.py
+++ b/sassafrasgrade/systems/host_states.py
@@ -8,9 +8,17 @@
 # seconds: above the longest long poll, and below the length of an absence after
 # which a task counts as away (``bounds_notice_ms``).
 MAX_ANSWER_AGE_S = 2.5
-# Limit on host orders in one plan. There are ten plans a second, and the platform
-# accepts 64 orders a second from all nodes together.
-MAX_ORDERS_PER_PLAN = 6
+# Interval between two plans, in seconds.
+PLAN_INTERVAL_S = 0.1
+# Share of the rate of orders accepted by the platform that plans use; the rest covers
+# plans that follow each other faster.
+ORDER_RATE_SHARE = 0.95
+
+
+def max_orders_per_plan(settings):
+    """Returns how many host orders one plan may contain."""
+    orders = settings.cloud_orders_per_s * PLAN_INTERVAL_S * ORDER_RATE_SHARE
+    return max(1, int(orders))
 
 
 def worker_of(tables, host):
--- a/sassafrasgrade/systems/maintenance_waves.py
+++ b/sassafrasgrade/systems/maintenance_waves.py
@@ -5,10 +5,10 @@
 
 from sassafrasgrade.fleet_hosts import STATE_UPKEEP, WaveRow
 from sassafrasgrade.systems.host_states import (
-    MAX_ORDERS_PER_PLAN,
     is_at_work,
     is_free,
     is_standby,
+    max_orders_per_plan,
     worker_of,
 )
 from sassafrasgrade.systems.task_placement import (
@@ -24,6 +24,9 @@
 MAINTENANCE_MARGIN_S = 0.4
 # Fraction of a wave's duration during which only idle hosts are maintained.
 IDLE_ONLY_FRACTION = 0.45
+# Fraction of a wave's duration after which runs that outlast it are stopped on the
+# hosts that are left; their tasks start again elsewhere.
+STOP_RUNS_FRACTION = 0.8
 # Minimum time between writes of a wave's progress to the store, in seconds.
 MIN_STORE_INTERVAL_S = 1.0
 
@@ -54,14 +57,16 @@
         commands.append(ReportWave(row.wave.number, False))
     hosts = [fleet.hosts_by_name[n] for n in row.left if n in fleet.hosts_by_name]
     hosts.sort(key=lambda host: _wave_rank(tables, host))
+    max_orders = max_orders_per_plan(settings)
     for host in hosts:
-        if slots <= 0 or len(commands) >= MAX_ORDERS_PER_PLAN:
+        if slots <= 0 or len(commands) >= max_orders:
             break
         if is_free(tables, host, now):
             commands.append(_maintain(tables, host, row, settings, now))
             slots -= 1
-    if slots > 0 and _is_urgent(row, settings, now):
-        commands += _evacuate(tables, hosts, slots, now)
+    if slots > 0 and _is_past(row, IDLE_ONLY_FRACTION, now):
+        stops_runs = _is_past(row, STOP_RUNS_FRACTION, now)
+        commands += _evacuate(tables, hosts, slots, now, stops_runs)
     return commands
 
 
@@ -94,14 +99,17 @@
     return MaintainHost(host.name, row.wave.number)
 
 
-def _is_urgent(row, settings, now):
-    """Whether the wave can no longer wait for hosts to become idle."""
-    spent = now - row.seen_at
-    return spent > row.wave.duration_s * IDLE_ONLY_FRACTION
+def _is_past(row, fraction, now):
+    """Whether more than a fraction of a wave's duration has passed."""
+    return now - row.seen_at > row.wave.duration_s * fraction
 
 
-def _evacuate(tables, hosts, slots, now):
-    """Empties hosts of a wave: they get no new runs, and perpetual tasks move."""
+def _evacuate(tables, hosts, slots, now, stops_runs):
+    """Empties hosts of a wave: they get no new runs, and perpetual tasks move.
+
+    Load pattern: a few tasks run many times as long as declared, on the last hosts
+    of a wave that is due.
+    """
     commands = []
     reserved = 0
     for host in hosts:
@@ -113,9 +121,19 @@
         reserved += 1
         worker.is_reserved = True
         evacuate_worker(tables, worker, commands, now)
+        if stops_runs:
+            commands += _stop_finite_runs(worker)
     return commands
 
 
+def _stop_finite_runs(worker):
+    return [
+        StopRun(run, "host is to be maintained")
+        for run in worker.runs_by_key.values()
+        if run.state is RunState.RUNNING and not run.task.step.is_perpetual
+    ]
+
+
 def evacuate_worker(tables, worker, commands, now):
     """Adds commands to stop a worker's perpetual tasks as their budgets allow."""
     for run in list(worker.runs_by_key.values()):
--- a/sassafrasgrade/systems/pool_moves.py
+++ b/sassafrasgrade/systems/pool_moves.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from sassafrasgrade.fleet_hosts import STATE_UP, HostRow
-from sassafrasgrade.systems.host_states import MAX_ORDERS_PER_PLAN, is_free, worker_of
+from sassafrasgrade.systems.host_states import is_free, max_orders_per_plan, worker_of
 from sassafrasgrade.work_commands import LogEvent, MoveHost
 from sassafrasgrade.work_tables import Urgency
 
@@ -49,20 +49,23 @@
     needs = measure_needs(tables, fleet, now)
     free = _free_by_pool(tables, fleet, now)
     source = _HostSupply(tables, free, needs, standby[0].name)
-    commands = _fill_short_pools(source, lambda need: need.urgent, settings, now)
+    max_orders = max_orders_per_plan(settings)
+    commands = _fill_short_pools(
+        source, lambda need: need.urgent, settings, now, max_orders
+    )
     _mark_yielding(tables, needs)
     commands += _fill_short_pools(
         source,
         lambda need: need.wanted,
         settings,
         now,
-        MAX_ORDERS_PER_PLAN - len(commands),
+        max_orders - len(commands),
     )
     for name, need in needs.items():
         for host in free.get(name, []):
             if len(need.hosts) <= need.wanted:
                 break
-            if len(commands) >= MAX_ORDERS_PER_PLAN:
+            if len(commands) >= max_orders:
                 break
             is_idle = host.idle_since and now - host.idle_since >= STANDBY_AFTER_IDLE_S
             if is_idle and host in need.hosts:
@@ -83,7 +86,7 @@
     standby_name: str
 
 
-def _fill_short_pools(source, wanted_of, settings, now, max_orders=MAX_ORDERS_PER_PLAN):
+def _fill_short_pools(source, wanted_of, settings, now, max_orders):
     """Moves hosts one by one to the pool with the smallest share of those it needs."""
     needs, commands = source.needs, []
     short = {name for name, need in needs.items() if len(need.hosts) < wanted_of(need)}
