Order hosts at once after a handover; free later steps; replace leaders sooner

A leader cut off with its data centre (33.5 s) is replaced after 1.3 s, 0.4 s of it waiting for answers of nodes that are cut off with it; then the first and all later steps of the jobs in held pools wait for 4 to 5 s.

Change: a handover names the hosts ordered lately, and only these wait, for the lease of orders and the longest call; they count as down in their waves. Nodes are asked until the answers decide. A step that becomes startable by an end that a worker listed after it saw the new token is free: the previous leader cannot have known of it.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -267,3 +267,23 @@
       | 5       | no   |
       | 12      | no   |
       | 17      | yes  |
+
+  Scenario Outline: a host that the previous leader ordered <age> s ago is <order> now: <ordered>
+    Then a host that the previous leader ordered <age> s ago is <order> now: <ordered>
+
+    Examples: orders of two leaders to one host are 4.2 s apart
+      | age | order      | ordered |
+      | 0.1 | moved      | no      |
+      | 4.1 | moved      | no      |
+      | 4.3 | moved      | yes     |
+      | 0.1 | maintained | no      |
+      | 4.3 | maintained | yes     |
+
+  Scenario Outline: after a takeover, a second step whose first ends <case> is held: <held>
+    Then after a takeover, a second step whose first ends "<case>" is held: <held>
+
+    Examples: an end that the previous leader cannot know of frees the next step
+      | case                                               | held |
+      | in the first list of its worker                    | yes  |
+      | in a later list of its worker                      | no   |
+      | in the first list, and a copy of it in a later one | yes  |
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -12,6 +12,7 @@
     STANDBY,
     add_simple_job,
     add_worker,
+    apply_worker_view,
     create_tables,
     first_task,
     start_run,
@@ -37,6 +38,7 @@
 from sassafrasgrade.systems.slow_runs import stop_stalled
 from sassafrasgrade.systems.task_placement import order_jobs, place_tasks
 from sassafrasgrade.work_commands import MoveHost, StopRun
+from sassafrasgrade.work_tables import UNTIL_BARRIER_LIFTED
 from sassafrasgrade.worker_registrations import apply_item
 
 
@@ -312,3 +314,45 @@
     item = Item("servers/worker-0", msgspec.json.encode(entry), 9)
     apply_item(tables, item, NOW + 7 if "heartbeats" in case else NOW + 1)
     assert ("worker-0" in tables.workers_by_id) == (used == "yes"), case
+
+
+@then("a host that the previous leader ordered {age:g} s ago is {order} now: {ordered}")
+def check_recently_ordered(context, age, order, ordered):
+    tables, fleet = create_two_pools({POOL: 1, "pool-2": 1, STANDBY: 1})
+    name = f"host-{STANDBY}-0"
+    fleet.delay_orders({name: age}, NOW, 4.2)
+    if order == "moved":
+        add_large_job(tables, 1, 2)
+    else:
+        wave = Wave(number=1, hosts=(name,), duration_s=20.0)
+        fleet.waves_by_number[1] = WaveRow(wave, NOW, is_running_reported=True)
+    commands = plan_one_tick(tables, fleet)
+    assert bool(commands) == (ordered == "yes"), commands
+    ages = fleet.recent_order_ages(NOW + 1.0, 4.2)
+    assert ages.keys() == ({name} if age < 3.2 else set()), ages
+    assert all(abs(found - age - 1.0) < 1e-6 for found in ages.values()), ages
+
+
+@then('after a takeover, a second step whose first ends "{case}" is held: {held}')
+def check_following_step(context, case, held):
+    tables = create_tables()
+    step = Step(count=1, cpu_millis=1000, is_speculative=True)
+    later = Step(count=1, cpu_millis=1000, after=(0,))
+    request = JobRequest(spec="s", steps=(step, later))
+    job = add_job(tables, "a" * 16, SubmittedJob(QUEUE, NOW_UNIX, request))
+    first, second = [row.tasks[0] for row in job.occurrences[0].steps]
+    first.blocked_until = second.blocked_until = UNTIL_BARRIER_LIFTED
+    worker, other = tables.workers_by_id.values()
+    done = [(1, first.name, 100_001, "done")]
+    if case == "in the first list of its worker":
+        apply_worker_view(tables, worker, NOW, ended=done)
+    elif case == "in a later list of its worker":
+        apply_worker_view(tables, worker, NOW)
+        apply_worker_view(tables, worker, NOW + 1, ended=done)
+    elif case == "in the first list, and a copy of it in a later one":
+        apply_worker_view(tables, other, NOW)
+        apply_worker_view(tables, worker, NOW, ended=done)
+        copy = [(1, first.name, 100_002, "done")]
+        apply_worker_view(tables, other, NOW + 1, ended=copy)
+    assert first.is_done
+    assert (second.blocked_until > NOW + 1) == (held == "yes"), second.blocked_until
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -176,6 +176,15 @@
         for session in self._sessions_by_id.values():
             session.close()
 
+    def export_handover(self, revision):
+        """Returns the ``HandOver`` for a successor.
+
+        Args:
+            revision: Revision of the leader's key.
+        """
+        ages = self._hosts.recent_order_ages()
+        return self.loader.export_handover(revision, ages)
+
     async def flush(self):
         """Stores unsaved progress, for a limited time."""
         await self._writer.flush()
--- a/sassafrasgrade/fleet_hosts.py
+++ b/sassafrasgrade/fleet_hosts.py
@@ -30,6 +30,7 @@
         idle_since: Clock since when its worker has had no runs; 0 if unknown or
             in use.
         listed_at: Clock of the last list that contained it.
+        ordered_at: Clock when it was last given an order; 0 if it never was.
     """
 
     name: str
@@ -43,6 +44,7 @@
     arrives_at: float = 0.0
     idle_since: float = 0.0
     listed_at: float = 0.0
+    ordered_at: float = 0.0
 
     @property
     def rack(self):
@@ -91,11 +93,38 @@
         hosts_by_name: All hosts in the last list.
         waves_by_number: Waves that the operators requested.
         listed_at: Clock of the last list; 0 before the first.
+        orders_after_by_host: Clock before which a host takes no order, since the
+            previous leader gave it one.
     """
 
     hosts_by_name: dict[str, HostRow] = field(default_factory=dict)
     waves_by_number: dict[int, WaveRow] = field(default_factory=dict)
     listed_at: float = 0.0
+    orders_after_by_host: dict[str, float] = field(default_factory=dict)
+
+    def recent_order_ages(self, now, max_age_s):
+        """Returns the seconds since their last orders of hosts ordered recently."""
+        ages = {
+            name: max_age_s - (after - now)
+            for name, after in self.orders_after_by_host.items()
+        }
+        ages |= {
+            name: now - host.ordered_at
+            for name, host in self.hosts_by_name.items()
+            if host.ordered_at
+        }
+        return {name: age for name, age in ages.items() if age < max_age_s}
+
+    def delay_orders(self, order_age_s_by_host, now, pause_s):
+        """Delays orders to hosts until ``pause_s`` after their last order.
+
+        Args:
+            order_age_s_by_host: Seconds since the previous leader's last orders.
+            now: Current clock in seconds.
+            pause_s: Minimum time between orders of different leaders, in seconds.
+        """
+        for name, age_s in order_age_s_by_host.items():
+            self.orders_after_by_host[name] = now + pause_s - age_s
 
     def apply_list(self, rows: tuple[MachineRow, ...], sent_at):
         """Applies a list of hosts.
--- a/sassafrasgrade/host_controllers.py
+++ b/sassafrasgrade/host_controllers.py
@@ -18,6 +18,7 @@
 from sassafrasgrade.systems.host_planning import REFUSED_PAUSE_S, plan_hosts
 from sassafrasgrade.systems.host_states import worker_of
 from sassafrasgrade.work_commands import MaintainHost, MoveHost, ReportWave
+from sassafrasgrade.work_tables import MS_PER_S
 
 logger = logging.getLogger(__name__)
 
@@ -90,11 +91,26 @@
         """Starts; orders wait until those of a previous leader are surely over."""
         IOLoop.current().add_callback(self._load_wave_progress)
         if self._dispatcher.tables.epoch > 1:
+            now = self._last_order_at = self._timers.now()
+            handover = self._dispatcher.loader.full_handover
+            if handover is not None:
+                pause_s = self._order_pause_s()
+                self.fleet.delay_orders(handover.order_age_s_by_host, now, pause_s)
+                return
             wait_s = CLOUD_TIMEOUT_S + ORDER_ARRIVAL_MARGIN_S
-            if not self._dispatcher.loader.has_full_handover:
-                wait_s += MAX_HOST_ORDER_RENEWAL_AGE_S
-            self._orders_after = self._timers.now() + wait_s
-            self._last_order_at = self._timers.now()
+            self._orders_after = now + wait_s + MAX_HOST_ORDER_RENEWAL_AGE_S
+
+    def _order_pause_s(self):
+        """Time between orders of two leaders to one host, in seconds.
+
+        Covers calls of the previous leader that are carried out late.
+        """
+        lease_s = self._settings.bounds_lease_ms / MS_PER_S
+        return lease_s + CLOUD_TIMEOUT_S + ORDER_ARRIVAL_MARGIN_S
+
+    def recent_order_ages(self):
+        """Returns the ages of orders that delay a successor's, by host."""
+        return self.fleet.recent_order_ages(self._timers.now(), self._order_pause_s())
 
     async def _load_wave_progress(self):
         """Reads the progress of waves that previous leaders stored."""
@@ -211,6 +227,7 @@
             return
         source = host.pool
         token = self._dispatcher.token
+        host.ordered_at = self._timers.now()
         outcome = await self._cloud.move_host(command.host, command.pool, token)
         self._log_order("move", command, outcome, source=source, reason=command.reason)
         if outcome is HostOrderOutcome.DONE:
@@ -227,6 +244,7 @@
             row.down_until_by_host.pop(command.host, None)
             return
         token = self._dispatcher.token
+        host.ordered_at = self._timers.now()
         outcome = await self._cloud.maintain_host(command.host, command.wave, token)
         self._log_order("upkeep", command, outcome, wave=command.wave)
         if outcome is HostOrderOutcome.DONE:
--- a/sassafrasgrade/leader_monitors.py
+++ b/sassafrasgrade/leader_monitors.py
@@ -1,8 +1,8 @@
 """Decides when to replace the leader, by each node's last contact with it."""
 
+import asyncio
 import logging
 
-from tornado import gen
 from tornado.ioloop import IOLoop
 
 from sassafrasgrade.node_links import ask_leader_silence
@@ -86,12 +86,7 @@
         revision = leadership.leader_revision
         records = self._nodes_to_ask()
         try:
-            silences = await gen.multi(
-                [
-                    ask_leader_silence(record.address, link.leader.incarnation)
-                    for record in records
-                ]
-            )
+            silences = await self._collect_silences(records, link)
         finally:
             self._is_asking = False
         own_s = link.silent_s(self._node.timers.now())
@@ -108,6 +103,32 @@
         if lost:
             leadership.suspect_leader(revision)
 
+    async def _collect_silences(self, records, link):
+        """Asks nodes until their answers decide; returns None for each without one.
+
+        The nodes that do not answer are often cut off with the leader: waiting for
+        them would delay its replacement.
+        """
+        silences = [None] * len(records)
+
+        async def ask(index, record):
+            silences[index] = await ask_leader_silence(
+                record.address, link.leader.incarnation
+            )
+
+        calls = [asyncio.create_task(ask(i, r)) for i, r in enumerate(records)]
+        pending = set(calls)
+        while pending:
+            _, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            own_s = link.silent_s(self._node.timers.now())
+            if is_leader_lost(silences, own_s, len(records)):
+                break
+        for call in pending:
+            call.cancel()
+        return silences
+
     def _nodes_to_ask(self):
         """Returns records of some live nodes; each node asks others.
 
--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -84,12 +84,15 @@
         is_complete: Whether ``runs`` holds all runs that may be under way anywhere.
         runs: Runs that the leader knows to be started and not ended.
         progress_by_job: Encoded progress that is not stored yet, by job id.
+        order_age_s_by_host: Seconds since the last order to a host, for hosts that
+            its successor may not give orders yet.
     """
 
     revision: int
     is_complete: bool = False
     runs: tuple[HandedOverRun, ...] = ()
     progress_by_job: dict[str, bytes] = {}
+    order_age_s_by_host: dict[str, float] = {}
 
 
 class HandOverRequest(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -202,9 +202,7 @@
         """Steps down and sends all nodes the runs that may be under way."""
         if self._dispatcher is None:
             return
-        message = self._dispatcher.loader.export_handover(
-            self.leadership.leader_revision
-        )
+        message = self._dispatcher.export_handover(self.leadership.leader_revision)
         self.leadership.step_down(reason)
         self._server.send_all(message)
 
--- a/sassafrasgrade/systems/host_states.py
+++ b/sassafrasgrade/systems/host_states.py
@@ -54,10 +54,12 @@
             worker.is_reserved = False
 
 
-def is_free(tables, host, now):
-    """Whether an order on a host would interrupt no run."""
+def is_free(tables, fleet, host, now):
+    """Whether an order on a host is allowed now and would interrupt no run."""
     if host.busy_until > now or host.state != STATE_UP:
         return False
+    if fleet.orders_after_by_host.get(host.name, 0.0) > now:
+        return False
     worker = worker_of(tables, host)
     if worker is None:
         return is_standby(tables, host)
--- a/sassafrasgrade/systems/maintenance_waves.py
+++ b/sassafrasgrade/systems/maintenance_waves.py
@@ -61,7 +61,7 @@
     for host in hosts:
         if slots <= 0 or len(commands) >= max_orders:
             break
-        if is_free(tables, host, now):
+        if is_free(tables, fleet, host, now):
             commands.append(_maintain(tables, host, row, settings, now))
             slots -= 1
     if slots > 0 and _is_past(row, IDLE_ONLY_FRACTION, now):
@@ -73,13 +73,16 @@
 def _hosts_down(fleet, row, now):
     """Returns hosts of a wave that are down, from own orders and the host list.
 
-    The list also shows the effect of orders from the previous leader.
+    The list also shows the effect of orders from the previous leader, but not of
+    those that are carried out late.
     """
     down = {name for name, until in row.down_until_by_host.items() if until > now}
     for name in row.wave.hosts:
         host = fleet.hosts_by_name.get(name)
         if host is not None and host.state == STATE_UPKEEP:
             down.add(name)
+        if fleet.orders_after_by_host.get(name, 0.0) > now:
+            down.add(name)
     return down
 
 
--- a/sassafrasgrade/systems/pool_moves.py
+++ b/sassafrasgrade/systems/pool_moves.py
@@ -136,7 +136,7 @@
     """Returns free hosts by pool, longest idle first."""
     free = {}
     for host in fleet.hosts_by_name.values():
-        if is_free(tables, host, now):
+        if is_free(tables, fleet, host, now):
             free.setdefault(host.pool, []).append(host)
     for hosts in free.values():
         hosts.sort(key=lambda host: (host.idle_since, host.name))
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -49,10 +49,15 @@
         return []
     worker.view_clock_ms = view.clock_ms
     commands = []
+    is_first_view, worker.has_shown_runs = not worker.has_shown_runs, True
     for row in view.ended:
         if row.number > worker.seen_end:
             worker.seen_end = row.number
+            task = tables.tasks_by_name.get(row.task)
+            was_open = task is not None and not task.is_done
             commands += _apply_end(tables, worker, row, now)
+            if was_open and task.is_done and not is_first_view:
+                _unblock_following(task)
     listed = set()
     for row in view.running:
         listed.add((row.task, row.run))
@@ -225,6 +230,24 @@
     return commands
 
 
+def _unblock_following(task):
+    """Unblocks the tasks of steps that have become startable by the end of a task.
+
+    The worker listed the end after it had seen this leader's token, so that the
+    previous leader cannot have known of it, nor have started a later step.
+    Load pattern: the leader is cut off together with some workers, while jobs of
+    several steps run on all others.
+    """
+    steps = task.job.occurrences[task.occurrence].steps
+    if steps[task.step_number].left:
+        return
+    for following in steps:
+        is_startable = not any(steps[n].left for n in following.step.after)
+        if task.step_number in following.step.after and is_startable:
+            for other in following.tasks:
+                other.blocked_until = 0.0
+
+
 def finish_task(tables, task: Task, now):
     """Marks a task done; a gang is done as soon as one of its members is."""
     row = step_row_of(task)
@@ -337,7 +360,7 @@
     worker.seen_end = worker.stored_end = 0
     worker.view_clock_ms = 0.0
     worker.clock_offset_ms = None
-    worker.has_seen_token = False
+    worker.has_seen_token = worker.has_shown_runs = False
     worker.failures = worker.successes = 0.0
     worker.lease_until = 0.0
 
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -90,7 +90,7 @@
 
     def start(self):
         """Starts loading."""
-        if self._tables.epoch > 1 and not self.has_full_handover:
+        if self._tables.epoch > 1 and self.full_handover is None:
             barrier_s = self._settings.bounds_hold_most_ms / MS_PER_S
             if not self._is_predecessor_gone:
                 # The previous leader may renew leases until its own has lapsed.
@@ -206,15 +206,18 @@
             self._dispatcher.carry_out(command)
 
     @property
-    def has_full_handover(self):
-        """Whether the previous leader handed over all that it knew."""
-        return self._handover is not None and self._handover.is_complete
+    def full_handover(self):
+        """``HandOver`` of a previous leader that handed over all that it knew."""
+        if self._handover is not None and self._handover.is_complete:
+            return self._handover
+        return None
 
-    def export_handover(self, revision):
+    def export_handover(self, revision, order_age_s_by_host):
         """Returns a ``HandOver`` with all runs that may be under way.
 
         Args:
             revision: Revision of the leader's key.
+            order_age_s_by_host: Ages of the last orders to hosts.
         """
         runs = runs_to_hand_over(self._tables, self._timers.now())
         progress_by_job = {
@@ -222,7 +225,9 @@
             for job_id in self._tables.dirty_job_ids
         }
         is_complete = self.is_loaded and not self.barrier_until
-        return HandOver(revision, is_complete, runs, progress_by_job)
+        return HandOver(
+            revision, is_complete, runs, progress_by_job, order_age_s_by_host
+        )
 
     @staticmethod
     def _block_tasks(job, until):
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -240,6 +240,7 @@
         clock_offset_ms: Its clock minus the node's, in milliseconds.
         has_seen_token: Whether it has answered this leader, and so has seen its
             fencing token.
+        has_shown_runs: Whether a list of its runs has been applied by this leader.
         runs_by_key: Runs by (task name, number).
         seen_end: Number of the last run end applied to the tables.
         stored_end: Number of the last run end that the worker may discard.
@@ -272,6 +273,7 @@
     host: str = ""
     clock_offset_ms: float | None = None
     has_seen_token: bool = False
+    has_shown_runs: bool = False
     runs_by_key: dict[tuple[str, int], Run] = field(default_factory=dict)
     seen_end: int = 0
     stored_end: int = 0
