Contain malformed input and unexpected errors to the message that caused them

Cause, by inputs on the code before: a job body nested 100,000 deep raised RecursionError and was never answered; a page of the store of the wrong type raised out of the watch of members, which ended that loop for good, as did an unreadable epoch; a repeated job without an interval, or due years ago, made the leader create 100,000 occurrences at once; an error in the handling of one message ended the stream to the leader without a reconnect; one in a poll's answer ended all polls of that worker. A copy of an adopted run could reuse a number of another leadership, and carried no ticket. The pause before a perpetual task restarts was never applied; since its worker is avoided anyway, it is gone.

Change: one tuple of decoding errors; the store's client returns typed failures; numbers of jobs are bounded; at most 10,000 open tasks of a repeated job; streams, polls, followers, placement and requests contain an error with a log line.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -287,3 +287,31 @@
       | in the first list of its worker                    | yes  |
       | in a later list of its worker                      | no   |
       | in the first list, and a copy of it in a later one | yes  |
+
+  Scenario Outline: a copy of run <number>, adopted in epoch <epoch>, has the number <copy>
+    Then a copy of run <number>, adopted in epoch <epoch>, has the number <copy>
+
+    Examples: numbers of leaderships never meet
+      | number | epoch | copy   |
+      | 100003 | 1     | 100004 |
+      | 100003 | 3     | 300001 |
+
+  Scenario Outline: a copy of a queue with advice and <tickets> starts: <starts>
+    Then a copy of a queue with advice and "<tickets>" starts: "<starts>"
+
+    Examples:
+      | tickets                       | starts |
+      | no ticket                     | no     |
+      | a ticket for the other worker | yes    |
+
+  Scenario Outline: of <due> due occurrences of <tasks> tasks, <created> are open at a time
+    Then of <due> due occurrences of <tasks> tasks, <created> are open at a time
+
+    Examples:
+      | due    | tasks | created |
+      | 3      | 4     | 3       |
+      | 100000 | 4     | 2500    |
+      | 100000 | 10000 | 1       |
+
+  Scenario: a job whose data cannot be placed does not keep others from starting
+    Then a job whose data cannot be placed does not keep others from starting
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -32,10 +32,10 @@
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.host_planning import plan_hosts
 from sassafrasgrade.systems.learned_durations import LearnedDurations
-from sassafrasgrade.systems.occurrences import create_due
+from sassafrasgrade.systems.occurrences import create_due, forget_done
 from sassafrasgrade.systems.pacing import pace_fillers
 from sassafrasgrade.systems.run_updates import remove_worker
-from sassafrasgrade.systems.slow_runs import stop_stalled
+from sassafrasgrade.systems.slow_runs import copy_overdue_runs, stop_stalled
 from sassafrasgrade.systems.task_placement import order_jobs, place_tasks
 from sassafrasgrade.work_commands import MoveHost, StopRun
 from sassafrasgrade.work_tables import UNTIL_BARRIER_LIFTED
@@ -356,3 +356,60 @@
         apply_worker_view(tables, other, NOW + 1, ended=copy)
     assert first.is_done
     assert (second.blocked_until > NOW + 1) == (held == "yes"), second.blocked_until
+
+
+@then("a copy of run {number:d}, adopted in epoch {epoch:d}, has the number {copy:d}")
+def check_copy_number(context, number, epoch, copy):
+    tables = create_tables()
+    tables.epoch = epoch
+    job = add_simple_job(tables, is_speculative=True)
+    worker = tables.workers_by_id["worker-0"]
+    start_run(first_task(job), worker, now=NOW - 60, number=number)
+    commands = copy_overdue_runs(tables, POOL, LearnedDurations(), NOW)
+    assert [command.run.number for command in commands] == [copy], commands
+
+
+@then('a copy of a queue with advice and "{tickets}" starts: "{starts}"')
+def check_copy_ticket(context, tickets, starts):
+    tables = create_tables()
+    queue = Queue(name=QUEUE, pool=POOL, advice=Advice(10, 1, 3000))
+    pools = (Pool(name=POOL),)
+    tables.adopt_configuration(Configuration(version=2, queues=(queue,), pools=pools))
+    job = add_simple_job(tables, is_speculative=True)
+    start_run(first_task(job), tables.workers_by_id["worker-0"], now=NOW - 60)
+    if tickets == "a ticket for the other worker":
+        rows = (("worker-1", "t-1"),)
+        key = f"{job.job_id}.0.0"
+        tables.tickets.record_answer(key, ["worker-1"], rows, 3.0, NOW)
+    commands = copy_overdue_runs(tables, POOL, LearnedDurations(), NOW)
+    assert bool(commands) == (starts == "yes"), commands
+    assert all(command.run.ticket == "t-1" for command in commands), commands
+
+
+@then("of {due:d} due occurrences of {tasks:d} tasks, {created:d} are open at a time")
+def check_open_occurrences(context, due, tasks, created):
+    tables = create_tables()
+    step = Step(count=tasks, cpu_millis=1, estimate_ms=500)
+    request = JobRequest(
+        spec="s", steps=(step,), repeats=due, first_ms=1.0, interval_ms=1.0
+    )
+    job = add_job(tables, "e" * 16, SubmittedJob(QUEUE, NOW_UNIX, request))
+    create_due(tables, NOW_UNIX)
+    assert len(job.occurrences) == created, len(job.occurrences)
+    job.done_occurrences.add(0)
+    forget_done(tables)
+    create_due(tables, NOW_UNIX)
+    assert len(job.occurrences) == min(created, due - 1), len(job.occurrences)
+
+
+@then("a job whose data cannot be placed does not keep others from starting")
+def check_bad_job(context):
+    tables = create_tables()
+    broken = add_simple_job(tables, "a" * 16)
+    row = broken.occurrences[0].steps[0]
+    row.step = row.tasks[0].step = None
+    add_simple_job(tables, "b" * 16)
+    broken.occurrences[0].steps[0].step = Step(count=1)
+    commands = place_tasks(tables, POOL, LearnedDurations(), NOW, NOW_UNIX)
+    kinds = sorted(type(command).__name__ for command in commands)
+    assert kinds == ["LogEvent", "StartRun"], commands
--- a/sassafrasgrade/client_requests.py
+++ b/sassafrasgrade/client_requests.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, below ``tornado.web``."""
 
 import logging
+import math
 
 import msgspec
 from tornado import httputil
@@ -13,6 +14,7 @@
 logger = logging.getLogger(__name__)
 
 _encode = msgspec.json.Encoder().encode
+MAX_LOGGED_PATH = 200
 KINDS_BY_METHOD = {"POST": "submit", "GET": "show", "DELETE": "cancel"}
 
 
@@ -79,14 +81,25 @@
         if self._size > self._node.max_body_bytes():
             reply = Reply(413, {"error": "the body is too long"})
         else:
-            reply = await self._node.job_api.handle(
+            reply = await self._handle(path)
+        self._respond(reply)
+
+    async def _handle(self, path):
+        try:
+            return await self._node.job_api.handle(
                 self._start.method,
                 self._headers.get("Host", ""),
                 path,
                 b"".join(self._chunks),
                 _deadline_s(self._headers),
             )
-        self._respond(reply)
+        except Exception:
+            # Whether the request had an effect is unknown here: no refusal.
+            logger.exception(
+                "request failed",
+                extra={"method": self._start.method, "path": path[:MAX_LOGGED_PATH]},
+            )
+            return Reply(500, {"error": "internal error; see the node's log"})
 
     def _respond(self, reply):
         self._node.last_request_at = now = self._node.timers.now()
@@ -114,6 +127,7 @@
 def _deadline_s(headers):
     """Returns the caller's deadline in seconds, or None if the header is missing."""
     try:
-        return float(headers[DEADLINE_HEADER]) / MS_PER_S
+        deadline_s = float(headers[DEADLINE_HEADER]) / MS_PER_S
     except (KeyError, ValueError):
         return None
+    return deadline_s if math.isfinite(deadline_s) else None
--- a/sassafrasgrade/errors.py
+++ b/sassafrasgrade/errors.py
@@ -3,6 +3,12 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
+import msgspec
+
+# What decoding bytes from outside may raise: wrong form or type, text that is not
+# UTF-8, values nested too deeply, numbers out of range.
+DECODE_ERRORS = (msgspec.DecodeError, ValueError, RecursionError, OverflowError)
+
 
 @dataclass(frozen=True)
 class SassafrasgradeError:
--- a/sassafrasgrade/host_controllers.py
+++ b/sassafrasgrade/host_controllers.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 from tornado.ioloop import IOLoop
 
-from sassafrasgrade.errors import RevisionConflict
+from sassafrasgrade.errors import DECODE_ERRORS, RevisionConflict
 from sassafrasgrade.fleet_hosts import FleetHosts, WaveRow
 from sassafrasgrade.leaderships import MAX_HOST_ORDER_RENEWAL_AGE_S
 from sassafrasgrade.member_records import LEADER_KEY
@@ -126,11 +126,17 @@
             return
         items, _ = result.unwrap()
         for item in items:
-            row = self.fleet.waves_by_number.get(
-                int(item.key.removeprefix(WAVES_PREFIX))
-            )
-            if row is not None:
+            try:
+                number = int(item.key.removeprefix(WAVES_PREFIX))
                 record = msgspec.msgpack.decode(item.value, type=WaveProgress)
+            except DECODE_ERRORS as error:
+                logger.error(
+                    "progress of a wave skipped; it cannot be decoded",
+                    extra={"key": item.key, "error": str(error)},
+                )
+                continue
+            row = self.fleet.waves_by_number.get(number)
+            if row is not None:
                 age_s = self._timers.wall_time() - record.began_at
                 row.seen_at = self._timers.now() - age_s
                 row.is_running_reported = True
@@ -155,7 +161,7 @@
                 continue
             try:
                 wave = _wave_decoder.decode(value)
-            except msgspec.DecodeError as error:
+            except DECODE_ERRORS as error:
                 logger.error(
                     "maintenance wave skipped; its value cannot be decoded",
                     extra={"key": key, "error": str(error)},
--- a/sassafrasgrade/job_apis.py
+++ b/sassafrasgrade/job_apis.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure
 
+from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.job_records import (
     CANCEL,
     PROGRESS,
@@ -26,6 +27,8 @@
 ANSWER_MARGIN_S = 0.15
 # Deadline of requests without a deadline header, in seconds.
 DEFAULT_DEADLINE_S = 3.0
+# Longest time that a request is worked on, whatever its deadline, in seconds.
+MAX_DEADLINE_S = 60.0
 # Greatest age of the leader's counts that callers are shown, in seconds. The
 # published limit is 2 s, and longer while a leader is replaced.
 MAX_COUNT_AGE_S = 2.5
@@ -78,7 +81,8 @@
         if queue is None:
             return Reply(404, {"error": "no such queue"})
         job_id = path[len(queue.prefix) :]
-        remaining_s = (deadline_s or DEFAULT_DEADLINE_S) - ANSWER_MARGIN_S
+        remaining_s = min(deadline_s or DEFAULT_DEADLINE_S, MAX_DEADLINE_S)
+        remaining_s -= ANSWER_MARGIN_S
         deadline_at = self._node.timers.now() + max(0.05, remaining_s)
         if not job_id:
             return self._count_waiting(queue, method)
@@ -149,7 +153,7 @@
                 return Reply(
                     503, {"error": "the store is unavailable"}, STORE_RETRY_AFTER_S
                 )
-            state = _state_of(found)
+            state = _state_of(job_id, found)
             if state and REQUEST in found:
                 self._node.notify_leader(JobAccepted(job_id, found[REQUEST]))
         logger.info(
@@ -167,7 +171,7 @@
                 return Reply(
                     503, {"error": "the store is unavailable"}, STORE_RETRY_AFTER_S
                 )
-            if not _state_of(found):
+            if not _state_of(job_id, found):
                 return Reply(410, {"error": "no such job"})
         key = job_key(job_id, CANCEL)
         outcome = await self._node.batcher.create(key, b"1", deadline_at)
@@ -205,12 +209,26 @@
         return Reply(200, {"pending": count})
 
 
-def _state_of(parts):
+def _read_progress(job_id, parts):
+    """Returns a job's ``JobProgress``; None if it has none that can be read."""
+    if PROGRESS not in parts:
+        return None
+    try:
+        return decode_progress(parts[PROGRESS])
+    except DECODE_ERRORS as error:
+        logger.error(
+            "stored progress of a job cannot be decoded",
+            extra={"job": job_id, "error": str(error)},
+        )
+        return None
+
+
+def _state_of(job_id, parts):
     """Derives a job's state from its stored parts; empty if there is no job."""
     if REQUEST not in parts:
         return ""
-    if PROGRESS in parts:
-        progress = decode_progress(parts[PROGRESS])
+    progress = _read_progress(job_id, parts)
+    if progress is not None:
         if progress.state in (WorkState.COMPLETED, WorkState.FAILED):
             return progress.state.value
         if CANCEL not in parts:
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -1,7 +1,10 @@
 """Records of jobs in the store, and their keys."""
 
+import logging
+
 import msgspec
 
+from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.platform.messages import JobRequest
 from sassafrasgrade.work_tables import (
     ENDED_STATES,
@@ -11,6 +14,8 @@
     create_occurrence,
 )
 
+logger = logging.getLogger(__name__)
+
 JOBS_PREFIX = "jobs/"
 REQUEST = "request"
 PROGRESS = "progress"
@@ -118,7 +123,14 @@
         job = tables.jobs_by_id.get(job_id)
         if job is None or not job.is_open:
             continue
-        progress = decode_progress(value)
+        try:
+            progress = decode_progress(value)
+        except DECODE_ERRORS as error:
+            logger.error(
+                "handed-over progress skipped; it cannot be decoded",
+                extra={"job": job_id, "error": str(error)},
+            )
+            continue
         apply_progress(tables, job, progress)
         if progress.state in ENDED_STATES:
             # The end is visible to callers only once it is stored.
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -22,6 +22,7 @@
     OWN_PREFIX,
     LeaderRecord,
     NodeRecord,
+    decode_epoch,
     decode_leader,
     decode_node,
     encode_record,
@@ -388,7 +389,7 @@
             else:
                 self._set_leader(record, item.revision, item.lease)
         elif item.key == EPOCH_KEY and item.value is not None:
-            self._last_epoch = max(self._last_epoch, int(item.value))
+            self._last_epoch = max(self._last_epoch, decode_epoch(item))
         elif item.key.startswith(NODES_PREFIX):
             name = item.key.removeprefix(NODES_PREFIX)
             record = decode_node(item)
--- a/sassafrasgrade/member_records.py
+++ b/sassafrasgrade/member_records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from sassafrasgrade.errors import DECODE_ERRORS
+
 logger = logging.getLogger(__name__)
 
 OWN_PREFIX = "own/"
@@ -42,6 +44,7 @@
 
 _node_decoder = msgspec.msgpack.Decoder(NodeRecord)
 _leader_decoder = msgspec.msgpack.Decoder(LeaderRecord)
+_epoch_decoder = msgspec.json.Decoder(int)
 encode_record = msgspec.msgpack.Encoder().encode
 
 
@@ -55,12 +58,17 @@
     return _decode(_leader_decoder, item)
 
 
+def decode_epoch(item):
+    """Returns the epoch of an item; 0 if it is unreadable."""
+    return _decode(_epoch_decoder, item) or 0
+
+
 def _decode(decoder, item):
     if item.value is None:
         return None
     try:
         return decoder.decode(item.value)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         logger.warning(
             "node or leader record cannot be decoded",
             extra={"key": item.key, "error": str(error)},
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -19,6 +19,7 @@
 from sassafrasgrade.client_requests import ClientsDelegate
 from sassafrasgrade.dispatchers import Dispatcher
 from sassafrasgrade.drains import Drain, DrainPhase
+from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.http_clients import create_http_client
 from sassafrasgrade.job_apis import JobApi
 from sassafrasgrade.leader_monitors import (
@@ -282,7 +283,7 @@
     def _apply_configuration(self, item):
         try:
             configuration = _configurations.decode(item.value)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             logger.error("cannot decode the configuration", extra={"error": str(error)})
             return
         if configuration.version <= self.configuration_version():
--- a/sassafrasgrade/platform/stores.py
+++ b/sassafrasgrade/platform/stores.py
@@ -1,6 +1,7 @@
 """Client of the platform's key-value store."""
 
 import base64
+import logging
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
@@ -8,6 +9,7 @@
 from returns.result import Failure, Success
 
 from sassafrasgrade.errors import (
+    DECODE_ERRORS,
     HistoryCompacted,
     LeaseGone,
     PlatformUnavailable,
@@ -18,6 +20,8 @@
 from sassafrasgrade.platform.calls import HTTP_OK, was_never_sent
 from sassafrasgrade.platform.messages import StoredItem, StorePage, StoreReply
 
+logger = logging.getLogger(__name__)
+
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
 HTTP_CONFLICT = 412
@@ -97,7 +101,7 @@
         """Reads one key; ``Success(None)`` if it does not exist."""
         path = f"{names.STORE_KEY_PATH}?{urlencode({'key': key})}"
         response = await self._call("GET", path, accepted=(HTTP_OK, HTTP_NOT_FOUND))
-        return response.map(_read_item)
+        return _decoded(response, _read_item)
 
     async def read_range(self, prefix):
         """Reads all items of a prefix; returns (items, revision of first page)."""
@@ -108,7 +112,10 @@
             response = await self._call("GET", path, timeout_s=RANGE_TIMEOUT_S)
             if isinstance(response, Failure):
                 return response
-            page = _pages.decode(response.unwrap().body)
+            found = _decoded(response, _read_page)
+            if isinstance(found, Failure):
+                return found
+            page = found.unwrap()
             items.extend(_decode_item(item) for item in page.items)
             revision = page.revision if revision is None else revision
             if not page.has_more or not page.items:
@@ -127,7 +134,7 @@
         path = f"{names.STORE_WATCH_PATH}?{query}"
         timeout_s = wait_s + WATCH_MARGIN_S
         response = await self._call("GET", path, timeout_s=timeout_s)
-        return response.map(_read_events)
+        return _decoded(response, _read_events)
 
     async def commit(self, conditions=(), puts=(), deletes=()):
         """Applies all changes if all revisions are as expected, and none otherwise.
@@ -147,13 +154,13 @@
         }
         path = names.STORE_COMMIT_PATH
         response = await self._call("POST", path, body)
-        return response.map(lambda found: _replies.decode(found.body).revision)
+        return _decoded(response, lambda found: _replies.decode(found.body).revision)
 
     async def grant_lease(self, ttl_s):
         """Creates a lease; returns its id."""
         body = {"ttlMs": int(ttl_s * 1000)}
         response = await self._call("POST", names.STORE_LEASE_PATH, body)
-        return response.map(lambda found: _replies.decode(found.body).lease)
+        return _decoded(response, lambda found: _replies.decode(found.body).lease)
 
     async def renew_lease(self, lease, timeout_s):
         """Renews a lease; ``LeaseGone`` if it has ended."""
@@ -169,12 +176,39 @@
         kind = path.split("?")[0].removeprefix("/-/kv-").split("/")[0]
         wait_s = timeout_s or self._timeout_s
         response = await self._caller.fetch(method, path, body, timeout_s=wait_s)
-        result = _classify(kind, response, accepted)
+        try:
+            result = _classify(kind, response, accepted)
+        except DECODE_ERRORS as error:
+            result = _unreadable(error)
         outcome = "ok" if isinstance(result, Success) else result.failure().kind
         self._on_call(kind, outcome, response.request_time)
         return result
 
 
+def _decoded(result, decode):
+    """Applies a decoder to a successful call; an unreadable answer is a failure."""
+    if isinstance(result, Failure):
+        return result
+    try:
+        return Success(decode(result.unwrap()))
+    except DECODE_ERRORS as error:
+        return _unreadable(error)
+
+
+def _unreadable(error):
+    logger.warning("unreadable answer of the store", extra={"error": str(error)})
+    return Failure(
+        PlatformUnavailable(
+            f"the store's answer cannot be decoded ({error})",
+            "Check that the store's address names the platform's store.",
+        )
+    )
+
+
+def _read_page(response):
+    return _pages.decode(response.body)
+
+
 def _classify(kind, response, accepted):
     code = response.code
     if code in accepted:
--- a/sassafrasgrade/platform/workers.py
+++ b/sassafrasgrade/platform/workers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.calls import HTTP_OK, JsonCaller
 from sassafrasgrade.platform.messages import OrderReply, WorkerView
@@ -121,7 +122,7 @@
         )
         try:
             return _reply(response, decoder)
-        except (msgspec.DecodeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             return WorkerReply(OrderOutcome.UNKNOWN, detail=f"unreadable: {error}")
 
 
--- a/sassafrasgrade/prefix_followers.py
+++ b/sassafrasgrade/prefix_followers.py
@@ -88,7 +88,15 @@
     async def _run(self):
         backoff = Backoff(0.05, 0.5)
         while not self._is_closed:
-            result = await self.follow_once()
+            try:
+                result = await self.follow_once()
+            except Exception:
+                # The revision has moved on, so that the same changes do not return.
+                logger.exception(
+                    "changes not applied", extra={"dependency": self._name}
+                )
+                await gen.sleep(backoff.next_delay())
+                continue
             if self._is_closed:
                 return
             if isinstance(result, Failure):
--- a/sassafrasgrade/streams.py
+++ b/sassafrasgrade/streams.py
@@ -77,7 +77,7 @@
                 TRAFFIC.received += len(data)
                 self._unpacker.feed(data)
                 for value in self._unpacker:
-                    on_message(self._decoder.decode(value))
+                    _deliver(on_message, self._decoder.decode(value))
         except StreamClosedError:
             return
         except (
@@ -85,6 +85,7 @@
             msgpack.UnpackException,
             TypeError,
             ValueError,
+            RecursionError,
         ) as error:
             logger.warning(
                 "closing a stream that received an invalid message: %s", error
@@ -96,6 +97,14 @@
         self._stream.close()
 
 
+def _deliver(on_message, message):
+    """Passes a message on; an error in its handling concerns only this message."""
+    try:
+        on_message(message)
+    except Exception:
+        logger.exception("message not handled: %s", type(message).__name__)
+
+
 @cache
 def _decoder_of(message_types):
     return msgspec.msgpack.Decoder(message_types)
--- a/sassafrasgrade/systems/occurrences.py
+++ b/sassafrasgrade/systems/occurrences.py
@@ -4,6 +4,11 @@
 from sassafrasgrade.work_commands import LogEvent
 from sassafrasgrade.work_tables import MS_PER_S
 
+# Limit of a job's unfinished tasks over all its occurrences; later ones are created
+# once earlier ones are done. A job whose first occurrence is due years ago must not
+# fill the leader's memory.
+MAX_OPEN_TASKS = 10_000
+
 
 def due_at(request, number):
     """Returns the Unix time at which an occurrence is due, in seconds."""
@@ -17,9 +22,12 @@
         request = job.request
         if request.repeats <= 0:
             continue
+        tasks_each = sum(step.count for step in request.steps)
+        max_open = max(1, MAX_OPEN_TASKS // tasks_each)
         while (
             job.next_occurrence < request.repeats
             and due_at(request, job.next_occurrence) <= now_unix
+            and len(job.occurrences.keys() - job.done_occurrences) < max_open
         ):
             number = job.next_occurrence
             job.next_occurrence += 1
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -17,9 +17,6 @@
     step_row_of,
 )
 
-# Not used. Meant as the delay before a perpetual task that ended by itself is
-# started again on the same worker, in seconds; other workers may start it at once.
-PERPETUAL_RETRY_PAUSE_S = 2.0
 # Percent at which a perpetual task is at work (published protocol).
 AT_WORK_PERCENT = 100
 # Half-life of a worker's counts of failures and successful runs, in seconds.
@@ -286,7 +283,7 @@
     worker.failures += 1
     task.avoided_workers.add(worker.worker_id)
     if task.step.is_perpetual:
-        task.not_before = now
+        # It starts again at once; its worker is avoided while another has room.
         return []
     row = step_row_of(task)
     members = row.tasks if row.step.is_gang else [task]
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -7,11 +7,13 @@
 from sassafrasgrade.systems.task_placement import (
     SLOW_FACTOR,
     candidate_of,
+    candidates_with_ticket,
     choose_candidate,
-    create_run,
     is_usable,
+    next_run_number,
+    start_on,
 )
-from sassafrasgrade.work_commands import StartRun, StopRun
+from sassafrasgrade.work_commands import StopRun
 from sassafrasgrade.work_tables import RunState
 
 # Minimum time without progress after which a run counts as stalled, in seconds:
@@ -132,12 +134,14 @@
                 for candidate in candidates
                 if candidate.worker.worker_id not in used_worker_ids
             ]
+            if tables.queues_by_name[job.queue_name].advice is not None:
+                free = candidates_with_ticket(tables, task, free, now)
             candidate = choose_candidate(task, free)
             if candidate is None:
                 continue
             candidate.reserve(task.step)
-            run = create_run(task, candidate.worker, task.last_number + 1, now)
-            commands.append(StartRun(run))
+            number = next_run_number(tables, [task])
+            commands.append(start_on(tables, task, candidate.worker, number, now))
     return commands
 
 
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -9,7 +9,7 @@
 
 from sassafrasgrade.platform.messages import Capacity
 from sassafrasgrade.systems.run_updates import record_start
-from sassafrasgrade.work_commands import StartRun
+from sassafrasgrade.work_commands import LogEvent, StartRun
 from sassafrasgrade.work_tables import (
     MS_PER_S,
     Job,
@@ -144,24 +144,34 @@
     mark_suspects(candidates)
     commands = []
     unplaceable = UnplaceableSizes()
-    non_yielding = [
-        candidate for candidate in candidates if not candidate.worker.is_yielding
-    ]
     for job in order_jobs(tables, pool_name, learned_durations, now_unix):
-        queue = tables.queues_by_name[job.queue_name]
-        for group in _startable_groups(job, now):
-            usable = non_yielding if job.urgency >= Urgency.USEFUL else candidates
-            if queue.advice is not None:
-                usable = _candidates_with_ticket(tables, group[0], usable, now)
-            if unplaceable.rules_out(group[0].step):
-                continue
-            placed = _place_group(tables, group, usable, now)
-            if not placed and usable is candidates:
-                unplaceable.add(group[0].step)
-            commands += placed
+        try:
+            _place_job(tables, job, candidates, unplaceable, now, commands)
+        except Exception as error:
+            # The runs of other jobs are in the tables by now and have to be sent.
+            fields = {"job": job.job_id, "error": repr(error)}
+            commands.append(LogEvent("job-not-placed", fields))
     return commands
 
 
+def _place_job(tables, job, candidates, unplaceable, now, commands):
+    """Adds the commands that start a job's tasks on workers with room."""
+    queue = tables.queues_by_name[job.queue_name]
+    usable_by_job = candidates
+    if job.urgency >= Urgency.USEFUL:
+        usable_by_job = [c for c in candidates if not c.worker.is_yielding]
+    for group in _startable_groups(job, now):
+        usable = usable_by_job
+        if queue.advice is not None:
+            usable = candidates_with_ticket(tables, group[0], usable, now)
+        if unplaceable.rules_out(group[0].step):
+            continue
+        placed = _place_group(tables, group, usable, now)
+        if not placed and usable is candidates:
+            unplaceable.add(group[0].step)
+        commands += placed
+
+
 class UnplaceableSizes:
     """Task sizes that fitted no worker in this placement, to skip larger ones."""
 
@@ -190,7 +200,7 @@
     return task.name.rpartition(".")[0]
 
 
-def _candidates_with_ticket(tables, task, candidates, now):
+def candidates_with_ticket(tables, task, candidates, now):
     """Returns the candidates with a ticket for a step.
 
     Requests tickets if the step fits on none of them.
@@ -293,7 +303,7 @@
     if task.is_done or task.runs_by_number:
         return False
     task.waiting_since = task.waiting_since or now
-    return task.not_before <= now and task.blocked_until <= now
+    return task.blocked_until <= now
 
 
 def _place_group(tables, group, candidates, now):
@@ -306,16 +316,26 @@
             return []
         candidate.reserve(task.step)
         chosen.append((candidate, task))
-    number = max(task.last_number for task in group) + 1
-    number = max(number, tables.epoch * NUMBERS_PER_EPOCH + 1)
-    commands = []
-    for candidate, task in chosen:
-        run = create_run(task, candidate.worker, number, now)
-        key = step_key_of(task)
-        run.ticket = tables.tickets.ticket(key, candidate.worker.worker_id, now) or ""
-        record_start(tables, task.job)
-        commands.append(StartRun(run))
-    return commands
+    number = next_run_number(tables, group)
+    return [
+        start_on(tables, task, candidate.worker, number, now)
+        for candidate, task in chosen
+    ]
+
+
+def next_run_number(tables, tasks):
+    """Returns a run number that no leadership has used for any of the tasks."""
+    number = max(task.last_number for task in tasks) + 1
+    return max(number, tables.epoch * NUMBERS_PER_EPOCH + 1)
+
+
+def start_on(tables, task, worker, number, now):
+    """Adds a run of a task, with its ticket; returns the command that starts it."""
+    run = create_run(task, worker, number, now)
+    ticket = tables.tickets.ticket(step_key_of(task), worker.worker_id, now)
+    run.ticket = ticket or ""
+    record_start(tables, task.job)
+    return StartRun(run)
 
 
 def _release(candidate, step):
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -2,8 +2,7 @@
 
 import logging
 
-import msgspec
-
+from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.job_records import (
     CANCEL,
     JOBS_PREFIX,
@@ -157,11 +156,8 @@
             submitted = decode_submitted(values[REQUEST])
             progress = values.get(PROGRESS)
             progress = decode_progress(progress) if progress else None
-        except msgspec.DecodeError as error:
-            logger.error(
-                "job skipped; its stored record cannot be decoded",
-                extra={"job": job_id, "error": str(error)},
-            )
+        except DECODE_ERRORS as error:
+            _log_skipped(job_id, error)
             return
         job = add_job(self._tables, job_id, submitted)
         self._dispatcher.learned_durations.record_job(job)
@@ -175,7 +171,12 @@
     def accept(self, job_id, record):
         """Adds a newly stored job."""
         if self.is_loaded and job_id not in self._tables.jobs_by_id:
-            job = add_job(self._tables, job_id, decode_submitted(record))
+            try:
+                submitted = decode_submitted(record)
+            except DECODE_ERRORS as error:
+                _log_skipped(job_id, error)
+                return
+            job = add_job(self._tables, job_id, submitted)
             self._dispatcher.learned_durations.record_job(job)
             if self.barrier_until and not self._is_predecessor_gone:
                 self._block_tasks(job, self._began_at + PREDECESSOR_ACCEPT_WINDOW_S)
@@ -297,3 +298,10 @@
                 )
                 remove_worker(self._tables, worker, now, has_ended=False)
                 self._dispatcher.sync_sessions()
+
+
+def _log_skipped(job_id, error):
+    logger.error(
+        "job skipped; its stored record cannot be decoded",
+        extra={"job": job_id, "error": str(error)},
+    )
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -117,7 +117,6 @@
         last_number: Highest known run number.
         avoided_workers: Workers on which it failed, stalled or was slow; chosen
             last.
-        not_before: Clock before which it is not started again.
         blocked_until: Clock before which an unreported run of it may still exist.
         waiting_since: Clock when it last became startable.
     """
@@ -134,7 +133,6 @@
     saved: str = ""
     last_number: int = 0
     avoided_workers: set[str] = field(default_factory=set)
-    not_before: float = 0.0
     blocked_until: float = 0.0
     waiting_since: float = 0.0
 
--- a/sassafrasgrade/worker_registrations.py
+++ b/sassafrasgrade/worker_registrations.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.messages import WorkerEntry
 from sassafrasgrade.systems.run_updates import remove_worker, restart_worker
@@ -18,7 +19,7 @@
     """Returns the ``WorkerEntry`` of an item; None if it is not a valid one."""
     try:
         entry = _entry_decoder.decode(item.value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         logger.warning(
             "worker registration cannot be decoded",
             extra={"key": item.key, "error": str(error)},
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -67,7 +67,7 @@
 
     async def _poll_loop(self):
         while not self._is_closed:
-            answered = await self._poll_once()
+            answered = await self._poll_safely()
             if self._is_closed:
                 return
             if not answered:
@@ -75,6 +75,17 @@
             elif self.worker.stored_end < self.worker.seen_end:
                 await self._wait_until_stored()
 
+    async def _poll_safely(self):
+        """Polls; an error in applying an answer must not end all later polls."""
+        try:
+            return await self._poll_once()
+        except Exception:
+            logger.exception(
+                "answer of a worker not applied",
+                extra={"worker": self.worker.worker_id},
+            )
+            return False
+
     async def _wait_until_stored(self):
         self._stored.clear()
         if self.worker.stored_end >= self.worker.seen_end:
