Mend six faults of entries and managers that were noticed by reading

Cause: a page's body over the limit was served truncated; a peer that came back at another address was not linked; without a known live reader all managers read at once, whatever their jitter; leases that lapsed were miscounted; a reversed range of hosts gave none and no error; entries and managers logged to standard error without a bound.

Change: such a body is refused; links follow addresses; the last answers of silent readers count; a lease counts as lapsed by its time; the range is refused; every process logs through the bounded handler, on standard output, and stand-ins that print results on standard error.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -62,3 +62,21 @@
       | adds d   | deletes c| deletes c    |
       | edits a  | nothing  | nothing      |
       | deletes a| nothing  | nothing      |
+
+  Scenario Outline: a manager that does not rank first reads if <case>: <reads>
+    Then a manager that does not rank first reads if "<case>": <reads>
+
+    Examples: silent after 2 s, with a jitter of 0.5 s
+      | case                                 | reads |
+      | its reader answers                   | no    |
+      | its reader has been silent for 2.3 s | no    |
+      | its reader has been silent for 2.6 s | yes   |
+      | no reader was ever known             | yes   |
+
+  Scenario Outline: a manager whose peer moves from <old> to <new> links to <new>
+    Then a manager whose peer moves from "<old>" to "<new>" links to "<new>"
+
+    Examples:
+      | old       | new       |
+      | 127.0.0.2 | 127.0.0.2 |
+      | 127.0.0.2 | 127.0.0.3 |
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -52,3 +52,9 @@
       | DELETE | /fees/charges       | none             |
       | GET    | /clipsx             | none             |
       | GET    | /                   | none             |
+
+  Scenario: a range of hosts that ends before it begins is refused
+    Then the hosts "clips-[3-1]" are refused, naming "ends before it begins"
+
+  Scenario: a page request with a body over the limit is refused
+    Then a page request whose body exceeds the limit is answered as too long
--- a/sassafrasgrade/http_delegates.py
+++ b/sassafrasgrade/http_delegates.py
@@ -103,16 +103,18 @@
         if self._answer is not None or self._is_answered:
             return
         if self._size > self._entry.settings.entry_longest_body_bytes:
-            exchange, self._exchange = self._exchange, None
-            if exchange is not None:
-                answer = failure_answer(
-                    RunRecord(), Reason.BODY_TOO_LONG, exchange.request_id
-                )
-                self._entry.counters.count_answer(exchange.route, answer, 0.0)
-                self._respond(answer)
+            self._refuse_long_body()
             return
         self._chunks.append(chunk)
 
+    def _refuse_long_body(self):
+        exchange, self._exchange = self._exchange, None
+        request_id = exchange.request_id if exchange is not None else ""
+        answer = failure_answer(RunRecord(), Reason.BODY_TOO_LONG, request_id)
+        if exchange is not None:
+            self._entry.counters.count_answer(exchange.route, answer, 0.0)
+        self._respond(answer)
+
     def finish(self):
         """Starts the exchange or page; called when the whole request was read."""
         if self._is_answered:
--- a/sassafrasgrade/http_exchanges.py
+++ b/sassafrasgrade/http_exchanges.py
@@ -288,10 +288,11 @@
     async def _attempt(self, exchange, owner, grant, lapses_at):
         now = self._timers.now()
         in_time = now < lapses_at and now < exchange.deadline_at
+        if now >= lapses_at:
+            self._counters.count_lapsed_lease()
         if exchange.is_done or not in_time or not self._may_use(grant.host):
             self._return_grant(owner, grant)
             if not exchange.is_done:
-                self._counters.count_lapsed_lease()
                 self._request_slot(exchange)
             else:
                 self._end(exchange, None)
--- a/sassafrasgrade/logs.py
+++ b/sassafrasgrade/logs.py
@@ -1,14 +1,28 @@
-"""JSON logs, with lines only for changes of state; metrics cover the rest."""
+"""JSON logs, bounded, with lines only for changes of state; metrics cover the rest."""
 
 import logging
-import sys
 
 from pythonjsonlogger.json import JsonFormatter
 
+from sassafrasgrade.bounded_logs import BoundedHandler
 
-def configure_logs(level, host, program):
-    """Sends all log records of the process to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+STANDARD_OUTPUT = 1
+STANDARD_ERROR = 2
+# Limit of lines a second; far above what changes of state cause.
+LINES_PER_S = 500
+
+
+def configure_logs(level, host, program, descriptor=STANDARD_OUTPUT):
+    """Sends all log records of the process to a file descriptor as JSON lines.
+
+    Args:
+        level: Lowest level to log.
+        host: Name of the host, in every line.
+        program: Name of the program, in every line.
+        descriptor: Standard output, or standard error for programs that print
+            results.
+    """
+    handler = BoundedHandler(descriptor, LINES_PER_S, lambda count: None)
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
--- a/sassafrasgrade/manager_peers.py
+++ b/sassafrasgrade/manager_peers.py
@@ -123,7 +123,11 @@
 
     def update(self, hosts):
         """Opens and closes links to match the known entry hosts."""
-        self.peers_by_name = merge_peers(self._settings.manager_peers, hosts)
+        self.update_peers(merge_peers(self._settings.manager_peers, hosts))
+
+    def update_peers(self, peers_by_name):
+        """Opens and closes links to match the known managers."""
+        self.peers_by_name = peers_by_name
         chosen = {
             peer.name: peer
             for peer in choose_links(
@@ -132,8 +136,10 @@
                 self.peers_by_name,
             )
         }
-        for name in self._links_by_name.keys() - chosen.keys():
-            self._links_by_name.pop(name).close()
+        for name, link in list(self._links_by_name.items()):
+            # A replaced entry host may come back at another address.
+            if name not in chosen or chosen[name].address != link.address:
+                self._links_by_name.pop(name).close()
         for name in chosen.keys() - self._links_by_name.keys():
             self._links_by_name[name] = self._open(chosen[name])
 
--- a/sassafrasgrade/streams.py
+++ b/sassafrasgrade/streams.py
@@ -172,6 +172,11 @@
         self._stream = None
         self._closing = False
 
+    @property
+    def address(self):
+        """IP address of the peer."""
+        return self._address
+
     @property
     def is_open(self):
         """Whether the connection is up."""
--- a/sassafrasgrade/systems/platform_readers.py
+++ b/sassafrasgrade/systems/platform_readers.py
@@ -47,5 +47,7 @@
     ranked = rank_names([own_name, *(view.name for view in live)], "reader")
     if ranked[0] == own_name:
         return True
-    ages = [view.platform_age_s + view.heard_age_s for view in live if view.reading]
+    # Readers that are silent count, too: their last answers still become too old at
+    # the same time for all others, whose jitters then spread the second readers.
+    ages = [view.platform_age_s + view.heard_age_s for view in views if view.reading]
     return min(ages, default=NEVER_S) > silence_s + jitter_s
--- a/sassafrasgrade/table_readers.py
+++ b/sassafrasgrade/table_readers.py
@@ -58,6 +58,8 @@
             names.append(word)
             continue
         before, first, last, after = found.groups()
+        if int(last) < int(first):
+            raise ValueError(f"range {word} ends before it begins")
         if int(last) - int(first) > MAX_RANGE_SPAN:
             raise ValueError(f"range {word} is longer than {MAX_RANGE_SPAN} hosts")
         numbers = range(int(first), int(last) + 1)
--- a/sassafrasgrade/tools/standins/commands.py
+++ b/sassafrasgrade/tools/standins/commands.py
@@ -9,7 +9,7 @@
 import msgspec
 from tornado.ioloop import IOLoop
 
-from sassafrasgrade.logs import configure_logs
+from sassafrasgrade.logs import STANDARD_ERROR, configure_logs
 from sassafrasgrade.tables import Host
 from sassafrasgrade.tools.standins.backends import BackendsStandIn
 from sassafrasgrade.tools.standins.loads import LoadGenerator, LoadPlan
@@ -42,7 +42,7 @@
             port: TCP port.
             hosts: JSON file with the initial host list.
         """
-        configure_logs("INFO", "platform", "standin")
+        configure_logs("INFO", "platform", "standin", STANDARD_ERROR)
         stand_in = PlatformStandIn(address, port)
         if hosts:
             rows = msgspec.json.decode(Path(hosts).read_bytes(), type=list[Host])
@@ -58,7 +58,7 @@
             slots: Requests that each server serves at a time.
             service_ms: Default service time in milliseconds.
         """
-        configure_logs("INFO", data_centre or "backends", "standin")
+        configure_logs("INFO", data_centre or "backends", "standin", STANDARD_ERROR)
         rows = msgspec.json.decode(Path(hosts).read_bytes(), type=list[Host])
         chosen = [
             (host.name, host.address, host.port)
@@ -75,7 +75,7 @@
             control_address: IP address of the control interface.
             control_port: TCP port of the control interface.
         """
-        configure_logs("INFO", "proxy", "standin")
+        configure_logs("INFO", "proxy", "standin", STANDARD_ERROR)
         rows = json.loads(Path(lanes).read_text())
         _run_until_stopped(ProxyStandIn(rows, control_address, control_port))
 
@@ -86,7 +86,7 @@
             plan: JSON file with a ``LoadPlan``.
             result: File to write, or ``-`` for standard output.
         """
-        configure_logs("INFO", "load", "standin")
+        configure_logs("INFO", "load", "standin", STANDARD_ERROR)
         decoded = msgspec.json.decode(Path(plan).read_bytes(), type=LoadPlan)
         summary = IOLoop.current().run_sync(LoadGenerator(decoded).run)
         text = json.dumps(summary, indent=1)
