--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -315,3 +315,13 @@
 
   Scenario: a job whose data cannot be placed does not keep others from starting
     Then a job whose data cannot be placed does not keep others from starting
+
+  Scenario Outline: hosts idle for <idle> s, <seen> s after the first demand, go to standby: <go>
+    Then hosts idle for <idle> s, <seen> s after the first demand, go to standby: <go>
+
+    Examples:
+      | idle | seen | go  |
+      | 14   | 0.1  | no  |
+      | 14   | 1.0  | yes |
+      | 0.5  | 9.0  | no  |
+      | 1.0  | 9.0  | yes |
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -413,3 +413,16 @@
     commands = place_tasks(tables, POOL, LearnedDurations(), NOW, NOW_UNIX)
     kinds = sorted(type(command).__name__ for command in commands)
     assert kinds == ["LogEvent", "StartRun"], commands
+
+
+@then(
+    "hosts idle for {idle:g} s, {seen:g} s after the first demand, go to standby: {go}"
+)
+def check_first_demand(context, idle, seen, go):
+    tables, fleet = create_two_pools({POOL: 3, "pool-2": 3, STANDBY: 1})
+    for host in fleet.hosts_by_name.values():
+        host.idle_since = NOW - idle
+    add_large_job(tables, 1, 1)
+    tables.work_seen_at = NOW - seen
+    commands = plan_one_tick(tables, fleet)
+    assert bool(commands) == (go == "yes"), commands
--- a/sassafrasgrade/systems/pool_moves.py
+++ b/sassafrasgrade/systems/pool_moves.py
@@ -46,6 +46,7 @@
     if not standby or not tables.has_seen_work:
         # Before the first demand, hosts stay where the operators placed them.
         return []
+    tables.work_seen_at = tables.work_seen_at or now
     needs = measure_needs(tables, fleet, now)
     free = _free_by_pool(tables, fleet, now)
     source = _HostSupply(tables, free, needs, standby[0].name)
@@ -67,8 +68,7 @@
                 break
             if len(commands) >= max_orders:
                 break
-            is_idle = host.idle_since and now - host.idle_since >= STANDBY_AFTER_IDLE_S
-            if is_idle and host in need.hosts:
+            if _is_long_idle(tables, host, now) and host in need.hosts:
                 need.hosts.remove(host)
                 commands.append(
                     _move(tables, host, standby[0].name, settings, now, "idle")
@@ -76,6 +76,16 @@
     return commands
 
 
+def _is_long_idle(tables, host, now):
+    """Whether a host has had no run for long enough since the first demand.
+
+    Load pattern: the first peak begins when all hosts have been idle since the
+    start; those of its pool must not leave just then.
+    """
+    idle_since = max(host.idle_since, tables.work_seen_at)
+    return host.idle_since > 0 and now - idle_since >= STANDBY_AFTER_IDLE_S
+
+
 @dataclass(frozen=True, slots=True)
 class _HostSupply:
     """Hosts that can be moved to pools with too few."""
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -323,6 +323,7 @@
         ended_by_worker: ``EndedIncarnation`` by id of workers ended by host orders or
             replaced by a newer incarnation.
         has_seen_work: Whether any job that ends by itself was accepted.
+        work_seen_at: Clock when the planner first saw such work; 0 before.
     """
 
     epoch: int = 0
@@ -338,6 +339,7 @@
     tickets: TicketTable = field(default_factory=TicketTable)
     ended_by_worker: dict[str, "EndedIncarnation"] = field(default_factory=dict)
     has_seen_work: bool = False
+    work_seen_at: float = 0.0
 
     def adopt_configuration(self, configuration):
         """Applies a newer configuration; removed queues stay in the tables.
