Store progress in parallel batches; report ends by checkpoints

Cause, by reading: run ends were acknowledged to workers only when one commit covered all changed jobs. With a slow store (46 times 4 ms) one commit of 15 jobs after another carries 80 jobs a second; in a peak that never covers all, so that workers are polled each half second and list ever more ends.

Change: up to four full batches are written beside each other; ends that were known at a checkpoint are acknowledged once the changes of that moment are stored.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -325,3 +325,30 @@
       | 14   | 1.0  | yes |
       | 0.5  | 9.0  | no  |
       | 1.0  | 9.0  | yes |
+
+  Scenario Outline: of <jobs> changed jobs, <commits> commits are under way at once
+    Given <jobs> jobs have changed
+    Then <commits> commits are under way at once, of <sizes> jobs
+
+    Examples: up to four full batches beside each other
+      | jobs | commits | sizes          |
+      | 1    | 1       | 1              |
+      | 20   | 1       | 15             |
+      | 40   | 2       | 15, 15         |
+      | 100  | 4       | 15, 15, 15, 15 |
+
+  Scenario Outline: ends are reported once their effects are stored, while <change>
+    Given 2 jobs have changed
+    When they are stored, and meanwhile "<change>"
+    Then the ends reported as stored after each commit are "<reports>"
+
+    Examples:
+      | change                                    | reports |
+      | nothing comes                             | 1       |
+      | another end comes for a job being written | 1; 1,2  |
+      | another end comes for another job         | 1; 1,2  |
+
+  Scenario: ends of a first batch wait for the second
+    Given 20 jobs have changed
+    When they are stored, and meanwhile "nothing comes"
+    Then the ends reported as stored after each commit are "; 1"
--- a/sassafrasgrade/progress_writers.py
+++ b/sassafrasgrade/progress_writers.py
@@ -16,6 +16,9 @@
 # Jobs in one commit of at most 32 entries: each takes a condition and a write, and
 # one entry is the condition on the leader's key.
 MAX_JOBS_PER_COMMIT = 15
+# Concurrent commits: when the store is slow, a peak ends more jobs than one commit
+# after another can take.
+MAX_CONCURRENT_COMMITS = 4
 # Delay of a commit, which batches changes, in seconds: for ends of jobs, and for
 # all other changes.
 JOB_END_DELAY_S = 0.008
@@ -26,6 +29,33 @@
 RETRY_S = 0.15
 
 
+class EndsCheckpoint:
+    """Run ends that workers may forget once all changes known with them are stored.
+
+    Args:
+        tables: ``WorkTables``.
+    """
+
+    def __init__(self, tables):
+        self.ends_by_worker = {
+            worker.worker_id: worker.seen_end
+            for worker in tables.workers_by_id.values()
+        }
+        self._versions_by_job = {
+            job_id: tables.jobs_by_id[job_id].version for job_id in tables.dirty_job_ids
+        }
+
+    @property
+    def is_stored(self):
+        """Whether no change is left to be stored."""
+        return not self._versions_by_job
+
+    def record_stored(self, job_id, version):
+        """Records that a job's progress is stored up to a version."""
+        if version >= self._versions_by_job.get(job_id, version + 1):
+            del self._versions_by_job[job_id]
+
+
 class ProgressWriter:
     """Writes the progress of changed jobs in batches.
 
@@ -33,8 +63,8 @@
         store: ``StoreClient``.
         tables: ``WorkTables``.
         token: Fencing token; commits fail once another node is leader.
-        on_stored: Called after each commit that covered all changed jobs, with the
-            number of the last run end seen, by worker id.
+        on_stored: Called with the number of the last run end, by worker id, whose
+            effects are all stored.
         on_fenced: Called when another node is leader.
     """
 
@@ -45,7 +75,9 @@
         self._on_stored = on_stored
         self._on_fenced = on_fenced
         self._scheduled = None
-        self._is_writing = False
+        self._writing_ids = set()
+        self._commits = 0
+        self._checkpoint = None
         self._is_closed = False
 
     def renew(self, token):
@@ -58,7 +90,7 @@
 
     def schedule(self, ends_job):
         """Schedules a commit; sooner for the end of a job, which callers may await."""
-        if self._is_closed or self._is_writing:
+        if self._is_closed or self._commits >= MAX_CONCURRENT_COMMITS:
             return
         loop = IOLoop.current()
         due_at = loop.time() + (JOB_END_DELAY_S if ends_job else CHANGE_DELAY_S)
@@ -71,39 +103,62 @@
 
     def _start(self):
         self._scheduled = None
-        if not self._is_writing and not self._is_closed:
-            self._is_writing = True
-            IOLoop.current().add_callback(self._write)
+        while not self._is_closed and self._commits < MAX_CONCURRENT_COMMITS:
+            jobs = self._next_batch()
+            if not jobs:
+                return
+            self._commits += 1
+            IOLoop.current().add_callback(self._write, jobs)
 
     async def flush(self):
         """Writes changed jobs until the time is up; those left stay marked as dirty."""
         flush_until = IOLoop.current().time() + MAX_FLUSH_S
         while self._tables.dirty_job_ids and IOLoop.current().time() < flush_until:
-            if self._is_writing:
-                await gen.sleep(JOB_END_DELAY_S)
-            else:
-                self._is_writing = True
-                await self._write()
+            self._start()
+            await gen.sleep(JOB_END_DELAY_S)
 
-    async def _write(self):
+    def _next_batch(self):
+        """Returns jobs to write that no other commit is writing; ended ones first.
+
+        Beside another commit only a full batch is written: fewer jobs can wait for
+        its answer, and each commit is priced.
+        """
+        tables = self._tables
+        waiting = tables.dirty_job_ids - self._writing_ids
+        if self._commits and len(waiting) < MAX_JOBS_PER_COMMIT:
+            return []
+        if self._checkpoint is None:
+            self._checkpoint = EndsCheckpoint(tables)
+        job_ids = sorted(waiting, key=self._commit_order)[:MAX_JOBS_PER_COMMIT]
+        self._writing_ids.update(job_ids)
+        return [tables.jobs_by_id[job_id] for job_id in job_ids]
+
+    async def _write(self, jobs):
         try:
-            while self._tables.dirty_job_ids and not self._is_closed:
-                if not await self._write_once():
-                    await gen.sleep(RETRY_S)
+            is_stored = await self._commit(jobs)
+            if not is_stored and not self._is_closed:
+                await gen.sleep(RETRY_S)
         finally:
-            self._is_writing = False
+            self._commits -= 1
+            self._writing_ids.difference_update(job.job_id for job in jobs)
+        self._report_stored()
+        if self._tables.dirty_job_ids - self._writing_ids:
+            self._start()
+
+    def _report_stored(self):
+        """Reports ends whose effects are stored, and begins the next checkpoint."""
+        if self._is_closed or self._checkpoint is None:
+            return
+        stored = self._checkpoint
+        self._checkpoint = EndsCheckpoint(self._tables)
+        if self._checkpoint.is_stored:
+            stored, self._checkpoint = self._checkpoint, None
+        elif not stored.is_stored:
+            self._checkpoint = stored
+            return
+        self._on_stored(stored.ends_by_worker)
 
-    async def _write_once(self):
-        tables = self._tables
-        ends_by_worker = {
-            worker.worker_id: worker.seen_end
-            for worker in tables.workers_by_id.values()
-        }
-        job_ids = sorted(tables.dirty_job_ids, key=self._commit_order)[
-            :MAX_JOBS_PER_COMMIT
-        ]
-        covers_all = len(job_ids) == len(tables.dirty_job_ids)
-        jobs = [tables.jobs_by_id[job_id] for job_id in job_ids]
+    async def _commit(self, jobs):
         versions = [job.version for job in jobs]
         pending_states = [job.pending_state for job in jobs]
         puts = [
@@ -119,13 +174,11 @@
         if self._is_closed:
             return False
         if isinstance(result, Failure):
-            return self._handle_failure(result.failure(), jobs)
-        for job in jobs:
-            job.progress_revision = result.unwrap()
+            self._handle_failure(result.failure(), jobs)
+            return False
         for job, version, state in zip(jobs, versions, pending_states, strict=True):
+            job.progress_revision = result.unwrap()
             self._mark_stored(job, version, state)
-        if covers_all:
-            self._on_stored(ends_by_worker)
         return True
 
     def _commit_order(self, job_id):
@@ -137,23 +190,23 @@
             extra={"jobs": len(jobs), "error": error.kind, "detail": error.detail},
         )
         if isinstance(error, RevisionConflict):
-            self._handle_conflict(error.items)
-        return False
+            self._handle_conflict(error.items, jobs)
 
-    def _handle_conflict(self, items):
+    def _handle_conflict(self, items, jobs):
         """Adopts the revisions left by an earlier write without an answer."""
         revisions_by_key = {item.key: item.revision for item in items}
         revision = revisions_by_key.get(LEADER_KEY, 0)
         if revision > self._token:
             self._on_fenced()
             return
-        for job_id in self._tables.dirty_job_ids:
-            key = job_key(job_id, PROGRESS)
+        for job in jobs:
+            key = job_key(job.job_id, PROGRESS)
             if key in revisions_by_key:
-                job = self._tables.jobs_by_id[job_id]
                 job.progress_revision = revisions_by_key[key]
 
     def _mark_stored(self, job, version, state):
+        if self._checkpoint is not None:
+            self._checkpoint.record_stored(job.job_id, version)
         if job.version == version:
             job.is_dirty = False
             self._tables.dirty_job_ids.discard(job.job_id)
