--- a/sassafrasgrade/tools/soaks.py
+++ b/sassafrasgrade/tools/soaks.py
@@ -211,23 +211,28 @@
             return self._harness.node(leader)
         return self._rng.choice(self._harness.nodes)
 
-    def _restart(self, node):
-        if node.process.poll() is not None:
+    def _restart(self, node, process):
+        """Starts a node once its process has ended, unless another call did so."""
+        if node.process is not process:
+            return
+        if process.poll() is not None:
             node.start()
         else:
-            self._schedule(0.3, partial(self._restart, node))
+            self._schedule(0.3, partial(self._restart, node, process))
 
     def _kill(self):
         node = self._choose_node()
         if node.send_signal(signal.SIGKILL):
-            self._schedule(self._rng.uniform(0.2, 2.0), partial(self._restart, node))
+            self._schedule(
+                self._rng.uniform(0.2, 2.0), partial(self._restart, node, node.process)
+            )
 
     def _kill_many(self):
         nodes = self._harness.nodes
         count = self._many_rng.randint(2, len(nodes))
         for node in self._many_rng.sample(nodes, count):
             if node.send_signal(signal.SIGKILL):
-                self._schedule(0.3, partial(self._restart, node))
+                self._schedule(0.3, partial(self._restart, node, node.process))
 
     def _change_configuration_often(self):
         for number in range(BURST_VERSIONS):
@@ -243,7 +248,7 @@
     def _terminate(self):
         node = self._choose_node()
         if node.send_signal(signal.SIGTERM):
-            self._schedule(1.0, partial(self._restart, node))
+            self._schedule(1.0, partial(self._restart, node, node.process))
 
     def _disrupt_store_link(self):
         node = self._choose_node()
