--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -22,7 +22,7 @@
 
 from features.support.work_tables import NOW, create_tables
 from sassafrasgrade.client_requests import ClientRequest
-from sassafrasgrade.job_apis import _read_progress
+from sassafrasgrade.job_apis import read_progress
 from sassafrasgrade.job_records import PROGRESS, JobProgress, encode
 from sassafrasgrade.job_requests import read_job
 from sassafrasgrade.member_records import (
@@ -147,7 +147,7 @@
     "an epoch": (b"17", lambda data: decode_epoch(Item("k", data, 1))),
     "stored progress": (
         encode(JobProgress(WorkState.RUNNING, True, {"0.0": [1]}, {}, [])),
-        lambda data: _read_progress("a" * 16, {PROGRESS: data}),
+        lambda data: read_progress("a" * 16, {PROGRESS: data}),
     ),
     "a page of the store": (json(PAGE), lambda data: asyncio.run(call_store(data))),
     "an answer of a worker": (json(VIEW), lambda data: asyncio.run(call_worker(data))),
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -310,6 +310,21 @@
     return leadership
 
 
+async def await_leadership(store, leadership):
+    """Waits until the node has written the leader's key and leads."""
+    await asyncio.wait_for(store.leader_key_written.wait(), WAIT_TIMEOUT_S)
+    while not leadership.is_leader:
+        await asyncio.sleep(0)
+
+
+async def take_leadership(store, on_gain=lambda token, epoch, gone: None):
+    """Returns the ``Leadership`` of a node that has succeeded the leader."""
+    leadership = await create_leadership(store, FakeTimerService(), on_gain)
+    leadership.accept_handover(LEADER_REVISION)
+    await await_leadership(store, leadership)
+    return leadership
+
+
 @given("a node whose lease was renewed {ago:f} s ago and {state}")
 def set_lease(context, ago, state):
     context.lease_age_s, context.has_lapsed = ago, state == "has lapsed"
@@ -343,14 +358,10 @@
     context.gained = []
 
     async def lead_and_step_down():
-        store, timers = ScriptedStore(), FakeTimerService()
-        leadership = await create_leadership(
-            store, timers, lambda token, epoch, gone: context.gained.append(token)
+        store = ScriptedStore()
+        leadership = await take_leadership(
+            store, lambda token, epoch, gone: context.gained.append(token)
         )
-        leadership.accept_handover(LEADER_REVISION)
-        await asyncio.wait_for(store.leader_key_written.wait(), WAIT_TIMEOUT_S)
-        while not leadership.is_leader:
-            await asyncio.sleep(0)
         token = leadership.token
         record = leadership.leader
         leadership.step_down("handed over")
@@ -367,17 +378,11 @@
 @when("a node that became leader then steps down and no other takes its key")
 def step_down_alone(context):
     async def lead_and_step_down():
-        store, timers = ScriptedStore(), FakeTimerService()
-        leadership = await create_leadership(store, timers)
-        leadership.accept_handover(LEADER_REVISION)
-        await asyncio.wait_for(store.leader_key_written.wait(), WAIT_TIMEOUT_S)
-        while not leadership.is_leader:
-            await asyncio.sleep(0)
+        store = ScriptedStore()
+        leadership = await take_leadership(store)
         store.leader_key_written.clear()
         leadership.step_down("handed over")
-        await asyncio.wait_for(store.leader_key_written.wait(), WAIT_TIMEOUT_S)
-        while not leadership.is_leader:
-            await asyncio.sleep(0)
+        await await_leadership(store, leadership)
         leadership.close()
         return leadership.token
 
--- a/sassafrasgrade/job_apis.py
+++ b/sassafrasgrade/job_apis.py
@@ -209,7 +209,7 @@
         return Reply(200, {"pending": count})
 
 
-def _read_progress(job_id, parts):
+def read_progress(job_id, parts):
     """Returns a job's ``JobProgress``; None if it has none that can be read."""
     if PROGRESS not in parts:
         return None
@@ -227,7 +227,7 @@
     """Derives a job's state from its stored parts; empty if there is no job."""
     if REQUEST not in parts:
         return ""
-    progress = _read_progress(job_id, parts)
+    progress = read_progress(job_id, parts)
     if progress is not None:
         if progress.state in (WorkState.COMPLETED, WorkState.FAILED):
             return progress.state.value
