Count the stops of draining workers before a wave stops more of a step

By reading: the stops of tasks on a worker that drains (scale_in, 19.7 s) and those of waves are planned in one tick; waves did not see the former, whose runs still counted as at work.

Change: waves get the stops planned so far in the tick, and those of other waves.

Measured: the row 'one is on a draining worker' failed first (2 stops instead of 1); scheduling.feature passes.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -63,6 +63,7 @@
       | all are at work                  | 1     |
       | one is starting                  | 0     |
       | one is on an unresponsive worker | 0     |
+      | one is on a draining worker      | 1     |
       | one is waiting                   | 0     |
       | no other worker has room         | 0     |
 
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -262,6 +262,8 @@
         other.percent = 10
     elif case == "one is on an unresponsive worker":
         workers["worker-1"].unresponsive_since = NOW - 1
+    elif case == "one is on a draining worker":
+        workers["worker-1"].is_draining = True
     elif case == "one is waiting":
         workers["worker-1"].runs_by_key.clear()
         other.task.runs_by_number.clear()
--- a/sassafrasgrade/systems/host_planning.py
+++ b/sassafrasgrade/systems/host_planning.py
@@ -24,6 +24,6 @@
     record_idle_since(tables, fleet, now)
     clear_reservations(tables, fleet, now)
     commands = evacuate_draining(tables)
-    commands += plan_waves(tables, fleet, settings, now)
+    commands += plan_waves(tables, fleet, settings, now, tuple(commands))
     commands += plan_moves(tables, fleet, settings, now)
     return commands
--- a/sassafrasgrade/systems/maintenance_waves.py
+++ b/sassafrasgrade/systems/maintenance_waves.py
@@ -31,17 +31,26 @@
 MIN_STORE_INTERVAL_S = 1.0
 
 
-def plan_waves(tables, fleet, settings, now):
-    """Returns the commands of all waves in progress."""
+def plan_waves(tables, fleet, settings, now, planned=()):
+    """Returns the commands of all waves in progress.
+
+    Args:
+        tables: The tables.
+        fleet: Hosts and waves.
+        settings: ``NodeSettings``.
+        now: Current clock in seconds.
+        planned: Stops that were decided in the same tick, whose tasks are away.
+    """
     commands = []
     for number in sorted(fleet.waves_by_number):
         row = fleet.waves_by_number[number]
         if not row.is_reported:
-            commands += _plan_wave(tables, fleet, row, settings, now)
+            decided = [*planned, *(c for c in commands if isinstance(c, StopRun))]
+            commands += _plan_wave(tables, fleet, row, settings, now, decided)
     return commands
 
 
-def _plan_wave(tables, fleet, row: WaveRow, settings, now):
+def _plan_wave(tables, fleet, row: WaveRow, settings, now, planned):
     if not row.is_running_reported:
         return [ReportWave(row.wave.number, False)]
     for name in row.left:
@@ -66,7 +75,7 @@
             slots -= 1
     if slots > 0 and _is_past(row, IDLE_ONLY_FRACTION, now):
         stops_runs = _is_past(row, STOP_RUNS_FRACTION, now)
-        commands += _evacuate(tables, hosts, slots, now, stops_runs)
+        commands += _evacuate(tables, hosts, slots, now, stops_runs, planned)
     return commands
 
 
@@ -107,7 +116,7 @@
     return now - row.seen_at > row.wave.duration_s * fraction
 
 
-def _evacuate(tables, hosts, slots, now, stops_runs):
+def _evacuate(tables, hosts, slots, now, stops_runs, planned):
     """Empties hosts of a wave: they get no new runs, and perpetual tasks move.
 
     Load pattern: a few tasks run many times as long as declared, on the last hosts
@@ -123,7 +132,7 @@
             break
         reserved += 1
         worker.is_reserved = True
-        evacuate_worker(tables, worker, commands, now)
+        commands += _evacuate_worker(tables, worker, [*planned, *commands], now)
         if stops_runs:
             commands += _stop_finite_runs(worker)
     return commands
@@ -137,15 +146,17 @@
     ]
 
 
-def evacuate_worker(tables, worker, commands, now):
-    """Adds commands to stop a worker's perpetual tasks as their budgets allow."""
+def _evacuate_worker(tables, worker, planned, now):
+    """Returns commands to stop a worker's perpetual tasks as their budgets allow."""
+    commands = []
     for run in list(worker.runs_by_key.values()):
         if not run.task.step.is_perpetual or not is_at_work(tables, run, now):
             continue
-        if may_stop(tables, run.task, commands, now) and _has_room_elsewhere(
-            tables, worker, run.task, now
-        ):
+        if may_stop(
+            tables, run.task, [*planned, *commands], now
+        ) and _has_room_elsewhere(tables, worker, run.task, now):
             commands.append(StopRun(run, "host is to be maintained"))
+    return commands
 
 
 def _has_room_elsewhere(tables, worker, task, now):
@@ -164,7 +175,7 @@
     Args:
         tables: The tables.
         task: The task.
-        planned: Stops decided so far for the same wave.
+        planned: Stops decided so far in the same tick.
         now: Current clock in seconds.
     """
     stopped = {id(command.run.task) for command in planned}
