--- a/sassafrasgrade/systems/maintenance_waves.py
+++ b/sassafrasgrade/systems/maintenance_waves.py
@@ -149,12 +149,14 @@
 def _evacuate_worker(tables, worker, planned, now):
     """Returns commands to stop a worker's perpetual tasks as their budgets allow."""
     commands = []
+    planned_ids = {id(command.run) for command in planned}
     for run in list(worker.runs_by_key.values()):
         if not run.task.step.is_perpetual or not is_at_work(tables, run, now):
             continue
-        if may_stop(
-            tables, run.task, [*planned, *commands], now
-        ) and _has_room_elsewhere(tables, worker, run.task, now):
+        if id(run) in planned_ids:
+            continue
+        may_be_away = may_stop(tables, run.task, [*planned, *commands], now)
+        if may_be_away and _has_room_elsewhere(tables, worker, run.task, now):
             commands.append(StopRun(run, "host is to be maintained"))
     return commands
 
