Log rereads and announced versions; expose the configuration's version and age

A reread now logs both, a newer announced version is logged once, and the metrics show version, announced version, age of the last answers and the loop's lag (which includes up to a tenth of a period of jitter). No decision changes.

--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -204,14 +204,14 @@
 
     def apply_items(items):
         newest = max((item.revision for item in items), default=0)
-        context.adopted.append((store.now, newest))
+        context.adopted.append((store.now(), newest))
 
     follower = PrefixFollower(
-        store, "op/", apply_items, apply_items, may_skip_versions=True
+        store, store, "op/", apply_items, apply_items, may_skip_versions=True
     )
 
     async def follow():
-        while store.now < written_at[-1] + SLOW_LINK_CATCH_UP_S:
+        while store.now() < written_at[-1] + SLOW_LINK_CATCH_UP_S:
             await follower.follow_once()
 
     asyncio.run(follow())
--- a/features/support/slow_link_stores.py
+++ b/features/support/slow_link_stores.py
@@ -25,15 +25,19 @@
     """
 
     def __init__(self, link_mbps, value_kb, written_at):
-        self.now = 0.0
+        self._now = 0.0
         self._bytes_per_s = link_mbps * 1e6 / BITS_PER_BYTE
         self._value_bytes = value_kb * 1000
         self._written_at = written_at
         self.bytes_sent = 0
 
+    def now(self):
+        """Returns the simulated time in seconds, as a timer service does."""
+        return self._now
+
     async def read_range(self, prefix):
         """Returns the newest version."""
-        versions = self._versions_until(self.now + RESPONSE_DELAY_S)[-1:]
+        versions = self._versions_until(self._now + RESPONSE_DELAY_S)[-1:]
         if not self._transfer(len(versions), RANGE_TIMEOUT_S):
             return Failure(PlatformUnavailable("the read timed out", ""))
         items = tuple(Item(KEY, b"", version) for version in versions)
@@ -41,17 +45,17 @@
 
     async def watch(self, prefix, after_revision, wait_s):
         """Returns all versions after a revision; waits up to ``wait_s`` for one."""
-        wait_ends_at = self.now + wait_s
+        wait_ends_at = self._now + wait_s
         later_times = self._written_at[after_revision:]
         answer_at = min([*later_times[:1], wait_ends_at])
-        self.now = max(self.now + RESPONSE_DELAY_S, answer_at)
-        versions = self._versions_until(self.now)[after_revision:]
-        began_at = self.now
+        self._now = max(self._now + RESPONSE_DELAY_S, answer_at)
+        versions = self._versions_until(self._now)[after_revision:]
+        began_at = self._now
         if not self._transfer(len(versions), wait_ends_at + WATCH_MARGIN_S - began_at):
             return Failure(PlatformUnavailable("the watch timed out", ""))
         items = tuple(Item(KEY, b"", version) for version in versions)
         revision = max(versions, default=after_revision)
-        return Success(Changes(items, revision, self.now - began_at))
+        return Success(Changes(items, revision, self._now - began_at))
 
     def _versions_until(self, time_s):
         return [n for n, at in enumerate(self._written_at, 1) if at <= time_s]
@@ -60,6 +64,6 @@
         """Advances the clock by a transfer; returns whether it ended in time."""
         size = versions * self._value_bytes
         needed_s = size / self._bytes_per_s
-        self.now += min(needed_s, timeout_s)
+        self._now += min(needed_s, timeout_s)
         self.bytes_sent += size
         return needed_s <= timeout_s
--- a/sassafrasgrade/node_counters.py
+++ b/sassafrasgrade/node_counters.py
@@ -43,6 +43,9 @@
         self._dropped_lines = self._counter(
             "dropped_log_lines", "Log lines over the limit.", []
         )
+        self._loop_lag = self._histogram(
+            "loop_lag_seconds", "Delay of a periodic callback.", []
+        )
 
     def _counter(self, name, text, labels):
         return Counter(f"{PREFIX}_{name}", text, labels, registry=self._registry)
@@ -60,7 +63,8 @@
         key = (metric, labels)
         child = self._children_by_key.get(key)
         if child is None:
-            child = self._children_by_key[key] = metric.labels(*labels)
+            child = metric.labels(*labels) if labels else metric
+            self._children_by_key[key] = child
         return child
 
     def count_request(self, kind, status, seconds):
@@ -95,6 +99,21 @@
         """Counts log lines that were dropped."""
         self._dropped_lines.inc(count)
 
+    def observe_loop_lag(self, seconds):
+        """Records how late a periodic callback ran."""
+        self._child(self._loop_lag).observe(seconds)
+
+    def track(self, name, text, read):
+        """Exposes a value that is read whenever the metrics are collected.
+
+        Args:
+            name: Name of the gauge without the common prefix.
+            text: What it shows.
+            read: Function that returns the value.
+        """
+        gauge = Gauge(f"{PREFIX}_{name}", text, registry=self._registry)
+        gauge.set_function(read)
+
     def expose(self):
         """Returns all metrics in the Prometheus text format, as bytes."""
         return generate_latest(self._registry)
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -142,6 +142,7 @@
         self._leader_heartbeat_at = 0.0
         self._operator_keys = PrefixFollower(
             self.store,
+            timers,
             names.OPERATOR_PREFIX,
             self._apply_operator_items,
             self._apply_operator_items,
@@ -152,6 +153,32 @@
         self._waves_by_key = {}
         self._handover = None
         self._newer_version_seen_at = 0.0
+        self._announced_version = 0
+        self._next_heartbeat_at = 0.0
+        self._track_gauges()
+
+    def _track_gauges(self):
+        track = self.counters.track
+        track(
+            "configuration_version",
+            "Version of the configuration in force.",
+            self.configuration_version,
+        )
+        track(
+            "announced_configuration_version",
+            "Newest version that another node said it has.",
+            lambda: self._announced_version,
+        )
+        track(
+            "operator_answer_age_seconds",
+            "Time since the store last answered about the operator's keys.",
+            lambda: self.timers.now() - self._operator_keys.answered_at,
+        )
+        track(
+            "store_answer_age_seconds",
+            "Time since any answer of the store.",
+            self.store_answer_age_s,
+        )
 
     def start(self):
         """Starts the servers and all periodic tasks."""
@@ -355,6 +382,9 @@
         self.leadership.record_leader_death(incarnation)
 
     def _send_heartbeats(self, now):
+        if self._next_heartbeat_at:
+            self.counters.observe_loop_lag(max(0.0, now - self._next_heartbeat_at))
+        self._next_heartbeat_at = now + HEARTBEAT_PERIOD_S
         self._leader_monitor.check(now)
         if self._dispatcher is not None:
             reports = self._reports_by_stream.values()
@@ -391,6 +421,12 @@
             self._newer_version_seen_at = 0.0
             return
         now = self.timers.now()
+        if version > self._announced_version:
+            self._announced_version = version
+            logger.info(
+                "newer configuration announced",
+                extra={"version": version, "own_version": self.configuration_version()},
+            )
         self._newer_version_seen_at = self._newer_version_seen_at or now
         if now - self._newer_version_seen_at > REREAD_AFTER_S:
             self._newer_version_seen_at = now
--- a/sassafrasgrade/prefix_followers.py
+++ b/sassafrasgrade/prefix_followers.py
@@ -20,11 +20,17 @@
 SLOW_TRANSFER_S = 0.2
 
 
+def error_fields(error):
+    """Returns the fields of a typed error for a log line."""
+    return {"error": error.kind, "detail": error.detail}
+
+
 class PrefixFollower:
     """Reports the items under a prefix and their changes.
 
     Args:
         store: ``StoreClient``.
+        timers: Timer service.
         prefix: The prefix.
         on_range: Called with all items after each full read.
         on_items: Called with the items of a watch.
@@ -38,6 +44,7 @@
     def __init__(
         self,
         store,
+        timers,
         prefix,
         on_range,
         on_items,
@@ -46,6 +53,7 @@
         may_skip_versions=False,
     ):
         self._store = store
+        self._timers = timers
         self._prefix = prefix
         self._on_range = on_range
         self._on_items = on_items
@@ -58,6 +66,7 @@
         self._may_skip_versions = may_skip_versions
         self._reads_range = False
         self._newest_revision = 0
+        self.answered_at = timers.now()
 
     def start(self):
         """Starts following."""
@@ -74,13 +83,20 @@
             IOLoop.current().add_callback(self._reread)
 
     async def _reread(self):
+        extra = {"dependency": self._name, "revision": self._revision}
+        logger.info("reread started", extra=extra)
         try:
             found = await self._store.read_range(self._prefix)
         finally:
             self._is_rereading = False
-        if self._is_closed or isinstance(found, Failure):
+        if isinstance(found, Failure):
+            logger.warning("reread failed", extra=extra | error_fields(found.failure()))
             return
+        self.answered_at = self._timers.now()
         items, revision = found.unwrap()
+        logger.info("reread ended", extra=extra | {"read_revision": revision})
+        if self._is_closed:
+            return
         if self._revision is None or revision >= self._revision:
             self._revision = revision
             self._on_range(items)
@@ -120,6 +136,8 @@
                 self._revision = None
             elif self._may_skip_versions:
                 self._reads_range = True
+        else:
+            self.answered_at = self._timers.now()
         return found
 
     async def _read_newest(self, revision):
@@ -157,12 +175,8 @@
             self._is_lost = True
             logger.warning(
                 "dependency lost",
-                extra={
-                    "dependency": self._name,
-                    "error": error.kind,
-                    "detail": error.detail,
-                    "revision": self._revision,
-                },
+                extra={"dependency": self._name, "revision": self._revision}
+                | error_fields(error),
             )
 
     def _log_regained(self):
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -73,6 +73,7 @@
         self._blocked_pools = None
         self._workers = PrefixFollower(
             services.store,
+            services.timers,
             names.WORKERS_PREFIX,
             self._apply_all_workers,
             self._apply_worker_changes,
@@ -80,6 +81,7 @@
         )
         self._jobs = PrefixFollower(
             services.store,
+            services.timers,
             JOBS_PREFIX,
             self._apply_all_jobs,
             self._apply_job_changes,
