--- a/sassafrasgrade/tools/standins/fleets.py
+++ b/sassafrasgrade/tools/standins/fleets.py
@@ -59,6 +59,19 @@
     raise OSError(f"fewer than {count} TCP ports are free below {LAST_PORT}")
 
 
+def _queue(number, prefix):
+    return {
+        "name": f"queue-{number}",
+        "host": QUEUE_HOST,
+        "prefix": prefix,
+        "service": POOL,
+        "timeoutMs": 3000,
+        "targetDurationMs": 600,
+        "maxAttempts": 4,
+        "stretch": 1.6,
+    }
+
+
 class NodeProcess:
     """A node: its settings, its proxy lane to the store and its process."""
 
@@ -194,23 +207,15 @@
             self.fleet.add_host(f"host-{number}", STANDBY, is_standby=True)
         self._put_configuration()
 
-    def _put_configuration(self):
+    def _put_configuration(self, more_prefixes=()):
         self.version += 1
-        queue = {
-            "name": "queue-1",
-            "host": QUEUE_HOST,
-            "prefix": QUEUE_PREFIX,
-            "service": POOL,
-            "timeoutMs": 3000,
-            "targetDurationMs": 600,
-            "maxAttempts": 4,
-            "stretch": 1.6,
-        }
+        prefixes = [QUEUE_PREFIX, *more_prefixes]
+        queues = [_queue(n, prefix) for n, prefix in enumerate(prefixes, 1)]
         pools = [
             {"name": POOL, "enforcesCapacity": True},
             {"name": STANDBY, "enforcesCapacity": True, "standby": True},
         ]
-        value = {"version": self.version, "routes": [queue], "services": pools}
+        value = {"version": self.version, "routes": queues, "services": pools}
         self._put(names.CONFIGURATION_KEY, value)
 
     def _put(self, key, value):
@@ -218,9 +223,13 @@
         self.store.state.commit([], [{"key": key, "value": text}], [])
         self.store.notify()
 
-    def change_configuration(self):
-        """Writes the next version of the configuration."""
-        self.call(self._put_configuration)
+    def change_configuration(self, more_prefixes=()):
+        """Writes the next version of the configuration.
+
+        Args:
+            more_prefixes: Prefixes of queues beside the usual one.
+        """
+        self.call(self._put_configuration, more_prefixes)
 
     def order_wave(self, number, hosts, cap=1, duration_s=20):
         """Writes a wave: an order to maintain hosts, at most ``cap`` at a time."""
--- a/sassafrasgrade/tools/standins/proxies.py
+++ b/sassafrasgrade/tools/standins/proxies.py
@@ -23,6 +23,8 @@
         hold_backward: Whether bytes to the client are held back.
         reset_after_bytes: Answer bytes after which a connection is closed; 0 for never.
         drop_answers: Number of connections still to close when answer bytes arrive.
+        bytes_per_s: Bandwidth to the client, shared by all connections of the lane; 0
+            for no limit.
     """
 
     delay_s: float = 0.0
@@ -31,6 +33,7 @@
     hold_backward: bool = False
     reset_after_bytes: int = 0
     drop_answers: int = 0
+    bytes_per_s: float = 0.0
 
 
 class Lane(TCPServer):
@@ -42,6 +45,7 @@
         self._target = (target_address, target_port)
         self._open_streams = set()
         self._faults_changed = asyncio.Event()
+        self._link = asyncio.Lock()
 
     def set_faults(self, faults):
         """Replaces the faults; a cut closes the open connections."""
@@ -82,6 +86,9 @@
                     await asyncio.sleep(self.faults.delay_s)
                 while self._is_held(forward):
                     await self._faults_changed.wait()
+                if not forward and self.faults.bytes_per_s:
+                    async with self._link:
+                        await asyncio.sleep(len(data) / self.faults.bytes_per_s)
                 if not forward and self.faults.drop_answers > 0:
                     self.faults.drop_answers -= 1
                     break
