Use a configuration only while it is surely the newest; else ask the leader or refuse

A transfer of 1.9 s that begins just before the next version is 3.8 s behind at its end, whatever its limits.

The follower now knows as of when its items were the newest: the start of a range read, the end of an empty watch, the first byte of one with changes. A request is routed by the own configuration only until the time in which the next one has to be in force has passed since then; after that the leader is asked, which answers under the same condition, and without an answer the request gets 503 with Retry-After and a log line with versions and age. A host that no store answers goes on with queues it knows. A version used once is never gone back behind. The time comes from the settings (apply_ms). This also covers a watch that fell silent.

--- a/features/thin_links.feature
+++ b/features/thin_links.feature
@@ -13,7 +13,6 @@
       | 5    | 1134 | 2        | 3.5  |
       | 5    | 390  | 12       | 0.33 |
 
-    @known_red
     Examples: faster than the link can carry them
       | mbps | kb   | versions | gap  |
       | 5    | 1134 | 12       | 0.33 |
--- a/sassafrasgrade/errors.py
+++ b/sassafrasgrade/errors.py
@@ -109,6 +109,13 @@
     kind: ClassVar[str] = "configuration-damaged"
 
 
+@dataclass(frozen=True)
+class ConfigurationOutdated(SassafrasgradeError):
+    """The configuration in force was not confirmed for too long."""
+
+    kind: ClassVar[str] = "configuration-outdated"
+
+
 @dataclass(frozen=True)
 class ConfigurationOlder(SassafrasgradeError):
     """The platform has an older generation than the one in force in the fleet."""
--- a/sassafrasgrade/job_apis.py
+++ b/sassafrasgrade/job_apis.py
@@ -74,36 +74,38 @@
         Returns:
             ``Reply``.
         """
-        router = self._node.router
-        if router is None:
+        if self._node.router is None:
             return Reply(503, {"error": "no configuration yet"}, STORE_RETRY_AFTER_S)
-        queue = router.find(host, path)
-        if queue is None:
+        found = await self._node.routes.find(host, path)
+        if isinstance(found, Failure):
+            return Reply(503, {"error": str(found.failure())}, STORE_RETRY_AFTER_S)
+        route = found.unwrap()
+        if not route.queue_name:
             return Reply(404, {"error": "no such queue"})
-        job_id = path[len(queue.prefix) :]
+        job_id = path[len(route.prefix) :]
         remaining_s = min(deadline_s or DEFAULT_DEADLINE_S, MAX_DEADLINE_S)
         remaining_s -= ANSWER_MARGIN_S
         deadline_at = self._node.timers.now() + max(0.05, remaining_s)
         if not job_id:
-            return self._count_waiting(queue, method)
+            return self._count_waiting(route, method)
         if not JOB_ID_PATTERN.match(job_id):
             return Reply(404, {"error": "job ids have 16 hexadecimal digits"})
         if method == "POST":
-            return await self._submit(queue, job_id, body, deadline_at)
+            return await self._submit(route, job_id, body, deadline_at)
         if method == "GET":
             return await self._show_state(job_id, deadline_at)
         if method == "DELETE":
             return await self._cancel(job_id, deadline_at)
         return Reply(405, {"error": "use POST, GET or DELETE"})
 
-    async def _submit(self, queue, job_id, body, deadline_at):
+    async def _submit(self, route, job_id, body, deadline_at):
         request = read_job(body)
         if isinstance(request, Failure):
             return Reply(400, {"error": str(request.failure())})
         if self._node.is_store_lost():
-            return self._refuse_without_store(queue, job_id)
+            return self._refuse_without_store(route, job_id)
         accepted_at = self._node.timers.wall_time()
-        record = encode(SubmittedJob(queue.name, accepted_at, request.unwrap()))
+        record = encode(SubmittedJob(route.queue_name, accepted_at, request.unwrap()))
         key = job_key(job_id, REQUEST)
         began = self._node.timers.now()
         outcome = await self._node.batcher.create(key, record, deadline_at)
@@ -120,8 +122,9 @@
             "job submission answered",
             extra={
                 "job": job_id,
-                "queue": queue.name,
-                "version": self._node.configuration.version,
+                "queue": route.queue_name,
+                "version": route.version,
+                "route_source": route.source,
                 "outcome": outcome.value,
                 "status": reply.status,
                 "ms": round((self._node.timers.now() - began) * MS_PER_S),
@@ -129,13 +132,13 @@
         )
         return reply
 
-    def _refuse_without_store(self, queue, job_id):
+    def _refuse_without_store(self, route, job_id):
         """Refuses a job at once because the store does not answer this node."""
         logger.info(
             "job refused",
             extra={
                 "job": job_id,
-                "queue": queue.name,
+                "queue": route.queue_name,
                 "reason": "store silent",
                 "silent_s": round(self._node.store_answer_age_s(), 2),
                 "status": 503,
@@ -198,10 +201,10 @@
                 return None
             await self._node.pause_before_retry()
 
-    def _count_waiting(self, queue, method):
+    def _count_waiting(self, route, method):
         if method != "GET":
             return Reply(405, {"error": "use GET"})
-        count, age_s = self._node.count_waiting(queue.name)
+        count, age_s = self._node.count_waiting(route.queue_name)
         if age_s > MAX_COUNT_AGE_S:
             return Reply(
                 503, {"error": "counts are not known yet"}, STORE_RETRY_AFTER_S
--- a/sassafrasgrade/node_counters.py
+++ b/sassafrasgrade/node_counters.py
@@ -27,6 +27,9 @@
         self._store_seconds = self._histogram(
             "store_call_seconds", "Duration of calls to the store.", ["kind"]
         )
+        self._route_lookups = self._counter(
+            "route_lookups", "Lookups of requests' routes by source.", ["source"]
+        )
         self._starts = self._counter(
             "starts", "Starts of runs by outcome.", ["outcome"]
         )
@@ -77,6 +80,10 @@
         self._child(self._store_calls, kind, outcome).inc()
         self._child(self._store_seconds, kind).observe(seconds or 0.0)
 
+    def count_route_lookup(self, source):
+        """Counts a lookup by who answered it."""
+        self._child(self._route_lookups, source).inc()
+
     def count_start(self, outcome):
         """Counts a start of a run."""
         self._child(self._starts, outcome).inc()
--- a/sassafrasgrade/node_links.py
+++ b/sassafrasgrade/node_links.py
@@ -12,15 +12,15 @@
     NodeBeat,
     NodeHello,
     NodeMessage,
-    StateQuestion,
+    RouteReply,
     StateReply,
 )
 from sassafrasgrade.streams import Link, MessageServer
 
 logger = logging.getLogger(__name__)
 
-# Timeout of a question to the leader about a job's state, in seconds.
-STATE_QUESTION_TIMEOUT_S = 0.3
+# Timeout of a question to the leader about a job or a route, in seconds.
+QUESTION_TIMEOUT_S = 0.3
 # Timeout of a question to another node about the leader, in seconds.
 SILENCE_QUESTION_TIMEOUT_S = 0.4
 # Time without a message from the leader after which the stream is reopened, in
@@ -59,7 +59,7 @@
         return now - self._last_message_at
 
     def close(self):
-        """Closes the stream; pending questions get an empty answer."""
+        """Closes the stream; pending questions get no answer."""
         self._link.close()
         self._fail_questions()
 
@@ -67,18 +67,20 @@
         """Sends a message if the stream is open; returns whether it was."""
         return self._link.send(message)
 
-    async def ask_state(self, job_id):
-        """Asks for a job's state; empty if the leader does not know it."""
+    async def ask(self, create_question):
+        """Asks the leader; returns its reply, or None without one.
+
+        Args:
+            create_question: Function that returns the message for a number.
+        """
         self._next_number += 1
         number = self._next_number
-        if not self._is_leader_confirmed or not self.send(
-            StateQuestion(number, job_id)
-        ):
-            return ""
+        if not self._is_leader_confirmed or not self.send(create_question(number)):
+            return None
         future = Future()
         self._questions_by_number[number] = future
         timeout = IOLoop.current().call_later(
-            STATE_QUESTION_TIMEOUT_S, self._resolve, number, ""
+            QUESTION_TIMEOUT_S, self._resolve, number, None
         )
         try:
             return await future
@@ -107,8 +109,8 @@
             self._is_leader_confirmed = message.incarnation == self.leader.incarnation
             if not self._is_leader_confirmed:
                 self._node.record_leader_death(self.leader.incarnation)
-        elif isinstance(message, StateReply):
-            self._resolve(message.number, message.state)
+        elif isinstance(message, StateReply | RouteReply):
+            self._resolve(message.number, message)
         else:
             self._node.handle_leader_message(message)
 
@@ -118,12 +120,12 @@
 
     def _fail_questions(self):
         for number in list(self._questions_by_number):
-            self._resolve(number, "")
+            self._resolve(number, None)
 
-    def _resolve(self, number, state):
+    def _resolve(self, number, reply):
         future = self._questions_by_number.pop(number, None)
         if future is not None and not future.done():
-            future.set_result(state)
+            future.set_result(reply)
 
 
 async def ask_leader_silence(address, incarnation):
--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -44,6 +44,31 @@
     state: str
 
 
+class RouteQuestion(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Asks the leader for the queue of a request, by host and path."""
+
+    number: int
+    host: str
+    path: str
+
+
+class RouteReply(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Answers a ``RouteQuestion``.
+
+    Attributes:
+        number: Number of the question.
+        version: Version of the configuration that decided; 0 if the leader's own may
+            be outdated.
+        queue_name: Name of the queue; empty if no queue matches.
+        prefix: Prefix of the queue.
+    """
+
+    number: int
+    version: int
+    queue_name: str
+    prefix: str
+
+
 class LeaderBeat(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Heartbeat of the leader, sent to all nodes several times a second.
 
@@ -124,6 +149,8 @@
     | JobCancelled
     | StateQuestion
     | StateReply
+    | RouteQuestion
+    | RouteReply
     | LeaderBeat
     | NodeBeat
     | HandOver
--- a/sassafrasgrade/node_settings.py
+++ b/sassafrasgrade/node_settings.py
@@ -29,6 +29,7 @@
     "CLOUD_ORDERS_PER_S": 64.0,
     "ADVICE_ADDRESS": "",
     # Limits and durations set by the platform and its users, in their units.
+    "BOUNDS_APPLY_MS": 2000.0,
     "BOUNDS_DRAIN_MS": 2000.0,
     "BOUNDS_GRACE_S": 6.0,
     "BOUNDS_HOLD_MOST_MS": 6000.0,
@@ -60,6 +61,7 @@
         node_core_speed: Speed of these cores relative to a reference core.
         node_link_mbps: Bandwidth of the host's link; 0 if unknown.
         cloud_orders_per_s: Host orders that the platform accepts from all nodes.
+        bounds_apply_ms: Time in which an accepted configuration has to be in force.
         bounds_drain_ms: How long a draining worker still accepts starts.
         bounds_grace_s: Time from SIGTERM to SIGKILL.
         bounds_hold_most_ms: Longest lease of a run on a worker.
@@ -90,6 +92,7 @@
     cloud_address: OptionalAddress
     cloud_orders_per_s: Annotated[float, msgspec.Meta(gt=0, le=100_000)]
     advice_address: OptionalAddress
+    bounds_apply_ms: Annotated[float, msgspec.Meta(ge=500, le=3_600_000)]
     bounds_drain_ms: Milliseconds
     bounds_grace_s: Seconds
     bounds_hold_most_ms: Annotated[float, msgspec.Meta(ge=1000, le=3_600_000)]
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -39,6 +39,7 @@
     JobCancelled,
     LeaderBeat,
     NodeBeat,
+    RouteQuestion,
     StateQuestion,
     StateReply,
 )
@@ -50,6 +51,7 @@
 from sassafrasgrade.platform.stores import StoreClient
 from sassafrasgrade.prefix_followers import PrefixFollower
 from sassafrasgrade.queue_routers import QueueRouter
+from sassafrasgrade.route_lookups import RouteLookup
 from sassafrasgrade.settings import exit_if_invalid
 from sassafrasgrade.store_batches import StoreBatcher
 from sassafrasgrade.timers import SuspendAwareTimerService
@@ -119,6 +121,7 @@
         self.job_api = JobApi(self)
         self.configuration = None
         self.router = None
+        self.routes = RouteLookup(self)
         self.requests_under_way = 0
         self.last_request_at = 0.0
         self.is_stopping = False
@@ -170,9 +173,9 @@
             lambda: self._announced_version,
         )
         track(
-            "operator_answer_age_seconds",
-            "Time since the store last answered about the operator's keys.",
-            lambda: self.timers.now() - self._operator_keys.answered_at,
+            "configuration_age_seconds",
+            "Time since the configuration was known to be the newest.",
+            self.configuration_age_s,
         )
         track(
             "store_answer_age_seconds",
@@ -267,9 +270,18 @@
         """Returns a job's state from the leader; empty if it is unknown there."""
         if self._dispatcher is not None:
             return self._dispatcher.state_of(job_id)
-        if self.link is not None:
-            return await self.link.ask_state(job_id)
-        return ""
+        reply = await self.ask_leader(lambda number: StateQuestion(number, job_id))
+        return reply.state if reply is not None else ""
+
+    async def ask_leader(self, create_question):
+        """Returns the leader's reply to a question; None without one.
+
+        Args:
+            create_question: Function that returns the message for a number.
+        """
+        if self.link is None:
+            return None
+        return await self.link.ask(create_question)
 
     def count_waiting(self, queue_name):
         """Returns a queue's number of waiting jobs and the number's age in seconds."""
@@ -288,6 +300,10 @@
         """Returns the version of the configuration in force; 0 for none."""
         return self.configuration.version if self.configuration is not None else 0
 
+    def configuration_age_s(self):
+        """Returns the seconds since the configuration was known to be the newest."""
+        return self.timers.now() - self._operator_keys.confirmed_at
+
     def store_answer_age_s(self):
         """Returns the seconds since the store last answered."""
         return self.leadership.store_answer_age_s()
@@ -460,6 +476,11 @@
             state = self._dispatcher.state_of(message.job_id)
         stream.send(StateReply(message.number, state))
 
+    @handle_node_message.register
+    def _(self, message: RouteQuestion, stream):
+        if self.router is not None:
+            stream.send(self.routes.answer(message))
+
     @handle_node_message.register
     def _(self, message: HandOverRequest, stream):
         if self._dispatcher is None or message.revision != self.leadership.token:
--- a/sassafrasgrade/prefix_followers.py
+++ b/sassafrasgrade/prefix_followers.py
@@ -8,6 +8,7 @@
 from tornado.ioloop import IOLoop
 
 from sassafrasgrade.errors import HistoryCompacted
+from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.watchers import Backoff
 
 logger = logging.getLogger(__name__)
@@ -16,6 +17,8 @@
 # not trusted. With its margin it stays below the time in which a configuration
 # has to be in force everywhere.
 WATCH_WAIT_S = 1.3
+# Longest way of an answer from the store, in seconds, while it answers at all.
+MAX_ANSWER_DELAY_S = 0.25
 # Time after the last byte of an answer during which it counts as arriving, in
 # seconds: a second transfer over the same link would delay both.
 ARRIVING_S = 0.6
@@ -32,6 +35,10 @@
 class PrefixFollower:
     """Reports the items under a prefix and their changes.
 
+    Attributes:
+        confirmed_at: Time as of which the items reported last were the newest, in the
+            timer service's seconds.
+
     Args:
         store: ``StoreClient``.
         timers: Timer service.
@@ -71,7 +78,7 @@
         self._is_outdated = is_outdated
         self._reads_range = False
         self._newest_revision = 0
-        self.answered_at = timers.now()
+        self.confirmed_at = float("-inf")
         self._progress_at = float("-inf")
         self._range_read = None
 
@@ -97,11 +104,13 @@
         self._progress_at = self._timers.now()
 
     async def _read_range(self):
-        """Reads the range, or waits for the read of it that is under way."""
+        """Reads the range, or waits for the read of it that is under way.
+
+        Returns:
+            The store's ``Result`` and when the read began.
+        """
         if self._range_read is None:
-            self._range_read = asyncio.ensure_future(
-                self._store.read_range(self._prefix, self._record_progress)
-            )
+            self._range_read = asyncio.ensure_future(self._begin_range_read())
         reading = self._range_read
         try:
             return await reading
@@ -109,24 +118,35 @@
             if self._range_read is reading:
                 self._range_read = None
 
+    async def _begin_range_read(self):
+        began_at = self._timers.now()
+        found = await self._store.read_range(self._prefix, self._record_progress)
+        return found, began_at
+
+    def _apply_range(self, items, revision, began_at):
+        self._revision = revision
+        self._on_range(items)
+        self._confirm(began_at)
+
+    def _confirm(self, known_at):
+        self.confirmed_at = max(self.confirmed_at, known_at)
+
     async def _reread(self):
         extra = {"dependency": self._name, "revision": self._revision}
         logger.info("reread started", extra=extra)
         try:
-            found = await self._read_range()
+            found, began_at = await self._read_range()
         finally:
             self._is_rereading = False
         if isinstance(found, Failure):
             logger.warning("reread failed", extra=extra | error_fields(found.failure()))
             return
-        self.answered_at = self._timers.now()
         items, revision = found.unwrap()
         logger.info("reread ended", extra=extra | {"read_revision": revision})
         if self._is_closed:
             return
         if self._revision is None or revision >= self._revision:
-            self._revision = revision
-            self._on_range(items)
+            self._apply_range(items, revision, began_at)
 
     async def _run(self):
         backoff = Backoff(0.05, 0.5)
@@ -163,25 +183,24 @@
                 self._revision = None
             elif self._is_outdated is not None:
                 self._reads_range = True
-        else:
-            self.answered_at = self._timers.now()
         return found
 
     async def _read_newest(self, revision):
-        found = await self._read_range()
+        found, began_at = await self._read_range()
         if isinstance(found, Failure) or self._is_overtaken(revision):
             return found
-        items, self._revision = found.unwrap()
+        items, read_revision = found.unwrap()
         newest = max((item.revision for item in items), default=0)
         is_new = newest > self._newest_revision
         self._newest_revision = newest
-        self._on_range(items)
+        self._apply_range(items, read_revision, began_at)
         # Unless more is known to exist, go back to watching: a waiting watch costs
         # nothing, and starts to transfer as soon as there is more.
         self._reads_range = self._reads_range and is_new and self._is_outdated()
         return found
 
     async def _watch(self, revision):
+        began_at = self._timers.now()
         found = await self._store.watch(
             self._prefix, revision, WATCH_WAIT_S, self._record_progress
         )
@@ -196,8 +215,17 @@
             self._reads_range = bool(
                 is_slow and self._is_outdated is not None and self._is_outdated()
             )
+        self._confirm(self._watched_until(began_at, changes))
         return found
 
+    def _watched_until(self, began_at, changes):
+        """Returns the time until which a watch would have reported a change."""
+        now = self._timers.now()
+        waited_until = began_at + WATCH_WAIT_S / CLOCK_DRIFT
+        if not changes.items:
+            return waited_until if now >= waited_until else began_at
+        return max(began_at, now - changes.transfer_s - MAX_ANSWER_DELAY_S)
+
     def _is_overtaken(self, revision):
         """Whether the range was read meanwhile, or the follower was closed."""
         return self._is_closed or self._revision != revision
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -27,9 +27,9 @@
     runs_to_hand_over,
     unreported_workers,
 )
+from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_tables import MS_PER_S, UNTIL_BARRIER_LIFTED
 from sassafrasgrade.worker_registrations import apply_item, apply_range
-from sassafrasgrade.worker_sessions import CLOCK_DRIFT
 
 logger = logging.getLogger(__name__)
 
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -12,6 +12,7 @@
     WorkerClient,
 )
 from sassafrasgrade.systems.task_placement import START_VALID_MS
+from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_tables import MS_PER_S, RunState
 from sassafrasgrade.worker_orders import StartOrder
 
@@ -28,8 +29,6 @@
 MAX_CONCURRENT_ORDERS = 2
 # Maximum time that the next long poll waits for ends to be stored, in seconds.
 MAX_STORE_WAIT_S = 0.5
-# Factor by which a worker's clock may run slow (published protocol).
-CLOCK_DRIFT = 1.02
 
 
 class WorkerSession:
