Reproduce BUDGET: a task that crashes its workers is started without end

Callers' work on each crashed worker is lost, and the job is never ended. The stand-in workers get such tasks.

--- a/sassafrasgrade/tools/standins/fleet_handlers.py
+++ b/sassafrasgrade/tools/standins/fleet_handlers.py
@@ -6,6 +6,7 @@
 
 from tornado import gen
 from tornado.httpserver import HTTPServer
+from tornado.ioloop import IOLoop
 from tornado.web import Application, RequestHandler
 
 from sassafrasgrade.platform import names
@@ -14,6 +15,9 @@
 TICK_PERIOD_S = 0.02
 HEARTBEAT_PERIOD_S = 0.5
 MOVE_DURATION_S = 0.4
+# Time from the start of a crashing task to the crash, and until the worker is back.
+CRASH_DELAY_S = 0.01
+CRASH_DURATION_S = 1.0
 CAPACITY_CPU_MILLIS = 16_000
 CAPACITY_MEMORY_MB = 65_536
 
@@ -34,6 +38,7 @@
     def __init__(self, fleet, host_name, pool, port):
         self.fleet = fleet
         self.host_name = host_name
+        self.port = port
         self.address = f"{fleet.address}:{port}"
         worker_id = f"i-{host_name}-{fleet.next_incarnation()}"
         self.state = WorkerState(
@@ -67,6 +72,11 @@
         self._server.stop()
         self.is_dark = True
 
+    def crash(self, now):
+        """Ends this incarnation as a crash does: its connections are closed."""
+        self.close(now)
+        IOLoop.current().add_callback(self._server.close_all_connections)
+
     def registration_value(self):
         """Returns its registration as the store holds it: JSON in base64."""
         value = {
@@ -123,8 +133,8 @@
         if not is_standby:
             self._start_worker(host_name, pool)
 
-    def _start_worker(self, host_name, pool):
-        worker = StandInWorker(self, host_name, pool, next(self._ports))
+    def _start_worker(self, host_name, pool, port=None):
+        worker = StandInWorker(self, host_name, pool, port or next(self._ports))
         self.workers_by_host[host_name] = worker
         self.register(worker)
 
@@ -145,6 +155,20 @@
             self.store.state.commit([], [], [key])
             self.store.notify()
 
+    async def crash_and_return(self, worker):
+        """Crashes a worker; a new incarnation answers at its address later."""
+        await gen.sleep(CRASH_DELAY_S)
+        if self.workers_by_host.get(worker.host_name) is not worker:
+            return
+        self.workers_by_host.pop(worker.host_name)
+        worker.crash(self.timers.now())
+        await gen.sleep(CRASH_DURATION_S)
+        key = names.WORKERS_PREFIX + worker.worker_id
+        self.store.state.commit([], [], [key])
+        if worker.host_name not in self.workers_by_host:
+            pool = self.pools_by_host[worker.host_name]
+            self._start_worker(worker.host_name, pool, worker.port)
+
     async def execute_order(self, host_name, pool, kind, is_standby):
         """Moves or maintains a host, and starts a new worker unless it is on standby.
 
@@ -202,7 +226,12 @@
 
     def post(self):
         """Answers 200 if the run is started, 409 with a reason if not."""
-        self.answer(self.worker.state.start(self.body(), self.now()))
+        body = self.body()
+        result = self.worker.state.start(body, self.now())
+        self.answer(result)
+        if result[0] == 200 and json.loads(body["spec"]).get("crashes"):
+            fleet = self.worker.fleet
+            IOLoop.current().add_callback(fleet.crash_and_return, self.worker)
 
 
 class StopHandler(WorkerHandler):
