Isolate tasks that may crash their workers, and give up those that do

Cause: a worker that was replaced by another incarnation freed its tasks without any trace of why it ended, and a task that allows copies was copied as soon as its worker fell silent.

A crash is now recorded under the tasks that had started on the worker up to 5 s before its last answer: when another incarnation answers at its address, reports a later start under its id, or registers on its host, also after its runs lapsed. A worker that drains, or whose host was ordered, has not crashed, nor counts a run whose stop it confirmed or whose start was never sent. Tasks that had just started, or crashed twice, start again on a worker of their own, as do copies of runs on a silent worker; after 2 s of waiting they share the one with the fewest runs. Three hosts, one of which ran nothing else, or five crashes convict a task: its job ends as failed, shown once that is stored. Crashes are part of the stored progress and have to be stored before the task starts again; a task that outlives 5 s is cleared.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -1,7 +1,6 @@
 Feature: A task that crashes the workers that start it is given up, and no other
 
   # A task that crashed each worker that started it was started again and again.
-  @known_red
   Scenario Outline: a job whose tasks crash their workers fails after few crashes while <event>
     Given a fleet of 3 nodes and 8 hosts
     When 10 jobs and 2 jobs of one task that crashes its worker, <kind>, are submitted while <event>
@@ -17,3 +16,99 @@
       | the leader gets SIGTERM and is started again  | with copies allowed |
       | the store does not answer for 3 seconds       | plain               |
       | all nodes are killed and started again        | plain               |
+
+  Scenario Outline: a task whose worker <history> is <outcome>
+    Given a task and 8 workers
+    When each worker of the task "<history>"
+    Then the verdict on it is "<outcome>"
+
+    Examples: crashes
+      | history                                             | outcome   |
+      | crashes once, running it alone                      | isolated  |
+      | crashes twice, running it alone                     | isolated  |
+      | crashes three times, running it alone               | given up  |
+      | crashes three times, running others as well         | isolated  |
+      | crashes five times, running others as well          | given up  |
+      | crashes three times on one host, running it alone   | isolated  |
+      | crashes once, 2 s into a run beside others          | free      |
+      | crashes twice, 2 s into a run beside others         | isolated  |
+      | lapses, then another answers there                  | isolated  |
+      | restarts under its own id                           | isolated  |
+      | is replaced on its host while it is silent          | isolated  |
+      | crashes before it answered the start                | isolated  |
+
+    Examples: what is no crash under it
+      | history                                             | outcome   |
+      | crashes 6 s into a run                              | free      |
+      | crashes after it confirmed a stop                   | free      |
+      | crashes before the start was sent                   | free      |
+      | drains and is replaced                              | free      |
+      | is replaced by an order on its host                 | free      |
+      | lapses, then answers again                          | free      |
+      | crashes after the task was done                     | done      |
+
+  Scenario Outline: a suspect task starts <where>: <started>
+    Given a suspect task and workers that are "<where>"
+    Then after <waited> s it starts on "<started>"
+
+    Examples:
+      | where                                | waited | started  |
+      | one busy and one empty               | 0      | worker-1 |
+      | all busy                             | 1      | nothing  |
+      | all busy                             | 3      | worker-1 |
+      | one empty where it has crashed       | 1      | nothing  |
+      | one empty, while its crash is unsaved | 0     | nothing  |
+
+  Scenario: no other task joins a suspect one until it has outlived the suspicion
+    Given a suspect task that runs on the only worker
+    Then another task starts there only after it has run for 6 s
+
+  Scenario: a task that outlives the suspicion is cleared of its crashes
+    Given a suspect task that runs on the only worker
+    When its worker answers after 6 s
+    Then the verdict on it is "free"
+
+  Scenario: the next leader knows the crashes under a task
+    Given a task under which 2 workers crashed while they ran nothing else
+    When the next leader loads the job and a third worker crashes under the task
+    Then the verdict on it is "given up"
+
+  Scenario Outline: a run whose worker is silent is copied with <crashes> crashes to <room>: <copied>
+    Given a task with copies allowed, <crashes> crashes and a silent worker
+    Then it is copied to "<room>": <copied>
+
+    Examples:
+      | crashes | room                | copied |
+      | 0       | a worker with runs  | no     |
+      | 0       | an empty worker     | yes    |
+      | 1       | an empty worker     | yes    |
+      | 2       | an empty worker     | no     |
+
+  Scenario Outline: two tasks that crash their workers, <others> that do not: <given_up> jobs are given up
+    Given 8 workers and 2 tasks that crash each worker that starts them
+    When <others> other tasks are placed with them until all have ended
+    Then <given_up> jobs are given up, after at most 5 starts, and all others are done
+
+    Examples:
+      | others | given_up |
+      | 0      | 2        |
+      | 6      | 2        |
+      | 30     | 2        |
+
+  Scenario: a worker that crashes again and again for its own reasons fails no job
+    Given 4 workers, one of which crashes 0.5 s after each start
+    When 24 other tasks are placed with them until all have ended
+    Then 0 jobs are given up, after at most 5 starts, and all others are done
+
+  Scenario Outline: on a worker whose capacity <change>, <started> tasks of 4 cores start
+    Given a worker of 16 cores that runs 2 tasks of 4 cores
+    When its capacity <change>
+    Then <started> tasks of 4 cores start on it
+
+    Examples:
+      | change                                    | started |
+      | stays                                     | 2       |
+      | shrinks to 12 cores                       | 1       |
+      | shrinks to 4 cores                        | 0       |
+      | shrinks to 4 cores and grows to 16        | 2       |
+      | shrinks to 8 cores while a run is stopped | 0       |
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -3,10 +3,44 @@
 import json
 from collections import Counter
 
-from behave import then, when
+from behave import given, then, when
 
+from features.support.crash_simulations import CrashSimulation
 from features.support.node_fleets import FAULTS, job_body
 from features.support.waiting import wait_until
+from features.support.work_tables import (
+    NOW,
+    NOW_UNIX,
+    POOL,
+    add_simple_job,
+    create_tables,
+    first_task,
+    start_run,
+)
+from sassafrasgrade.job_records import (
+    apply_progress,
+    decode_progress,
+    encode,
+    progress_of,
+)
+from sassafrasgrade.platform import names
+from sassafrasgrade.platform.stores import Item
+from sassafrasgrade.systems.crash_records import (
+    clear_outlived,
+    needs_isolation,
+    note_lapse,
+    record_crash,
+    settle_crashes,
+)
+from sassafrasgrade.systems.learned_durations import LearnedDurations
+from sassafrasgrade.systems.run_updates import expire_leases, remove_worker
+from sassafrasgrade.systems.slow_runs import copy_overdue_runs
+from sassafrasgrade.systems.task_placement import place_tasks
+from sassafrasgrade.work_tables import Crash, RunState, WorkState
+from sassafrasgrade.worker_registrations import apply_item
+
+# Time after which every run is overdue, in seconds.
+SIMULATED_LONG_S = 60.0
 
 
 def crashing_body(kind):
@@ -60,3 +94,324 @@
         return all(context.fleet.state(job) == "completed" for job in context.job_ids)
 
     wait_until(are_completed, seconds, "all other jobs are completed")
+
+
+# Tables as input, commands as output.
+
+
+def finish_crash(context, worker):
+    """Replaces a crashed worker and settles its crash."""
+    record_crash(context.tables, worker)
+    remove_worker(context.tables, worker, NOW)
+    settle_crashes(context.tables)
+
+
+def crash_under(context, count, others=0, age_s=0.1, same_host=False):
+    """Crashes workers under the task, ``count`` times."""
+    for number in range(count):
+        worker = context.tables.workers_by_id[f"worker-{number}"]
+        if same_host:
+            worker.host = "host-same"
+        run_on(context, worker, number + 1, others, age_s)
+        finish_crash(context, worker)
+
+
+def run_on(context, worker, number=1, others=0, age_s=0.1, state=RunState.RUNNING):
+    """Starts the task, and others, ``age_s`` before the worker's last answer."""
+    for other in range(others):
+        job = add_simple_job(context.tables, f"{number:08x}{other:08x}")
+        start_run(first_task(job), worker, now=NOW - 20)
+    run = start_run(context.task, worker, state, now=NOW - age_s, number=number)
+    worker.last_answer_at = NOW
+    return run
+
+
+def lapse(context, worker):
+    run_on(context, worker)
+    worker.unresponsive_since = NOW + 0.1
+    worker.lease_until = NOW + 5
+    expire_leases(context.tables, NOW + 6, note_lapse)
+
+
+def crash_after_lapse(context, worker):
+    lapse(context, worker)
+    finish_crash(context, worker)
+
+
+def answer_after_lapse(context, worker):
+    lapse(context, worker)
+    # As the dispatcher does on an answer of the same incarnation.
+    worker.unresponsive_since, worker.lapsed_suspects = 0.0, ()
+    finish_crash(context, worker)
+
+
+def crash_and_restart(context, worker):
+    run_on(context, worker)
+    worker.born_ms = 1
+    apply_item(context.tables, registration(worker, born_ms=2), NOW)
+    settle_crashes(context.tables)
+
+
+def replace_silent(context, worker):
+    run_on(context, worker)
+    worker.unresponsive_since = NOW + 0.1
+    item = registration(worker, worker_id="worker-new", address="127.0.0.1:9")
+    apply_item(context.tables, item, NOW)
+    settle_crashes(context.tables)
+
+
+def registration(worker, worker_id=None, address=None, born_ms=2, cpu=16_000):
+    """Returns a worker's registration as an item of the store."""
+    value = {
+        "service": worker.pool,
+        "state": "ready",
+        "zone": worker.data_centre,
+        "address": address or worker.address,
+        "capacity": {"cpu": cpu, "memMb": 65_536},
+        "machine": worker.host,
+        "born": born_ms,
+    }
+    key = names.WORKERS_PREFIX + (worker_id or worker.worker_id)
+    return Item(key, json.dumps(value).encode(), 1)
+
+
+def crash_unanswered(context, worker):
+    run = run_on(context, worker, state=RunState.STOPPING)
+    run.answered_at = 0.0
+    finish_crash(context, worker)
+
+
+def crash_unsent(context, worker):
+    run = run_on(context, worker, state=RunState.STARTING)
+    run.answered_at = run.deadline_ms = 0.0
+    finish_crash(context, worker)
+
+
+def crash_stopped(context, worker):
+    run = run_on(context, worker, state=RunState.STOPPING)
+    run.stop_answered_at = NOW
+    finish_crash(context, worker)
+
+
+def crash_planned(context, worker, **fields):
+    run_on(context, worker)
+    for name, value in fields.items():
+        setattr(worker, name, value)
+    finish_crash(context, worker)
+
+
+def crash_done(context, worker):
+    run_on(context, worker)
+    context.task.is_done = True
+    finish_crash(context, worker)
+
+
+HISTORIES = {
+    "crashes once, running it alone": lambda c, w: crash_under(c, 1),
+    "crashes twice, running it alone": lambda c, w: crash_under(c, 2),
+    "crashes three times, running it alone": lambda c, w: crash_under(c, 3),
+    "crashes three times, running others as well": lambda c, w: crash_under(c, 3, 2),
+    "crashes five times, running others as well": lambda c, w: crash_under(c, 5, 2),
+    "crashes three times on one host, running it alone": lambda c, w: crash_under(
+        c, 3, same_host=True
+    ),
+    "crashes once, 2 s into a run beside others": lambda c, w: crash_under(c, 1, 2, 2),
+    "crashes twice, 2 s into a run beside others": lambda c, w: crash_under(c, 2, 2, 2),
+    "lapses, then another answers there": crash_after_lapse,
+    "restarts under its own id": crash_and_restart,
+    "is replaced on its host while it is silent": replace_silent,
+    "crashes before it answered the start": crash_unanswered,
+    "crashes 6 s into a run": lambda c, w: crash_under(c, 1, 0, 6),
+    "crashes after it confirmed a stop": crash_stopped,
+    "crashes before the start was sent": crash_unsent,
+    "drains and is replaced": lambda c, w: crash_planned(c, w, is_draining=True),
+    "is replaced by an order on its host": lambda c, w: crash_planned(
+        c, w, is_reserved=True
+    ),
+    "lapses, then answers again": answer_after_lapse,
+    "crashes after the task was done": crash_done,
+}
+
+
+@given("a task and {workers:d} workers")
+def make_task(context, workers):
+    context.tables = create_tables(workers=workers)
+    context.job = add_simple_job(context.tables)
+    context.task = first_task(context.job)
+
+
+@when('each worker of the task "{history}"')
+def apply_history(context, history):
+    HISTORIES[history](context, context.tables.workers_by_id["worker-0"])
+
+
+@then('the verdict on it is "{outcome}"')
+def check_outcome(context, outcome):
+    task = context.task
+    if task.job.pending_state is WorkState.FAILED:
+        found = "given up"
+    elif task.is_done:
+        found = "done"
+    else:
+        is_isolated = needs_isolation(context.tables, task)
+        found = "isolated" if is_isolated else "free"
+    assert found == outcome, (found, task.crashes)
+
+
+def store_progress(context):
+    """Marks all progress as stored."""
+    for job in context.tables.jobs_by_id.values():
+        job.is_dirty = False
+
+
+@given('a suspect task and workers that are "{where}"')
+def make_suspect(context, where):
+    make_task(context, 2)
+    context.task.waiting_since = NOW
+    crash = Crash("host-gone", True, True)
+    workers = list(context.tables.workers_by_id.values())
+    busy = {"all busy": 2, "one busy and one empty": 1}.get(where, 1)
+    for number, worker in enumerate(workers[:busy]):
+        for other in range(2 - number):
+            job = add_simple_job(context.tables, f"{number:08x}{other:08x}")
+            start_run(first_task(job), worker)
+    if where == "one empty where it has crashed":
+        crash = Crash("host-worker-1", True, True)
+    context.task.crashes = (crash,)
+    context.job.is_dirty = "unsaved" in where
+
+
+def place(context, now):
+    """Places tasks; returns the runs that start."""
+    commands = place_tasks(
+        context.tables, POOL, LearnedDurations(), now, NOW_UNIX + now - NOW
+    )
+    return [command.run for command in commands]
+
+
+@then('after {waited:g} s it starts on "{started}"')
+def check_start(context, waited, started):
+    runs = [run for run in place(context, NOW + waited) if run.task is context.task]
+    found = runs[0].worker_id if runs else "nothing"
+    assert found == started, found
+
+
+@given("a suspect task that runs on the only worker")
+def run_suspect(context):
+    make_task(context, 1)
+    context.task.crashes = (Crash("host-gone", True, True),)
+    (context.run,) = place(context, NOW)
+    context.run.state, context.run.answered_at = RunState.RUNNING, NOW
+    context.worker = context.tables.workers_by_id["worker-0"]
+
+
+@then("another task starts there only after it has run for {seconds:g} s")
+def check_joining(context, seconds):
+    add_simple_job(context.tables, "b" * 16)
+    assert not place(context, NOW + 1)
+    context.worker.last_answer_at = NOW + seconds
+    assert len(place(context, NOW + seconds)) == 1
+
+
+@when("its worker answers after {seconds:g} s")
+def answer_later(context, seconds):
+    context.worker.last_answer_at = NOW + seconds
+    clear_outlived(context.tables)
+
+
+@given("a task under which {count:d} workers crashed while they ran nothing else")
+def make_crashed(context, count):
+    make_task(context, 8)
+    crash_under(context, count)
+
+
+@when("the next leader loads the job and a third worker crashes under the task")
+def load_and_crash(context):
+    progress = decode_progress(encode(progress_of(context.job)))
+    make_task(context, 8)
+    apply_progress(context.tables, context.job, progress)
+    worker = context.tables.workers_by_id["worker-7"]
+    run_on(context, worker, 10)
+    finish_crash(context, worker)
+
+
+@given("a task with copies allowed, {crashes:d} crashes and a silent worker")
+def make_silent(context, crashes):
+    context.tables = create_tables(workers=2)
+    context.job = add_simple_job(context.tables, is_speculative=True)
+    context.task = first_task(context.job)
+    context.task.crashes = tuple(
+        Crash(f"host-gone-{number}", True, True) for number in range(crashes)
+    )
+    worker = context.tables.workers_by_id["worker-0"]
+    run_on(context, worker)
+    worker.unresponsive_since = NOW + 0.1
+
+
+@then('it is copied to "{room}": {copied}')
+def check_copy(context, room, copied):
+    if room == "a worker with runs":
+        other = add_simple_job(context.tables, "c" * 16)
+        start_run(first_task(other), context.tables.workers_by_id["worker-1"])
+    commands = copy_overdue_runs(
+        context.tables, POOL, LearnedDurations(), NOW + SIMULATED_LONG_S
+    )
+    assert bool(commands) == (copied == "yes"), commands
+
+
+@given("{workers:d} workers and {bad:d} tasks that crash each worker that starts them")
+def make_crashing(context, workers, bad):
+    context.simulation = CrashSimulation(workers, bad)
+
+
+@given("{workers:d} workers, one of which crashes {delay:g} s after each start")
+def make_crashing_worker(context, workers, delay):
+    context.simulation = CrashSimulation(workers, 0, flaky_after_s=delay)
+
+
+@when("{others:d} other tasks are placed with them until all have ended")
+def simulate(context, others):
+    context.simulation.run(others)
+
+
+@then(
+    "{count:d} jobs are given up, after at most {most:d} starts, and all others are done"
+)
+def check_simulation(context, count, most):
+    simulation = context.simulation
+    failed = {job.job_id for job in simulation.failed_jobs()}
+    assert failed == simulation.bad_ids, (failed, simulation.bad_ids)
+    assert len(failed) == count, failed
+    starts = [simulation.starts_by_job[job_id] for job_id in simulation.bad_ids]
+    assert max(starts, default=0) <= most, starts
+    assert simulation.all_others_done()
+
+
+@given("a worker of {cores:d} cores that runs {count:d} tasks of {size:d} cores")
+def make_loaded_worker(context, cores, count, size):
+    context.tables = create_tables(workers=1)
+    context.worker = context.tables.workers_by_id["worker-0"]
+    context.runs = []
+    for number in range(count):
+        job = add_simple_job(
+            context.tables, f"{number:016x}", cpu_millis=size * 1000, memory_mb=1
+        )
+        context.runs.append(start_run(first_task(job), context.worker))
+
+
+@when("its capacity {change}")
+def change_capacity(context, change):
+    if "stopped" in change:
+        context.runs[0].state, context.runs[0].stopped_at = RunState.STOPPING, NOW
+    for word in [word for word in change.split() if word.isdigit()]:
+        item = registration(context.worker, born_ms=None, cpu=int(word) * 1000)
+        apply_item(context.tables, item, NOW)
+
+
+@then("{started:d} tasks of {size:d} cores start on it")
+def check_started(context, started, size):
+    for number in range(8):
+        add_simple_job(
+            context.tables, f"f{number:015x}", cpu_millis=size * 1000, memory_mb=1
+        )
+    assert len(place(context, NOW + 1)) == started
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -7,10 +7,17 @@
 from tornado.ioloop import IOLoop
 
 from sassafrasgrade.advice_requesters import AdviceRequester
+from sassafrasgrade.fleet_hosts import ENDING_STATES
 from sassafrasgrade.host_controllers import HostController
 from sassafrasgrade.job_sweeps import JobSweeper
 from sassafrasgrade.platform.workers import OrderOutcome
 from sassafrasgrade.progress_writers import ProgressWriter
+from sassafrasgrade.systems.crash_records import (
+    clear_outlived,
+    note_lapse,
+    record_crash,
+    settle_crashes,
+)
 from sassafrasgrade.systems.host_states import PLAN_INTERVAL_S
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.occurrences import create_due, forget_done
@@ -223,10 +230,12 @@
         """Applies a worker's lists of running and ended runs."""
         worker, now = session.worker, self.timers.now()
         if worker.born_ms is not None and view.born_ms not in (None, worker.born_ms):
+            record_crash(self.tables, worker)
             restart_worker(self.tables, worker, view.born_ms, now)
         if view.born_ms is not None:
             worker.born_ms = view.born_ms
         worker.last_answer_at = now
+        worker.lapsed_suspects = ()
         if worker.unresponsive_since:
             worker.unresponsive_since = 0.0
             logger.info("dependency regained", extra={"worker": worker.worker_id})
@@ -341,6 +350,9 @@
             "worker removed; another incarnation answers at its address",
             extra={"worker": worker.worker_id},
         )
+        host = self.fleet.hosts_by_name.get(worker.host)
+        if host is None or host.state not in ENDING_STATES:
+            record_crash(self.tables, worker)
         remove_worker(self.tables, worker, self.timers.now())
         self.sync_sessions()
         self.schedule_placement()
@@ -412,6 +424,7 @@
             return
         now, now_unix = self.timers.now(), self.timers.wall_time()
         began = time.monotonic()
+        self._carry_out_all(settle_crashes(self.tables))
         for pool in self.tables.pools_by_name:
             commands = place_tasks(
                 self.tables, pool, self.learned_durations, now, now_unix
@@ -437,8 +450,9 @@
         if self._leadership.has_authority():
             self._carry_out_all(stop_stalled(self.tables, self.learned_durations, now))
             self._carry_out_all(pace_fillers(self.tables, now))
+            self._carry_out_all(clear_outlived(self.tables))
         self._carry_out_all(
-            expire_leases(self.tables, self._leadership.last_renewal_at)
+            expire_leases(self.tables, self._leadership.last_renewal_at, note_lapse)
         )
         self._repeat_stops(now)
         self._sweeper.sweep(now)
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -8,6 +8,7 @@
 from sassafrasgrade.platform.messages import JobRequest
 from sassafrasgrade.work_tables import (
     ENDED_STATES,
+    Crash,
     Job,
     WorkState,
     WorkTables,
@@ -39,6 +40,7 @@
         done: Indices of done tasks by ``occurrence.step``.
         failures: Numbers of failed runs, by task name without the job's id.
         done_occurrences: Numbers of occurrences that are done.
+        crashes: Crashes of workers under tasks, by task name without the job's id.
     """
 
     state: WorkState
@@ -46,6 +48,7 @@
     done: dict[str, list[int]]
     failures: dict[str, list[int]]
     done_occurrences: list[int]
+    crashes: dict[str, list[Crash]] = {}
 
 
 _submitted_decoder = msgspec.msgpack.Decoder(SubmittedJob)
@@ -76,7 +79,7 @@
 
 def progress_of(job: Job):
     """Returns the ``JobProgress`` to store for a job."""
-    done, failures = {}, {}
+    done, failures, crashes = {}, {}, {}
     for occurrence in job.occurrences.values():
         if occurrence.number in job.done_occurrences:
             continue
@@ -85,15 +88,20 @@
             if indices:
                 done[f"{occurrence.number}.{row.number}"] = indices
             for task in row.tasks:
-                if task.failed_numbers and not task.is_done:
-                    name = task.name.partition(".")[2]
+                if task.is_done:
+                    continue
+                name = task.name.partition(".")[2]
+                if task.failed_numbers:
                     failures[name] = sorted(task.failed_numbers)
+                if task.crashes:
+                    crashes[name] = list(task.crashes)
     return JobProgress(
         job.pending_state or job.state,
         job.has_started,
         done,
         failures,
         sorted(job.done_occurrences),
+        crashes,
     )
 
 
@@ -156,5 +164,9 @@
         task = tables.tasks_by_name.get(f"{job.job_id}.{name}")
         if task is not None:
             task.failed_numbers.update(numbers)
+    for name, crashes in progress.crashes.items():
+        task = tables.tasks_by_name.get(f"{job.job_id}.{name}")
+        if task is not None:
+            task.crashes = tuple(crashes)
     if not job.is_open:
         tables.open_jobs_by_id.pop(job.job_id, None)
--- /dev/null
+++ b/sassafrasgrade/systems/crash_records.py
@@ -0,0 +1,193 @@
+"""Finds tasks that crash the workers that start them, and gives them up.
+
+A worker that crashes has usually several tasks. Those that had just started are
+suspects: each starts again on a worker of its own. A task that crashed several
+workers, one of which ran nothing else, ends its job as failed.
+
+Load pattern: one task in some dozens crashes every worker that starts it, while the
+other tasks of these workers are innocent.
+"""
+
+from sassafrasgrade.systems.run_updates import end_job, stop_job_runs
+from sassafrasgrade.work_commands import LogEvent
+from sassafrasgrade.work_tables import Crash, CrashedTask, WorkState
+
+# A run that lasted for longer is not held responsible for a crash, in seconds.
+RESPONSIBLE_S = 5.0
+# A run that started at most this long before its worker's last answer is a likely
+# cause of a crash, in seconds.
+LIKELY_S = 1.0
+# Crashed hosts that convict a task, if one of them ran nothing else.
+CONVICTING_HOSTS = 3
+# Crashes that convict a task whatever else ran there. Published limit: two more
+# starts after the third crash.
+MAX_CRASHES = 5
+# Time that a suspect waits for a worker of its own, in seconds; after that it shares
+# the one with the fewest runs.
+MAX_ISOLATION_WAIT_S = 2.0
+
+
+def suspects_of(worker):
+    """Returns the ``CrashedTask`` values if a worker crashed after its last answer."""
+    runs = [
+        run
+        for run in worker.runs_by_key.values()
+        if (run.answered_at or run.deadline_ms) and not run.stop_answered_at
+    ]
+    was_alone = len(runs) == 1
+    suspects = []
+    for run in runs:
+        age_s = worker.last_answer_at - run.started_at
+        if age_s <= RESPONSIBLE_S:
+            was_likely = was_alone or age_s <= LIKELY_S
+            crash = Crash(worker.host or worker.address, was_alone, was_likely)
+            suspects.append(CrashedTask(run.task, worker.worker_id, crash))
+    return tuple(suspects)
+
+
+def record_crash(tables, worker):
+    """Records that a worker has crashed, before its runs are forgotten.
+
+    A worker that drains or whose host is about to be ordered ends as planned.
+    """
+    if worker.is_draining or worker.is_reserved or worker.is_crash_recorded:
+        return
+    worker.is_crash_recorded = True
+    for crashed in (*worker.lapsed_suspects, *suspects_of(worker)):
+        task = crashed.task
+        if not task.is_done and task.job.is_open:
+            task.crashes = (*task.crashes, crashed.crash)
+            tables.crashed_tasks.append(crashed)
+            tables.mark_dirty(task.job)
+    worker.lapsed_suspects = ()
+
+
+def note_lapse(worker):
+    """Keeps the suspects of a worker whose runs lapse, until its fate is known."""
+    worker.lapsed_suspects = (*worker.lapsed_suspects, *suspects_of(worker))
+
+
+def settle_crashes(tables):
+    """Logs recorded crashes and ends the jobs of convicted tasks.
+
+    Returns:
+        Commands.
+    """
+    crashed_tasks, tables.crashed_tasks = tables.crashed_tasks, []
+    commands = []
+    for crashed in crashed_tasks:
+        task, crash = crashed.task, crashed.crash
+        fields = {
+            "job": task.job.job_id,
+            "task": task.name,
+            "worker": crashed.worker_id,
+            "crashes": len(task.crashes),
+            "alone": crash.was_alone,
+            "likely": crash.was_likely,
+        }
+        commands.append(LogEvent("worker-crashed-under-task", fields))
+        if is_convicted(task) and task.job.is_open:
+            end_job(tables, task.job, WorkState.FAILED)
+            fields = {
+                "job": task.job.job_id,
+                "task": task.name,
+                "reason": "the task crashes its workers",
+                "hosts": sorted({crash.host for crash in task.crashes}),
+            }
+            commands.append(LogEvent("job-failed", fields))
+            commands += stop_job_runs(task.job, "job failed")
+    return commands
+
+
+def clear_outlived(tables):
+    """Clears the suspicion of tasks whose isolated run has lasted long enough.
+
+    Returns:
+        Commands.
+    """
+    commands = []
+    for worker in tables.workers_by_id.values():
+        for run in worker.runs_by_key.values():
+            task = run.task
+            if not (run.is_isolated and run.answered_at and task.crashes):
+                continue
+            if has_outlived_suspicion(worker, run):
+                fields = {"task": task.name, "crashes": len(task.crashes)}
+                commands.append(LogEvent("task-cleared-of-crashes", fields))
+                task.crashes = ()
+                tables.mark_dirty(task.job)
+    return commands
+
+
+def is_convicted(task):
+    """Whether a task has crashed so many workers that it is given up."""
+    hosts = {crash.host for crash in task.crashes}
+    has_crashed_alone = any(crash.was_alone for crash in task.crashes)
+    return len(task.crashes) >= MAX_CRASHES or (
+        len(hosts) >= CONVICTING_HOSTS and has_crashed_alone
+    )
+
+
+def count_silent_runs(tables, task, max_age_s):
+    """Counts a task's runs on workers that may have crashed under it.
+
+    Args:
+        tables: The tables.
+        task: The task.
+        max_age_s: Longest time from a run's start to the worker's last answer.
+    """
+    workers = [
+        (tables.workers_by_id.get(run.worker_id), run)
+        for run in task.runs_by_number.values()
+    ]
+    return sum(
+        worker is not None
+        and worker.unresponsive_since > 0
+        and worker.last_answer_at - run.started_at <= max_age_s
+        for worker, run in workers
+    )
+
+
+def needs_isolation(tables, task):
+    """Whether a task is suspect, so that it starts on a worker of its own."""
+    if len(task.crashes) > 1 or any(crash.was_likely for crash in task.crashes):
+        return True
+    return bool(task.runs_by_number) and count_silent_runs(tables, task, LIKELY_S) > 0
+
+
+def is_start_held(tables, task):
+    """Whether a suspect task must not start yet.
+
+    Its crashes have to be stored, so that the next leader knows of them; and one that
+    may have crashed enough workers waits until it is known whether it did.
+    """
+    if task.crashes and task.job.is_dirty:
+        return True
+    if not task.runs_by_number:
+        return False
+    silent = count_silent_runs(tables, task, RESPONSIBLE_S)
+    return silent > 0 and len(task.crashes) + silent >= CONVICTING_HOSTS
+
+
+def isolated_candidates(task, candidates, waited_s):
+    """Returns the candidates for a suspect task.
+
+    Args:
+        task: The task.
+        candidates: ``Candidate`` values.
+        waited_s: Time since the task became startable, in seconds.
+    """
+    if waited_s > MAX_ISOLATION_WAIT_S:
+        return candidates
+    crashed_hosts = {crash.host for crash in task.crashes}
+    return [
+        candidate
+        for candidate in candidates
+        if not candidate.all_runs
+        and (candidate.worker.host or candidate.worker.address) not in crashed_hosts
+    ]
+
+
+def has_outlived_suspicion(worker, run):
+    """Whether a run has lasted for longer than a crashing one would."""
+    return worker.last_answer_at - run.started_at > RESPONSIBLE_S
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -360,6 +360,7 @@
     worker.has_seen_token = worker.has_shown_runs = False
     worker.failures = worker.successes = 0.0
     worker.lease_until = 0.0
+    worker.is_crash_recorded = False
 
 
 def has_incarnation_ended(worker, fleet):
@@ -413,7 +414,7 @@
         worker.successes *= factor
 
 
-def expire_leases(tables, leader_until):
+def expire_leases(tables, leader_until, on_lapse=lambda worker: None):
     """Removes runs on unresponsive workers whose leases have certainly lapsed.
 
     Args:
@@ -421,6 +422,7 @@
         leader_until: Last clock at which this node was certainly the leader. After
             that, another leader may have renewed the leases of workers that it
             reaches.
+        on_lapse: Called with each such worker before its runs are removed.
     """
     commands = []
     for worker in tables.workers_by_id.values():
@@ -428,6 +430,7 @@
             continue
         if worker.unresponsive_since == 0:
             continue
+        on_lapse(worker)
         for run in list(worker.runs_by_key.values()):
             # A start order in flight may still arrive, but is void by now: its
             # deadline is earlier than the end of the lease.
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -4,10 +4,12 @@
 many times as long as on other workers.
 """
 
+from sassafrasgrade.systems.crash_records import is_start_held
 from sassafrasgrade.systems.task_placement import (
     SLOW_FACTOR,
     candidate_of,
     candidates_with_ticket,
+    choose_and_reserve,
     choose_candidate,
     is_usable,
     next_run_number,
@@ -122,6 +124,8 @@
         if tables.pool_of(job) != pool_name:
             continue
         for task in _overdue_tasks(job, learned_durations, now):
+            if is_start_held(tables, task):
+                continue
             if candidates is None:
                 candidates = [
                     candidate_of(worker)
@@ -136,12 +140,11 @@
             ]
             if tables.queues_by_name[job.queue_name].advice is not None:
                 free = candidates_with_ticket(tables, task, free, now)
-            candidate = choose_candidate(task, free)
+            candidate = choose_and_reserve(tables, task, free, now)
             if candidate is None:
                 continue
-            candidate.reserve(task.step)
             number = next_run_number(tables, [task])
-            commands.append(start_on(tables, task, candidate.worker, number, now))
+            commands.append(start_on(tables, task, candidate, number, now))
     return commands
 
 
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -8,6 +8,12 @@
 from dataclasses import dataclass
 
 from sassafrasgrade.platform.messages import Capacity
+from sassafrasgrade.systems.crash_records import (
+    has_outlived_suspicion,
+    is_start_held,
+    isolated_candidates,
+    needs_isolation,
+)
 from sassafrasgrade.systems.run_updates import record_start
 from sassafrasgrade.work_commands import LogEvent, StartRun
 from sassafrasgrade.work_tables import (
@@ -52,6 +58,8 @@
         memory_mb: Free memory.
         gpus: Free accelerators.
         runs: Runs of tasks that end by themselves.
+        all_runs: All runs.
+        is_exclusive: Whether it runs a task that nothing else may share it with.
         is_suspect: Whether it gets at most ``MAX_PROBE_RUNS`` runs.
     """
 
@@ -61,9 +69,13 @@
     gpus: int
     runs: int
     is_suspect: bool = False
+    all_runs: int = 0
+    is_exclusive: bool = False
 
     def fits(self, step):
         """Whether a task of the step fits."""
+        if self.is_exclusive:
+            return False
         cpu_millis = 0 if step.is_filler else step.cpu_millis
         return (
             cpu_millis <= self.cpu_millis
@@ -78,6 +90,7 @@
         self.memory_mb -= step.memory_mb
         self.gpus -= step.gpus
         self.runs += not step.is_perpetual
+        self.all_runs += 1
 
 
 def candidate_of(worker: Worker):
@@ -88,6 +101,8 @@
     )
     for run in worker.runs_by_key.values():
         candidate.reserve(run.task.step)
+        if run.is_isolated and not has_outlived_suspicion(worker, run):
+            candidate.is_exclusive = True
     return candidate
 
 
@@ -160,14 +175,15 @@
     usable_by_job = candidates
     if job.urgency >= Urgency.USEFUL:
         usable_by_job = [c for c in candidates if not c.worker.is_yielding]
-    for group in _startable_groups(job, now):
+    for group in _startable_groups(tables, job, now):
         usable = usable_by_job
         if queue.advice is not None:
             usable = candidates_with_ticket(tables, group[0], usable, now)
         if unplaceable.rules_out(group[0].step):
             continue
         placed = _place_group(tables, group, usable, now)
-        if not placed and usable is candidates:
+        is_suspect_group = any(needs_isolation(tables, task) for task in group)
+        if not placed and usable is candidates and not is_suspect_group:
             unplaceable.add(group[0].step)
         commands += placed
 
@@ -281,7 +297,7 @@
     return job.accepted_at
 
 
-def _startable_groups(job, now):
+def _startable_groups(tables, job, now):
     """Yields lists of tasks that must start together (one task, or a gang)."""
     for occurrence in list(job.occurrences.values()):
         if occurrence.number in job.done_occurrences:
@@ -291,16 +307,16 @@
             if row.left == 0 or any(steps[n].left for n in row.step.after):
                 continue
             if row.step.is_gang:
-                if all(_may_start(task, now) for task in row.tasks):
+                if all(_may_start(tables, task, now) for task in row.tasks):
                     yield row.tasks
                 continue
             for task in row.tasks:
-                if _may_start(task, now):
+                if _may_start(tables, task, now):
                     yield [task]
 
 
-def _may_start(task: Task, now):
-    if task.is_done or task.runs_by_number:
+def _may_start(tables, task: Task, now):
+    if task.is_done or task.runs_by_number or is_start_held(tables, task):
         return False
     task.waiting_since = task.waiting_since or now
     return task.blocked_until <= now
@@ -309,29 +325,45 @@
 def _place_group(tables, group, candidates, now):
     chosen = []
     for task in group:
-        candidate = choose_candidate(task, candidates, group)
+        candidate = choose_and_reserve(tables, task, candidates, now)
         if candidate is None:
             for candidate, taken in chosen:
                 _release(candidate, taken.step)
             return []
-        candidate.reserve(task.step)
         chosen.append((candidate, task))
     number = next_run_number(tables, group)
     return [
-        start_on(tables, task, candidate.worker, number, now)
-        for candidate, task in chosen
+        start_on(tables, task, candidate, number, now) for candidate, task in chosen
     ]
 
 
+def choose_and_reserve(tables, task, candidates, now):
+    """Returns the best candidate for a task with its resources reserved, or None.
+
+    A suspect task gets a worker of its own, or the one with the fewest runs.
+    """
+    is_isolated = needs_isolation(tables, task)
+    if is_isolated:
+        waited_s = now - task.waiting_since if not task.runs_by_number else 0.0
+        candidates = isolated_candidates(task, candidates, waited_s)
+    candidate = choose_candidate(task, candidates, is_isolated)
+    if candidate is not None:
+        candidate.reserve(task.step)
+        candidate.is_exclusive = is_isolated
+    return candidate
+
+
 def next_run_number(tables, tasks):
     """Returns a run number that no leadership has used for any of the tasks."""
     number = max(task.last_number for task in tasks) + 1
     return max(number, tables.epoch * NUMBERS_PER_EPOCH + 1)
 
 
-def start_on(tables, task, worker, number, now):
+def start_on(tables, task, candidate, number, now):
     """Adds a run of a task, with its ticket; returns the command that starts it."""
+    worker = candidate.worker
     run = create_run(task, worker, number, now)
+    run.is_isolated = candidate.is_exclusive
     ticket = tables.tickets.ticket(step_key_of(task), worker.worker_id, now)
     run.ticket = ticket or ""
     record_start(tables, task.job)
@@ -344,6 +376,8 @@
     candidate.memory_mb += step.memory_mb
     candidate.gpus += step.gpus
     candidate.runs -= not step.is_perpetual
+    candidate.all_runs -= 1
+    candidate.is_exclusive = False
 
 
 def create_run(task, worker, number, now):
@@ -355,11 +389,16 @@
     return run
 
 
-def choose_candidate(task: Task, candidates, group=()):
+def choose_candidate(task: Task, candidates, prefers_few_runs=False):
     """Returns the best candidate for a task, or None.
 
     Workers are filled one after another, so that the others become idle and their
     hosts can be moved to another pool.
+
+    Args:
+        task: The task.
+        candidates: ``Candidate`` values.
+        prefers_few_runs: Whether the number of runs matters most.
     """
     step = task.step
     best, best_rank = None, None
@@ -374,6 +413,7 @@
         if suspect and candidate.runs >= MAX_PROBE_RUNS:
             continue
         rank = (
+            candidate.all_runs if prefers_few_runs else 0,
             worker.worker_id in task.avoided_workers,
             suspect,
             worker.slowness > SLOW_FACTOR,
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
+import msgspec
+
 from sassafrasgrade.platform.messages import (
     Capacity,
     Configuration,
@@ -58,6 +60,20 @@
     STOPPING = "stopping"
 
 
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """Crash of a worker under a task.
+
+    Attributes:
+        host: Name of the worker's host, or its address.
+        was_alone: Whether the worker ran nothing else.
+        was_likely: Whether the task had just started there.
+    """
+
+    host: str
+    was_alone: bool
+    was_likely: bool
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One start of a task on a worker.
@@ -79,6 +95,8 @@
         stopped_at: When a stop was last sent; 0 before the first.
         stop_answered_at: When the worker confirmed a stop; 0 before.
         ticket: Ticket of the advice service, if the queue needs one.
+        is_isolated: Whether its worker gets no other runs, since its task may crash
+            workers.
     """
 
     task: "Task"
@@ -96,6 +114,7 @@
     stopped_at: float = 0.0
     stop_answered_at: float = 0.0
     ticket: str = ""
+    is_isolated: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -119,6 +138,7 @@
             last.
         blocked_until: Clock before which an unreported run of it may still exist.
         waiting_since: Clock when it last became startable.
+        crashes: Crashes of workers under it.
     """
 
     name: str
@@ -135,6 +155,16 @@
     avoided_workers: set[str] = field(default_factory=set)
     blocked_until: float = 0.0
     waiting_since: float = 0.0
+    crashes: tuple[Crash, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class CrashedTask:
+    """A task under which a worker has, or may have, crashed."""
+
+    task: Task
+    worker_id: str
+    crash: Crash
 
 
 @dataclass(slots=True, eq=False)
@@ -257,6 +287,9 @@
         is_reserved: Whether it gets no new runs because of a planned host order.
         is_yielding: Whether it gets no runs of jobs that miss their objective, since
             another pool needs its host more.
+        lapsed_suspects: ``CrashedTask`` values of runs that lapsed while it did not
+            answer; they count if it turns out to have crashed.
+        is_crash_recorded: Whether the crash of this incarnation is recorded.
     """
 
     worker_id: str
@@ -287,6 +320,8 @@
     paced_at: float = 0.0
     is_reserved: bool = False
     is_yielding: bool = False
+    lapsed_suspects: tuple[CrashedTask, ...] = ()
+    is_crash_recorded: bool = False
 
     @property
     def rack(self):
@@ -324,6 +359,7 @@
             replaced by a newer incarnation.
         has_seen_work: Whether any job that ends by itself was accepted.
         work_seen_at: Clock when the planner first saw such work; 0 before.
+        crashed_tasks: ``CrashedTask`` values recorded and not settled yet.
     """
 
     epoch: int = 0
@@ -340,6 +376,7 @@
     ended_by_worker: dict[str, "EndedIncarnation"] = field(default_factory=dict)
     has_seen_work: bool = False
     work_seen_at: float = 0.0
+    crashed_tasks: list[CrashedTask] = field(default_factory=list)
 
     def adopt_configuration(self, configuration):
         """Applies a newer configuration; removed queues stay in the tables.
--- a/sassafrasgrade/worker_registrations.py
+++ b/sassafrasgrade/worker_registrations.py
@@ -7,6 +7,7 @@
 from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.messages import WorkerEntry
+from sassafrasgrade.systems.crash_records import record_crash
 from sassafrasgrade.systems.run_updates import remove_worker, restart_worker
 from sassafrasgrade.work_tables import MS_PER_S, Worker
 
@@ -62,17 +63,26 @@
     if worker is None and _is_known_to_have_ended(tables, worker_id, entry, now):
         return
     if worker is None:
+        _record_replaced(tables, entry)
         worker = _add_worker(tables, worker_id, entry)
     elif (
         entry.born_ms is not None
         and worker.born_ms is not None
         and entry.born_ms > worker.born_ms
     ):
+        record_crash(tables, worker)
         restart_worker(tables, worker, entry.born_ms, now)
         logger.info("worker restarted", extra={"worker": worker_id})
     _update_worker(worker, entry, now)
 
 
+def _record_replaced(tables, entry):
+    """Records the crash of silent workers whose host runs another one now."""
+    for other in tables.workers_by_id.values():
+        if entry.host and other.host == entry.host and other.unresponsive_since:
+            record_crash(tables, other)
+
+
 def _is_known_to_have_ended(tables, worker_id, entry, now):
     """Whether a registration is left over from an incarnation that has ended."""
     ended = tables.ended_by_worker.get(worker_id)
