Add crashing tasks, thin links and large configurations to the soak

New checks: a job is shown as failed only for failed runs or crashes, and a crashing task is not started three times more after three crashes once all nodes are in touch (the published limit).

--- a/sassafrasgrade/tools/soaks.py
+++ b/sassafrasgrade/tools/soaks.py
@@ -38,6 +38,19 @@
 # Guaranteed: no start later than this after an acknowledged cancellation.
 MAX_START_AFTER_CANCEL_S = 3.0
 CLIENT_THREADS = 3
+# Longest pause between two jobs whose task crashes its worker, in seconds.
+CRASHING_JOB_PAUSE_S = 5.0
+# Time after the last fault from which all nodes are in touch, in seconds, and the
+# starts after a third crash that break the published limit from then on.
+CONTACT_S = 4.0
+CRASHES_BEFORE_LIMIT = 3
+MAX_STARTS_AFTER_CRASHES = 2
+# Failed runs after which a job may be shown as failed (the queue's attempts).
+MAX_ATTEMPTS = 4
+# Probability that a fault comes with thin links, or with a large configuration.
+THIN_LINK_PROBABILITY = 0.15
+THIN_BYTES_PER_S = 200_000.0
+LARGE_CONFIGURATION_QUEUES = 3000
 SUBMIT_PAUSE_S = 0.25
 REQUEST_TIMEOUT_S = 3.0
 MAX_SUBMIT_ATTEMPTS = 4
@@ -58,6 +71,7 @@
     """
 
     statuses: list = field(default_factory=list)
+    crashes_workers: bool = False
     cancelled_at: float = 0.0
     may_be_cancelled: bool = False
 
@@ -84,6 +98,9 @@
             threading.Thread(target=self._run, args=(random.Random(seed * 100 + n),))
             for n in range(CLIENT_THREADS)
         ]
+        # Its own generator: the load of a seed stays what it was.
+        rng = random.Random(f"{seed} crashing")
+        self._threads.append(threading.Thread(target=self._run_crashing, args=(rng,)))
 
     def start(self):
         """Starts the clients."""
@@ -107,6 +124,17 @@
                 self._cancel(rng, job_id, observed)
             self._stopping.wait(SUBMIT_PAUSE_S)
 
+    def _run_crashing(self, rng):
+        while not self._stopping.wait(CRASHING_JOB_PAUSE_S * rng.random()):
+            job_id = f"{rng.getrandbits(64):016x}"
+            observed = ObservedJob(crashes_workers=True)
+            with self._lock:
+                self.observed_by_id[job_id] = observed
+            spec = {"ms": 200, "cpu": 1000, "crashes": True}
+            step = {"cpu": 1000, "memMb": 64, "estimateMs": 200, "count": 1}
+            step |= {"speculative": True} if rng.random() < 0.5 else {}
+            self._send(rng, job_id, observed, {"spec": spec, "steps": [step]})
+
     def _cancel(self, rng, job_id, observed):
         status, _ = self.request(rng, "DELETE", job_id)
         if status in (200, 410):
@@ -120,7 +148,10 @@
         steps = [step | {"count": rng.randint(1, 6)}]
         if rng.random() < 0.5:
             steps.append(step | {"count": rng.randint(1, 3), "after": [0]})
-        body = json.dumps({"spec": json.dumps(spec), "steps": steps}).encode()
+        self._send(rng, job_id, observed, {"spec": spec, "steps": steps})
+
+    def _send(self, rng, job_id, observed, job):
+        body = json.dumps(job | {"spec": json.dumps(job["spec"])}).encode()
         for _ in range(MAX_SUBMIT_ATTEMPTS):
             status, _ = self.request(rng, "POST", job_id, body)
             observed.statuses.append(status)
@@ -153,12 +184,14 @@
         rng: Seeded ``random.Random``.
         many_rng: Seeded ``random.Random`` of the faults on many parts at once, of its
             own so that the other faults of a seed stay what they were.
+        size_rng: The same for thin links and large configurations.
     """
 
-    def __init__(self, harness, rng, many_rng):
+    def __init__(self, harness, rng, many_rng, size_rng):
         self._harness = harness
         self._rng = rng
         self._many_rng = many_rng
+        self._size_rng = size_rng
         self._timers = []
         self._wave_number = 0
         self.injected = []
@@ -187,6 +220,9 @@
         if self._many_rng.random() < MANY_AT_ONCE_PROBABILITY:
             kinds = [self._kill_many, self._change_configuration_often]
             self._run(self._many_rng.choice(kinds))
+        if self._size_rng.random() < THIN_LINK_PROBABILITY:
+            kinds = [self._thin_store_link, self._grow_configuration]
+            self._run(self._size_rng.choice(kinds))
 
     def _run(self, kind):
         self.injected.append((round(time.monotonic(), 2), kind.__name__))
@@ -264,6 +300,17 @@
         clear = partial(self._harness.call, node.lane.set_faults, LaneFaults())
         self._schedule(self._rng.uniform(1.0, 5.0), clear)
 
+    def _thin_store_link(self):
+        node = self._size_rng.choice(self._harness.nodes)
+        faults = LaneFaults(bytes_per_s=THIN_BYTES_PER_S)
+        self._harness.call(node.lane.set_faults, faults)
+        clear = partial(self._harness.call, node.lane.set_faults, LaneFaults())
+        self._schedule(self._size_rng.uniform(2.0, 6.0), clear)
+
+    def _grow_configuration(self):
+        prefixes = [f"/filler/{n:08d}/" for n in range(LARGE_CONFIGURATION_QUEUES)]
+        self._harness.change_configuration(prefixes)
+
     def _set_store_for(self, name, value, after, duration_s):
         setattr(self._harness.store, name, value)
         reset = partial(setattr, self._harness.store, name, after)
@@ -329,8 +376,15 @@
         self._harness.order_wave(self._wave_number, hosts)
 
 
-def check_guarantees(clients, harness, rng):
-    """Returns a text for each guarantee that was broken."""
+def check_guarantees(clients, harness, rng, healed_at):
+    """Returns a text for each guarantee that was broken.
+
+    Args:
+        clients: ``Clients``.
+        harness: ``FleetHarness``.
+        rng: Random generator that chooses the nodes to ask.
+        healed_at: Clock when all faults had ended.
+    """
     now = time.monotonic()
     history = harness.call(list, harness.fleet.history)
     violations = find_violations(history, now)
@@ -359,11 +413,27 @@
             violations.append(f"{job_id}: accepted and shown as {state} at the end")
         if state == "cancelled" and not observed.may_be_cancelled:
             violations.append(f"{job_id}: cancelled without a request that may have")
+        violations += check_crashes(job_id, observed, runs, state, healed_at)
         if state == "completed" and not any(run.how == "done" for run in runs):
             violations.append(f"{job_id}: completed without a run")
     return violations
 
 
+def check_crashes(job_id, observed, runs, state, healed_at):
+    """Returns a text for each guarantee on crashes and failures that was broken."""
+    violations = []
+    failures = sum(run.how == "failed" for run in runs)
+    if state == "failed" and not observed.crashes_workers and failures < MAX_ATTEMPTS:
+        violations.append(f"{job_id}: failed after {failures} failed runs")
+    lost = sorted(run.ended_at for run in runs if run.how == "lost")
+    if observed.crashes_workers and len(lost) >= CRASHES_BEFORE_LIMIT:
+        limit_from = max(lost[CRASHES_BEFORE_LIMIT - 1], healed_at + CONTACT_S)
+        late = sum(run.started_at > limit_from for run in runs)
+        if late > MAX_STARTS_AFTER_CRASHES:
+            violations.append(f"{job_id}: started {late} times after three crashes")
+    return violations
+
+
 def run_seed(seed, seconds, nodes, folder):
     """Runs one seed; returns a text for each guarantee that was broken.
 
@@ -376,7 +446,9 @@
     rng = random.Random(seed)
     harness = FleetHarness(folder, node_count=nodes)
     clients = Clients(harness, seed)
-    injector = FaultInjector(harness, rng, random.Random(f"{seed} many"))
+    injector = FaultInjector(
+        harness, rng, random.Random(f"{seed} many"), random.Random(f"{seed} size")
+    )
     pause = threading.Event()
     try:
         harness.start()
@@ -387,9 +459,10 @@
             pause.wait(rng.uniform(0.3, 2.0))
             injector.inject()
         injector.heal()
+        healed_at = time.monotonic()
         clients.stop()
         pause.wait(FAULT_FREE_S)
-        broken = check_guarantees(clients, harness, rng)
+        broken = check_guarantees(clients, harness, rng, healed_at)
         errors = [n.name for n in harness.nodes if "Traceback" in n.output_text()]
         broken += [f"{name}: an exception was logged" for name in errors]
     finally:
