Ask the store for changes beside a stalled watch before a request is refused

After an outage of the store every watch of a node may hang for up to 2.8 s, in which the configuration is unconfirmed although the store answers other calls; requests would be refused for that long. A lookup that neither the own configuration nor the leader may settle now sends one watch that does not wait, and waits 0.3 s for it. An empty answer confirms the configuration and leaves the watch beside it valid.

--- a/features/steps/thin_link_steps.py
+++ b/features/steps/thin_link_steps.py
@@ -1,14 +1,18 @@
 """Steps on nodes whose links to the store have little bandwidth."""
 
+import asyncio
 import threading
 import time
 
 from behave import given, then, when
+from returns.result import Failure
 
 from features.support.calls import call
-from features.support.node_fleets import NodeFleet
+from features.support.fake_nodes import FakeNode
+from features.support.node_fleets import NodeFleet, job_body
 from features.support.waiting import wait_until
-from sassafrasgrade.tools.standins.fleets import ADDRESS, QUEUE_HOST
+from sassafrasgrade.route_lookups import RouteLookup
+from sassafrasgrade.tools.standins.fleets import ADDRESS, QUEUE_HOST, QUEUE_PREFIX
 from sassafrasgrade.tools.standins.proxies import LaneFaults
 
 BYTES_PER_S_PER_MBPS = 1e6 / 8
@@ -87,3 +91,39 @@
 @then("every node handles requests by the newest version within {seconds:d} seconds")
 def check_newest(context, seconds):
     wait_until(lambda: serves_newest(context), seconds, "the newest is in force")
+
+
+@given('a node with version {own:d}, confirmed {age:g} s ago, and "{situation}"')
+def make_node(context, own, age, situation):
+    context.node = FakeNode(own, age, situation)
+
+
+@then('a request is routed by "{by}"')
+def check_route(context, by):
+    lookup = RouteLookup(context.node)
+    if context.node.uses_newer_before:
+        context.node.age_s, kept_age_s = 9.0, context.node.age_s
+        asyncio.run(lookup.find("jobs.example", "/tasks/1"))
+        context.node.age_s, context.node.leader_version = kept_age_s, None
+    found = asyncio.run(lookup.find("jobs.example", context.node.path))
+    source = "nothing" if isinstance(found, Failure) else found.unwrap().source
+    is_unconfirmed = context.node.counted[-1] == "unconfirmed"
+    assert ("unconfirmed" if is_unconfirmed else source) == by, (by, found)
+
+
+@when("the watches of all nodes stall")
+def stall_watches(context):
+    context.fleet.harness.store.stalls_watches = True
+
+
+@then("every node accepts jobs for {seconds:d} seconds")
+def check_accepts(context, seconds):
+    until = time.monotonic() + seconds
+    number = 0
+    while time.monotonic() < until:
+        for node in range(len(context.fleet.harness.nodes)):
+            number += 1
+            path = f"{QUEUE_PREFIX}{number:016x}"
+            reply = context.fleet.request("POST", path, job_body(), node)
+            assert reply.status == 200, (number, reply.status, reply.body)
+        threading.Event().wait(0.2)
--- a/features/thin_links.feature
+++ b/features/thin_links.feature
@@ -16,3 +16,27 @@
     Examples: faster than the link can carry them
       | mbps | kb   | versions | gap  |
       | 5    | 1134 | 12       | 0.33 |
+
+  Scenario Outline: a request is routed by <by> if the own version <own> is <age> s old and <situation>
+    Given a node with version <own>, confirmed <age> s ago, and "<situation>"
+    Then a request is routed by "<by>"
+
+    Examples: the time in which a configuration has to be in force is 2 s
+      | own | age | situation                             | by          |
+      | 5   | 0.1 | the leader has version 6              | own         |
+      | 5   | 1.7 | the leader has version 6              | own         |
+      | 5   | 1.9 | the leader has version 6              | leader      |
+      | 5   | 1.9 | the leader has version 5              | leader      |
+      | 5   | 1.9 | the leader has version 4              | nothing     |
+      | 5   | 1.9 | the leader may be outdated as well    | nothing     |
+      | 5   | 9.0 | no leader answers                     | nothing     |
+      | 5   | 9.0 | the store confirms it at once         | own         |
+      | 5   | 9.0 | the store is lost                     | unconfirmed |
+      | 5   | 9.0 | the store is lost, the queue unknown  | nothing     |
+      | 5   | 0.1 | version 6 was used before             | nothing     |
+      | 5   | 0.1 | version 6 was used, the store is lost | nothing     |
+
+  Scenario: nodes whose watches have stalled go on to accept jobs
+    Given a fleet of 2 nodes and 2 hosts
+    When the watches of all nodes stall
+    Then every node accepts jobs for 6 seconds
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -304,6 +304,10 @@
         """Returns the seconds since the configuration was known to be the newest."""
         return self.timers.now() - self._operator_keys.confirmed_at
 
+    async def check_configuration(self, timeout_s):
+        """Asks the store for a newer configuration; waits for it up to a time."""
+        await self._operator_keys.check(timeout_s)
+
     def store_answer_age_s(self):
         """Returns the seconds since the store last answered."""
         return self.leadership.store_answer_age_s()
--- a/sassafrasgrade/prefix_followers.py
+++ b/sassafrasgrade/prefix_followers.py
@@ -22,6 +22,8 @@
 # Time after the last byte of an answer during which it counts as arriving, in
 # seconds: a second transfer over the same link would delay both.
 ARRIVING_S = 0.6
+# Minimum time between two checks for changes beside a watch, in seconds.
+CHECK_PERIOD_S = 0.25
 # Transfer time of an answer, in seconds, above which the link may be too slow to read
 # changes as fast as they are written.
 SLOW_TRANSFER_S = 0.2
@@ -81,6 +83,8 @@
         self.confirmed_at = float("-inf")
         self._progress_at = float("-inf")
         self._range_read = None
+        self._check = None
+        self._check_began_at = float("-inf")
 
     def start(self):
         """Starts following."""
@@ -131,6 +135,27 @@
     def _confirm(self, known_at):
         self.confirmed_at = max(self.confirmed_at, known_at)
 
+    async def check(self, timeout_s):
+        """Asks once whether there are changes, beside a watch that may have stalled.
+
+        Args:
+            timeout_s: Maximum time to wait for the outcome, in seconds.
+        """
+        now = self._timers.now()
+        if now - self._check_began_at >= CHECK_PERIOD_S and not self._is_arriving():
+            self._check_began_at = now
+            self._check = asyncio.ensure_future(self._check_once())
+        if self._check is not None:
+            await asyncio.wait([self._check], timeout=timeout_s)
+
+    async def _check_once(self):
+        if self._is_closed or self._revision is None:
+            return
+        found = await self._watch(self._revision, 0.0)
+        if isinstance(found, Failure):
+            extra = {"dependency": self._name, "revision": self._revision}
+            logger.info("check failed", extra=extra | error_fields(found.failure()))
+
     async def _reread(self):
         extra = {"dependency": self._name, "revision": self._revision}
         logger.info("reread started", extra=extra)
@@ -177,7 +202,7 @@
         if revision is None or self._reads_range:
             found = await self._read_newest(revision)
         else:
-            found = await self._watch(revision)
+            found = await self._watch(revision, WATCH_WAIT_S)
         if isinstance(found, Failure):
             if isinstance(found.failure(), HistoryCompacted):
                 self._revision = None
@@ -199,15 +224,18 @@
         self._reads_range = self._reads_range and is_new and self._is_outdated()
         return found
 
-    async def _watch(self, revision):
+    async def _watch(self, revision, wait_s):
         began_at = self._timers.now()
         found = await self._store.watch(
-            self._prefix, revision, WATCH_WAIT_S, self._record_progress
+            self._prefix, revision, wait_s, self._record_progress
         )
         if isinstance(found, Failure) or self._is_overtaken(revision):
             return found
         changes = found.unwrap()
-        self._revision = changes.revision
+        if changes.items or wait_s:
+            # An empty check leaves the revision alone: the answer of the watch beside
+            # it would count as overtaken and be transferred twice.
+            self._revision = changes.revision
         if changes.items:
             self._newest_revision = changes.items[-1].revision
             self._on_items(changes.items)
@@ -215,13 +243,13 @@
             self._reads_range = bool(
                 is_slow and self._is_outdated is not None and self._is_outdated()
             )
-        self._confirm(self._watched_until(began_at, changes))
+        self._confirm(self._watched_until(began_at, wait_s, changes))
         return found
 
-    def _watched_until(self, began_at, changes):
+    def _watched_until(self, began_at, wait_s, changes):
         """Returns the time until which a watch would have reported a change."""
         now = self._timers.now()
-        waited_until = began_at + WATCH_WAIT_S / CLOCK_DRIFT
+        waited_until = began_at + wait_s / CLOCK_DRIFT
         if not changes.items:
             return waited_until if now >= waited_until else began_at
         return max(began_at, now - changes.transfer_s - MAX_ANSWER_DELAY_S)
--- a/sassafrasgrade/route_lookups.py
+++ b/sassafrasgrade/route_lookups.py
@@ -11,6 +11,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Time for which a request waits until the store has confirmed the own configuration,
+# in seconds, before it is refused.
+CHECK_WAIT_S = 0.3
 # Part of the time in which a configuration has to be in force that is kept for the
 # way of requests and answers, in seconds.
 APPLY_MARGIN_S = 0.25
@@ -38,7 +41,7 @@
 
     A configuration was the newest one when the store last confirmed it. Until the time
     in which a newer one has to be in force has passed since then, it may be used;
-    after that the leader is asked, under the same condition.
+    after that the leader is asked, under the same condition, and then the store.
 
     Args:
         node: The ``Node``: configuration, link to the leader.
@@ -60,7 +63,10 @@
         else:
             route = await self._ask_leader(host, path)
             if route is None:
-                return self._settle_without_proof(host, path)
+                await self._node.check_configuration(CHECK_WAIT_S)
+                if not self._is_own_usable():
+                    return self._settle_without_proof(host, path)
+                route = self._find_own(host, path)
         self._newest_version = max(self._newest_version, route.version)
         self._node.counters.count_route_lookup(route.source)
         return Success(route)
--- a/sassafrasgrade/tools/standins/store_handlers.py
+++ b/sassafrasgrade/tools/standins/store_handlers.py
@@ -24,6 +24,7 @@
         refuse_status: HTTP status with which all calls are refused; 0 for none.
         delay_s: Delay before each call.
         lose_next: Number of commits still to apply without an answer.
+        stalls_watches: Whether watches that wait are held without an answer.
         late_next: Number of commits still to apply ``late_s`` later, unanswered.
     """
 
@@ -36,6 +37,7 @@
         self.delay_s = 0.0
         self.lose_next = 0
         self.late_next = 0
+        self.stalls_watches = False
         self.late_s = 1.0
         self.calls = 0
         timers.subscribe(EXPIRY_PERIOD_S, self._expire)
@@ -125,6 +127,9 @@
         wait_s = int(self.get_argument("waitMs")) / 1000
         deadline = self.server.timers.now() + wait_s
         while True:
+            if wait_s and self.server.stalls_watches:
+                await gen.sleep(EXPIRY_PERIOD_S)
+                continue
             events = self.server.state.events_after(prefix, after)
             left_s = deadline - self.server.timers.now()
             if events is None:
