--- a/features/thin_links.feature
+++ b/features/thin_links.feature
@@ -40,3 +40,10 @@
     Given a fleet of 2 nodes and 2 hosts
     When the watches of all nodes stall
     Then every node accepts jobs for 6 seconds
+
+  Scenario: a configuration that changes while all watches are stalled is in force in time
+    Given a fleet of 3 nodes and 2 hosts
+    When the watches of all nodes stall
+    And 3 versions of 10 KB, one each 3.5 s, drop and add queues
+    Then no node handles a request by a version superseded for over 3 seconds
+    And every node handles requests by the newest version within 15 seconds
