--- a/sassafrasgrade/tools/standins/proxies.py
+++ b/sassafrasgrade/tools/standins/proxies.py
@@ -87,8 +87,7 @@
                 while self._is_held(forward):
                     await self._faults_changed.wait()
                 if not forward and self.faults.bytes_per_s:
-                    async with self._link:
-                        await asyncio.sleep(len(data) / self.faults.bytes_per_s)
+                    await self._pass_link(len(data))
                 if not forward and self.faults.drop_answers > 0:
                     self.faults.drop_answers -= 1
                     break
@@ -103,6 +102,13 @@
         source.close()
         sink.close()
 
+    async def _pass_link(self, size):
+        """Waits until the lane's bandwidth has carried ``size`` bytes."""
+        async with self._link:
+            # The faults may have changed while other connections used the link.
+            if self.faults.bytes_per_s:
+                await asyncio.sleep(size / self.faults.bytes_per_s)
+
     def _is_held(self, forward):
         return self.faults.hold_forward if forward else self.faults.hold_backward
 
