--- a/sassafrasgrade/platform/calls.py
+++ b/sassafrasgrade/platform/calls.py
@@ -35,6 +35,9 @@
 class ProgressGuard:
     """Ends a transfer from which no bytes arrive for too long.
 
+    curl's own limits do not fit: one is on the whole transfer, the other on its mean
+    speed over several seconds.
+
     Args:
         http: ``CurlClient`` that makes the transfer.
         limits: ``TransferLimits``.
--- a/sassafrasgrade/route_lookups.py
+++ b/sassafrasgrade/route_lookups.py
@@ -66,7 +66,7 @@
                 wait_s = 0.0 if self._node.is_store_lost() else CHECK_WAIT_S
                 await self._node.check_configuration(wait_s)
                 if not self._is_own_usable():
-                    return self._settle_without_proof(host, path)
+                    return self._find_unconfirmed(host, path)
                 route = self._find_own(host, path)
         self._newest_version = max(self._newest_version, route.version)
         self._node.counters.count_route_lookup(route.source)
@@ -106,11 +106,14 @@
             return None
         return Route(reply.queue_name, reply.prefix, reply.version, "leader")
 
-    def _settle_without_proof(self, host, path):
-        """Serves a known queue while the store is lost; refuses everything else.
+    def _find_unconfirmed(self, host, path):
+        """Finds a known queue while the store is lost; refuses everything else.
 
         While the store answers nobody, no configuration can become newer; while it
-        does not answer this node, the node serves what it can.
+        does not answer this node only, the node serves what it can.
+
+        Returns:
+            As ``find``.
         """
         own = self._find_own(host, path)
         age_s = self._node.configuration_age_s()
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -30,7 +30,10 @@
 
 
 def suspects_of(worker):
-    """Returns the ``CrashedTask`` values if a worker crashed after its last answer."""
+    """Returns the ``CrashedTask`` values if a worker crashed after its last answer.
+
+    Runs count whose start was sent and whose stop the worker has not confirmed.
+    """
     runs = [
         run
         for run in worker.runs_by_key.values()
