Keep a crashed stand-in worker from being revived by an earlier fault's end

Traced: worker i-host-0-10 was held silent, crashed meanwhile, and answered again on its open connections, while refusing new ones, when the first fault was lifted; it took a start, ran nothing, and kept the run listed. Only the stand-in was wrong: a closed worker now stays closed.

--- a/sassafrasgrade/tools/standins/fleet_handlers.py
+++ b/sassafrasgrade/tools/standins/fleet_handlers.py
@@ -32,7 +32,8 @@
         port: TCP port that it listens on.
 
     Attributes:
-        is_dark: Whether its calls are held unanswered; also set by ``close``.
+        is_dark: Whether its calls are held unanswered.
+        is_closed: Whether it has ended: nothing revives it.
     """
 
     def __init__(self, fleet, host_name, pool, port):
@@ -49,6 +50,7 @@
             fleet.history,
         )
         self.is_dark = False
+        self.is_closed = False
         self.is_draining = False
         fields = {"worker": self}
         application = Application(
@@ -70,7 +72,7 @@
         """Ends this incarnation: its runs are lost and its server stops."""
         self.state.mark_runs_lost(now)
         self._server.stop()
-        self.is_dark = True
+        self.is_closed = True
 
     def crash(self, now):
         """Ends this incarnation as a crash does: its connections are closed."""
@@ -196,8 +198,8 @@
         self.worker = worker
 
     async def prepare(self):
-        """Holds calls while ``is_dark``; rejects calls meant for other incarnations."""
-        while self.worker.is_dark:
+        """Holds calls while silent; rejects calls meant for other incarnations."""
+        while self.worker.is_dark or self.worker.is_closed:
             await gen.sleep(0.1)
             if self.request.connection.stream.closed():
                 self._finished = True
@@ -255,7 +257,7 @@
         deadline = self.now() + body.get("waitMs", 0) / 1000
         while not state.ended and self.now() < deadline:
             await gen.sleep(TICK_PERIOD_S)
-        if not self.worker.is_dark:
+        if not (self.worker.is_dark or self.worker.is_closed):
             self.answer((200, state.describe_runs(self.now())))
 
 
