Test crashing tasks in gangs, beside lost racks, outages and flapping workers

The tables of tests asked for rows that were missing: a crashing task in a gang, half of the workers lost at once, no progress stored for 3 s, workers that crash again and again under innocent tasks (60 seeded simulations). All pass on the code as it is. Mutants: conviction after two crashes fails the two flapping rows, no conviction fails seven rows, starts before crashes are stored fail the outage rows (the simulation now lists such starts).

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -97,11 +97,37 @@
       | 6      | 2        |
       | 30     | 2        |
 
+  Scenario Outline: <jobs> jobs of <width> tasks, one of which crashes its workers, beside <event>
+    Given 12 workers, <jobs> jobs of <width> tasks, one crashing, and <event>
+    When 24 other tasks are placed with them until all have ended
+    Then <jobs> jobs fail, after at most 5 starts, and all others are done
+
+    Examples:
+      | jobs | width | event                                      |
+      | 1    | 1     | half of the workers crash                  |
+      | 2    | 1     | half of the workers crash, as suspects run |
+      | 2    | 1     | no progress is stored for 3 s              |
+      | 1    | 4     | nothing                                    |
+      | 2    | 4     | nothing                                    |
+      | 1    | 4     | half of the workers crash                  |
+      | 1    | 4     | no progress is stored for 3 s              |
+      | 0    | 1     | half of the workers crash                  |
+
   Scenario: a worker that crashes again and again for its own reasons fails no job
     Given 4 workers, one of which crashes 0.5 s after each start
     When 24 other tasks are placed with them until all have ended
     Then 0 jobs fail, after at most 5 starts, and all others are done
 
+  Scenario Outline: no job is given up while <count> of <workers> workers crash each <period> s
+    When <count> of <workers> workers crash each <period> s on average, under <others> tasks, with the seeds 1 to 20
+    Then no job is given up
+
+    Examples:
+      | count | workers | period | others |
+      | 3     | 20      | 0.7    | 60     |
+      | 3     | 20      | 1.5    | 60     |
+      | 2     | 12      | 1      | 24     |
+
   Scenario Outline: on a worker whose capacity <change>, <started> tasks of 4 cores start
     Given a worker of 16 cores that runs 2 tasks of 4 cores
     When its capacity <change>
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.support.crash_simulations import CrashSimulation
+from features.support.crash_simulations import CrashPlan, CrashSimulation
 from features.support.node_fleets import FAULTS, job_body
 from features.support.waiting import wait_until
 from features.support.work_tables import (
@@ -371,12 +371,49 @@
 
 @given("{workers:d} workers and {bad:d} tasks that crash each worker that starts them")
 def make_crashing(context, workers, bad):
-    context.simulation = CrashSimulation(workers, bad)
+    context.simulation = CrashSimulation(CrashPlan(workers, bad))
 
 
 @given("{workers:d} workers, one of which crashes {delay:g} s after each start")
 def make_crashing_worker(context, workers, delay):
-    context.simulation = CrashSimulation(workers, 0, flaky_after_s=delay)
+    plan = CrashPlan(workers, flaky_after_s=delay)
+    context.simulation = CrashSimulation(plan)
+
+
+@when(
+    "{count:d} of {workers:d} workers crash each {period:g} s on average, "
+    "under {others:d} tasks, with the seeds {first:d} to {last:d}"
+)
+def simulate_flapping(context, count, workers, period, others, first, last):
+    context.failed_by_seed = {}
+    for seed in range(first, last + 1):
+        plan = CrashPlan(workers, flapping=count, flap_period_s=period, seed=seed)
+        simulation = CrashSimulation(plan)
+        simulation.run(others)
+        assert simulation.all_ended(), seed
+        if failed := simulation.failed_jobs():
+            context.failed_by_seed[seed] = len(failed)
+
+
+@then("no job is given up")
+def check_none_failed(context):
+    assert not context.failed_by_seed, context.failed_by_seed
+
+
+EVENTS = {
+    "nothing": {},
+    "half of the workers crash": {"rack_lost_at_s": 0.5},
+    "half of the workers crash, as suspects run": {"rack_lost_at_s": 4.0},
+    "no progress is stored for 3 s": {"outage_until_s": 3.0},
+}
+
+
+@given(
+    "{workers:d} workers, {bad:d} jobs of {width:d} tasks, one crashing, and {event}"
+)
+def make_events(context, workers, bad, width, event):
+    plan = CrashPlan(workers, bad, gang_width=width, **EVENTS[event])
+    context.simulation = CrashSimulation(plan)
 
 
 @when("{others:d} other tasks are placed with them until all have ended")
@@ -390,8 +427,9 @@
     failed = {job.job_id for job in simulation.failed_jobs()}
     assert failed == simulation.bad_ids, (failed, simulation.bad_ids)
     assert len(failed) == count, failed
-    starts = [simulation.starts_by_job[job_id] for job_id in simulation.bad_ids]
+    starts = simulation.bad_starts()
     assert max(starts, default=0) <= most, starts
+    assert not simulation.unsaved_starts, simulation.unsaved_starts
     assert simulation.all_others_done()
 
 
--- a/features/support/crash_simulations.py
+++ b/features/support/crash_simulations.py
@@ -1,6 +1,8 @@
-"""Simulates placement while tasks or a worker crash, without sockets."""
+"""Simulates placement while tasks or workers crash, without sockets."""
 
+import random
 from collections import Counter
+from dataclasses import dataclass
 
 from features.support.work_tables import (
     NOW,
@@ -24,31 +26,70 @@
 TICK_S = 0.1
 TASK_S = 1.0
 RETURN_S = 3.0
+# Time after which a member of a gang ends when another member does not run.
+GANG_WAIT_S = 2.0
 SIMULATED_S = 120.0
+NEVER = float("inf")
+
+
+@dataclass(frozen=True)
+class CrashPlan:
+    """What happens in a simulation.
+
+    Attributes:
+        workers: Number of workers.
+        bad: Number of jobs of which one task crashes each worker that starts it.
+        gang_width: Number of tasks of such a job, which must run at the same time.
+        flaky_after_s: Time after a start at which the first worker crashes.
+        flapping: Number of workers that crash at random times.
+        flap_period_s: Mean time between two crashes of such a worker.
+        seed: Seed of these times.
+        rack_lost_at_s: When every other worker crashes.
+        outage_until_s: Time until which no progress is stored.
+    """
+
+    workers: int
+    bad: int = 0
+    gang_width: int = 1
+    flaky_after_s: float = NEVER
+    flapping: int = 0
+    flap_period_s: float = 1.0
+    seed: int = 0
+    rack_lost_at_s: float = NEVER
+    outage_until_s: float = 0.0
 
 
 class CrashSimulation:
-    """Workers of which some crash under chosen tasks, or one for its own reasons.
+    """Places tasks on workers that crash as planned.
 
     Args:
-        workers: Number of workers.
-        bad: Number of tasks that crash each worker that starts them.
-        flaky_after_s: Time after a start at which the first worker crashes; None if
-            it does not.
+        plan: ``CrashPlan``.
     """
 
-    def __init__(self, workers, bad, flaky_after_s=None):
-        self.tables = create_tables(workers=workers)
-        self.starts_by_job = Counter()
-        self.bad_ids = {f"bad{number:013x}" for number in range(bad)}
-        self._flaky_after_s = flaky_after_s
+    def __init__(self, plan):
+        self.tables = create_tables(workers=plan.workers)
+        self.starts_by_task = Counter()
+        self.bad_ids = {f"bad{number:013x}" for number in range(plan.bad)}
+        self.unsaved_starts = []
+        self._plan = plan
+        self._is_rack_lost = False
+        self._random = random.Random(plan.seed)
+        self._flapping_hosts = {
+            f"host-worker-{number}" for number in range(plan.flapping)
+        }
         self._due_by_worker = {}
         self._incarnation = 0
 
     def run(self, others):
         """Places all tasks until they have ended, or the time is over."""
         for job_id in sorted(self.bad_ids):
-            add_simple_job(self.tables, job_id, cpu_millis=4000)
+            add_simple_job(
+                self.tables,
+                job_id,
+                cpu_millis=4000,
+                count=self._plan.gang_width,
+                is_gang=self._plan.gang_width > 1,
+            )
         for number in range(others):
             add_simple_job(self.tables, f"{number:016x}", cpu_millis=4000)
         now = NOW
@@ -61,6 +102,10 @@
         jobs = self.tables.jobs_by_id.values()
         return [job for job in jobs if job.pending_state is WorkState.FAILED]
 
+    def all_ended(self):
+        """Whether every job has ended."""
+        return not self.tables.open_jobs_by_id
+
     def all_others_done(self):
         """Whether every other job is completed."""
         jobs = self.tables.jobs_by_id.values()
@@ -70,42 +115,77 @@
             if job.job_id not in self.bad_ids
         )
 
+    def bad_starts(self):
+        """Returns the numbers of starts of the tasks that crash workers."""
+        return [self.starts_by_task[self._bad_task(job_id)] for job_id in self.bad_ids]
+
+    def _bad_task(self, job_id):
+        return f"{job_id}.0.0.0"
+
     def _tick(self, now):
+        self._lose_rack(now)
         for worker in list(self.tables.workers_by_id.values()):
             if self._has_crashed(worker, now):
-                record_crash(self.tables, worker)
-                remove_worker(self.tables, worker, now)
-                self._due_by_worker[worker.host] = now + RETURN_S
+                self._crash(worker, now)
             else:
                 self._answer(worker, now)
         self._return_workers(now)
         settle_crashes(self.tables)
         clear_outlived(self.tables)
-        for job in self.tables.jobs_by_id.values():
-            job.is_dirty = False
+        if now >= NOW + self._plan.outage_until_s:
+            for job in self.tables.jobs_by_id.values():
+                job.is_dirty = False
+        unsaved = {
+            task.name
+            for task in self.tables.tasks_by_name.values()
+            if task.crashes and task.job.is_dirty
+        }
         commands = place_tasks(
             self.tables, POOL, LearnedDurations(), now, NOW_UNIX + now - NOW
         )
         for command in commands:
             run = command.run
+            if run.task.name in unsaved:
+                self.unsaved_starts.append(run.task.name)
             run.state, run.answered_at = RunState.RUNNING, now
-            self.starts_by_job[run.task.job.job_id] += 1
+            self.starts_by_task[run.task.name] += 1
+
+    def _crash(self, worker, now):
+        record_crash(self.tables, worker)
+        remove_worker(self.tables, worker, now)
+        self._due_by_worker[worker.host] = now + RETURN_S
+
+    def _lose_rack(self, now):
+        if not self._is_rack_lost and now >= NOW + self._plan.rack_lost_at_s:
+            self._is_rack_lost = True
+            for worker in list(self.tables.workers_by_id.values())[::2]:
+                self._crash(worker, now)
 
     def _has_crashed(self, worker, now):
         runs = worker.runs_by_key.values()
-        if any(run.task.job.job_id in self.bad_ids for run in runs):
+        bad_tasks = {self._bad_task(job_id) for job_id in self.bad_ids}
+        if any(run.task.name in bad_tasks for run in runs):
             return True
-        if self._flaky_after_s is None or worker.host != "host-worker-0":
+        if worker.host in self._flapping_hosts:
+            return self._random.random() < TICK_S / self._plan.flap_period_s
+        if worker.host != "host-worker-0":
             return False
-        return any(now - run.started_at >= self._flaky_after_s for run in runs)
+        return any(now - run.started_at >= self._plan.flaky_after_s for run in runs)
+
+    def _has_complete_gang(self, run):
+        members = run.task.job.occurrences[0].steps[0].tasks
+        return all(member.runs_by_number for member in members)
 
     def _answer(self, worker, now):
         worker.last_answer_at = now
         running, ended = [], []
         for run in worker.runs_by_key.values():
-            if now - run.started_at >= TASK_S:
-                number = worker.seen_end + len(ended) + 1
+            age_s = now - run.started_at
+            number = worker.seen_end + len(ended) + 1
+            if age_s >= TASK_S and self._has_complete_gang(run):
                 ended.append((number, run.task.name, run.number, "done"))
+            elif age_s >= GANG_WAIT_S:
+                ended.append((number, run.task.name, run.number, "alone"))
             else:
                 running.append((run.task.name, run.number))
         apply_worker_view(self.tables, worker, now, running=running, ended=ended)
