Refuse overdue claims also while other writers win each write

Callers of keyed requests got no answer for over 7 s after a platform outage: a claim was refused after a second only if a call to the platform failed, not if another writer had written first.

--- a/sassafrasgrade/claim_logs.py
+++ b/sassafrasgrade/claim_logs.py
@@ -129,8 +129,8 @@
         while self._pending:
             started = self._timers.now()
             if not await self._write_batch():
-                self._refuse_overdue()
                 await asyncio.sleep(RETRY_S)
+            self._refuse_overdue()
             spent_s = self._timers.now() - started
             await asyncio.sleep(max(0.0, MIN_WRITE_INTERVAL_S - spent_s))
 
