Read the diff as a newcomer: reasons and names in the simulations

Names of what a table is keyed by, a shorter tick, and comments on why overdue claims are refused inside a loop and why only the writer is listed as live.

--- a/features/support/claim_fleets.py
+++ b/features/support/claim_fleets.py
@@ -120,14 +120,14 @@
 
 
 class DirectLinks:
-    """Links of one entry host to all others."""
+    """Links of one entry host to all others, of which one is the writer."""
 
     def __init__(self, name, controllers_by_name):
         self._name = name
         self._controllers_by_name = controllers_by_name
 
     def live_names_by_data_centre(self):
-        """Lists the writer, which all entry hosts reach."""
+        """Lists the writer only, so that it is chosen for all shards."""
         return {"all": [WRITER]}
 
     def send(self, name, message):
--- a/features/support/crash_simulations.py
+++ b/features/support/crash_simulations.py
@@ -70,6 +70,7 @@
         self.tables = create_tables(workers=plan.workers)
         self.starts_by_task = Counter()
         self.bad_ids = {f"bad{number:013x}" for number in range(plan.bad)}
+        # Starts of tasks whose crashes were not stored yet.
         self.unsaved_starts = []
         self._plan = plan
         self._is_rack_lost = False
@@ -77,7 +78,7 @@
         self._flapping_hosts = {
             f"host-worker-{number}" for number in range(plan.flapping)
         }
-        self._due_by_worker = {}
+        self._due_at_by_host = {}
         self._incarnation = 0
 
     def run(self, others):
@@ -135,6 +136,9 @@
         if now >= NOW + self._plan.outage_until_s:
             for job in self.tables.jobs_by_id.values():
                 job.is_dirty = False
+        self._place(now)
+
+    def _place(self, now):
         unsaved = {
             task.name
             for task in self.tables.tasks_by_name.values()
@@ -153,7 +157,7 @@
     def _crash(self, worker, now):
         record_crash(self.tables, worker)
         remove_worker(self.tables, worker, now)
-        self._due_by_worker[worker.host] = now + RETURN_S
+        self._due_at_by_host[worker.host] = now + RETURN_S
 
     def _lose_rack(self, now):
         if not self._is_rack_lost and now >= NOW + self._plan.rack_lost_at_s:
@@ -191,9 +195,9 @@
         apply_worker_view(self.tables, worker, now, running=running, ended=ended)
 
     def _return_workers(self, now):
-        for host, due_at in list(self._due_by_worker.items()):
+        for host, due_at in list(self._due_at_by_host.items()):
             if due_at <= now:
-                del self._due_by_worker[host]
+                del self._due_at_by_host[host]
                 self._incarnation += 1
                 worker = add_worker(self.tables, f"new-{self._incarnation}")
                 worker.host, worker.last_answer_at = host, now
--- a/sassafrasgrade/claim_logs.py
+++ b/sassafrasgrade/claim_logs.py
@@ -271,6 +271,7 @@
     async def _read_newer(self):
         """Applies the batches that other writers wrote under the next numbers."""
         while True:
+            # Callers wait for their claims while many batches are read.
             self._refuse_overdue()
             key = f"{self._prefix}{self._next_number:012d}"
             found = await self._platform.read(key)
