Drain entries like nodes: answer on open connections until none sends

Cause: a second after SIGTERM the port closed, and the process ended as soon as no request happened to be open, while callers still had connections. The fake entry of one older step gains the new method; its check is unchanged.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -29,6 +29,13 @@
       | 1500  | 5    | entry-2          |
       | 1500  | 6    | entry-1, entry-5 |
 
+  Scenario: a stopping entry answers on open connections after it has closed its port
+    Given a running cluster of kapu
+    And an open connection to "entry-2"
+    When "entry-2" gets SIGTERM under requests until it refuses new connections
+    Then a request on the open connection is answered, and the connection ends after it
+    And those entries exit with status 0
+
   Scenario Outline: a leaving backend server gets no new work after 3 seconds
     Given a running cluster of kapu
     When the host "<host>" is shown as leaving by "<source>" under load
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -1,11 +1,17 @@
 """Steps on clusters of processes: load, faults and answers."""
 
+import http.client
+import urllib.parse
+
 from behave import given, then, when
 
+from features.support.calls import call
 from features.support.clusters import ProcessCluster
 from features.support.waiting import wait_until
 from sassafrasgrade.tables import HostState
 
+# Refused connections after which a port counts as closed for a while.
+REFUSALS = 5
 AT_MOST_ONCE_CLASSES = ("charge", "enter")
 
 
@@ -86,6 +92,44 @@
     context.result = load.result()
 
 
+@given('an open connection to "{name}"')
+def open_connection(context, name):
+    context.url = f"{context.cluster.entry_host(name).url}/jury"
+    address = urllib.parse.urlsplit(context.url)
+    context.connection = http.client.HTTPConnection(address.hostname, address.port)
+    assert send_on(context.connection).status == 200
+
+
+def send_on(connection):
+    """Sends a request on an open connection; returns the answer, read whole."""
+    connection.request("GET", "/jury")
+    answer = connection.getresponse()
+    answer.read()
+    return answer
+
+
+@when('"{name}" gets SIGTERM under requests until it refuses new connections')
+def stop_until_refused(context, name):
+    context.stopped = [name]
+    context.cluster.processes_by_name[f"entry-{name}"].terminate()
+    refusals = []
+
+    def is_refused():
+        if call(context.url).status == 0:
+            refusals.append(context.url)
+        return len(refusals) >= REFUSALS
+
+    wait_until(is_refused, 10, "the port is closed")
+
+
+@then("a request on the open connection is answered, and the connection ends after it")
+def check_open_connection(context):
+    answer = send_on(context.connection)
+    assert answer.status == 200, answer.status
+    assert answer.getheader("Connection") == "close", answer.getheaders()
+    context.connection.close()
+
+
 @then("those entries exit with status 0")
 def check_exits(context):
     for name in context.stopped:
--- a/features/steps/manager_steps.py
+++ b/features/steps/manager_steps.py
@@ -66,6 +66,7 @@
     entry = SimpleNamespace(
         page=lambda method, path: lambda headers, body: answers.append("served"),
         settings=SimpleNamespace(entry_longest_body_bytes=10),
+        record_request=lambda: None,
     )
     delegate = RequestDelegate(entry, None)
     delegate._respond = answers.append
--- a/sassafrasgrade/entries.py
+++ b/sassafrasgrade/entries.py
@@ -15,6 +15,7 @@
 from sassafrasgrade.claims import ClaimController
 from sassafrasgrade.configurations import ConfigurationHolder
 from sassafrasgrade.counters import EntryCounters
+from sassafrasgrade.drains import Drain, DrainPhase
 from sassafrasgrade.entry_links import EntryLinks
 from sassafrasgrade.entry_pages import EntryPages
 from sassafrasgrade.fleet_controllers import apply_membership_update
@@ -61,13 +62,15 @@
 REPORT_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 0.5
 MAX_CONCURRENT_REQUESTS = 256
-STOP_GRACE_S = 1.0
 SETTLE_TIMEOUT_S = 2.0
 
 
 class Entry:
     """Creates and connects the components of one entry process.
 
+    Attributes:
+        last_request_at: When a caller's request was last read or answered.
+
     Args:
         settings: Checked ``Settings``.
         timers: Timer service.
@@ -78,6 +81,7 @@
         self.timers = timers
         self.counters = EntryCounters()
         self.is_stopping = False
+        self.last_request_at = 0.0
         self._holder = ConfigurationHolder()
         self._hosts = HostList()
         self._membership = Membership()
@@ -147,17 +151,25 @@
         self._send_heartbeats(self.timers.now())
         self._update_owner()
         self._owner.refuse_all_waiting()
-        # Lets the load balancer see /readyz fail before the port closes.
-        await gen.sleep(STOP_GRACE_S)
-        self._server.stop()
-        until = self.timers.now() + self.settings.entry_stop_timeout_s
-        while self._runner.open_count and self.timers.now() < until:
-            await gen.sleep(TICK_INTERVAL_S)
+        began_at = self.timers.now()
+        until = began_at + self.settings.entry_stop_timeout_s
+        await self._drain(Drain(began_at, until))
         await self._claims.drain(SETTLE_TIMEOUT_S)
         await self._server.close_all_connections()
         self.close()
         logger.info("entry process stopped, %d requests open", self._runner.open_count)
 
+    async def _drain(self, drain):
+        """Serves callers until none sends requests any more, or the time is up."""
+        while True:
+            now = self.timers.now()
+            phase = drain.phase(now, self._runner.open_count, self.last_request_at)
+            if phase > DrainPhase.ACCEPTING:
+                self._server.stop()
+            if phase is DrainPhase.ENDED:
+                return
+            await gen.sleep(TICK_INTERVAL_S)
+
     def close(self):
         """Closes everything immediately."""
         self.timers.stop()
@@ -194,6 +206,10 @@
             return route, Reason.OVERLOADED, 1.0
         return route, None, 0
 
+    def record_request(self):
+        """Records that a caller's request is read or answered now."""
+        self.last_request_at = self.timers.now()
+
     def start_exchange(self, exchange):
         """Starts an admitted exchange."""
         self._runner.start(exchange)
--- a/sassafrasgrade/http_delegates.py
+++ b/sassafrasgrade/http_delegates.py
@@ -80,6 +80,7 @@
         self._page = self._entry.page(start_line.method, path)
         if self._page is not None:
             return
+        self._entry.record_request()
         request_id = headers.get(REQUEST_ID_HEADER)
         if request_id is None:
             request_id = uuid.uuid4().hex
@@ -167,6 +168,8 @@
         if self._is_answered:
             return
         self._is_answered = True
+        if self._page is None:
+            self._entry.record_request()
         headers = httputil.HTTPHeaders()
         for name, value in answer.headers:
             headers.add(name, value)
