Log each forgotten run with its proof, and report second runs of a task

Cause: when a task runs twice, no line said why its first run was given up, nor that a second one was seen beside it, so that the hypotheses on the incident could not be told apart. Change: whatever forgets a run names its proof (kind and time of the fact); the line has the run, its worker's incarnation and the rest of its lease. A worker's first list to a leader is one line; a run listed beside another of its task, and an end of an unknown task, have lines, the former a counter.

--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -32,6 +32,7 @@
     record_crash,
     settle_crashes,
 )
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.run_updates import expire_leases, remove_worker
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
@@ -102,7 +103,7 @@
 def finish_crash(context, worker):
     """Replaces a crashed worker and settles its crash."""
     record_crash(context.tables, worker)
-    remove_worker(context.tables, worker, NOW)
+    remove_worker(context.tables, worker, EndProof(ProofKind.WORKER_GONE, NOW), NOW)
     settle_crashes(context.tables)
 
 
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -30,6 +30,7 @@
     Wave,
 )
 from sassafrasgrade.platform.stores import Item
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.host_planning import plan_hosts
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.occurrences import create_due, forget_done
@@ -302,7 +303,7 @@
     tables = create_tables(workers=1)
     worker = tables.workers_by_id["worker-0"]
     worker.born_ms = 5
-    remove_worker(tables, worker, NOW)
+    remove_worker(tables, worker, EndProof(ProofKind.WORKER_GONE, NOW), NOW)
     entry = {
         "service": POOL,
         "address": "127.0.0.1:1",
--- a/features/support/crash_simulations.py
+++ b/features/support/crash_simulations.py
@@ -18,6 +18,7 @@
     record_crash,
     settle_crashes,
 )
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.run_updates import remove_worker
 from sassafrasgrade.systems.task_placement import place_tasks
@@ -156,7 +157,7 @@
 
     def _crash(self, worker, now):
         record_crash(self.tables, worker)
-        remove_worker(self.tables, worker, now)
+        remove_worker(self.tables, worker, EndProof(ProofKind.WORKER_GONE, now), now)
         self._due_at_by_host[worker.host] = now + RETURN_S
 
     def _lose_rack(self, now):
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -18,6 +18,7 @@
     record_crash,
     settle_crashes,
 )
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.host_states import PLAN_INTERVAL_S
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.occurrences import create_due, forget_done
@@ -45,6 +46,7 @@
     MaintainHost,
     MoveHost,
     PaceRun,
+    ReportSecondRun,
     ReportWave,
     StartRun,
     StopRun,
@@ -136,7 +138,9 @@
 
     def remove_worker(self, worker):
         """Removes a worker that a host order has ended."""
-        remove_worker(self.tables, worker, self.timers.now())
+        now = self.timers.now()
+        proof = EndProof(ProofKind.HOST_ORDERED, now)
+        remove_worker(self.tables, worker, proof, now)
         self.sync_sessions()
         self.schedule_placement()
 
@@ -243,11 +247,12 @@
             return
         was_fenced, worker.has_seen_token = worker.has_seen_token, True
         self._record_durations(worker, view, now)
+        runs_before = len(worker.runs_by_key)
         commands = apply_view(self.tables, worker, view, sent_at, now)
         self._carry_out_all(commands)
         if not was_fenced:
             self.loader.lift_barrier()
-        if commands or not was_fenced:
+        if commands or not was_fenced or len(worker.runs_by_key) < runs_before:
             self.schedule_placement()
         self._schedule_store(worker)
 
@@ -303,7 +308,7 @@
             run.state = RunState.UNCERTAIN
             self.handle_unanswered_start(worker, run)
             return
-        forget_run(self.tables, run, now)
+        forget_run(self.tables, run, EndProof(ProofKind.START_REFUSED, now), now)
         if reply.outcome is OrderOutcome.FENCED:
             self.handle_fenced(worker)
         elif reply.outcome is OrderOutcome.WRONG_INSTANCE and worker is not None:
@@ -328,7 +333,8 @@
 
     def drop_unsent_start(self, run, reason):
         """Forgets a run whose start was never sent."""
-        forget_run(self.tables, run, self.timers.now())
+        now = self.timers.now()
+        forget_run(self.tables, run, EndProof(ProofKind.START_NOT_SENT, now), now)
         logger.info("start not sent", extra={"task": run.task.name, "reason": reason})
         self.schedule_placement()
 
@@ -353,7 +359,9 @@
         host = self.fleet.hosts_by_name.get(worker.host)
         if host is None or host.state not in ENDING_STATES:
             record_crash(self.tables, worker)
-        remove_worker(self.tables, worker, self.timers.now())
+        now = self.timers.now()
+        proof = EndProof(ProofKind.ADDRESS_ANSWERS_FOR_OTHER, now)
+        remove_worker(self.tables, worker, proof, now)
         self.sync_sessions()
         self.schedule_placement()
 
@@ -558,6 +566,28 @@
                 session.send_stop, command.task, command.number
             )
 
+    @carry_out.register
+    def _(self, command: ReportSecondRun):
+        self.counters.count_second_run()
+        run = command.run
+        logger.warning(
+            "second run of a task",
+            extra={
+                "job": run.task.job.job_id,
+                "task": run.task.name,
+                "run": run.number,
+                "worker": run.worker_id,
+                "others": [
+                    {
+                        "run": other.number,
+                        "worker": other.worker_id,
+                        "state": str(other.state),
+                    }
+                    for other in command.others
+                ],
+            },
+        )
+
     @carry_out.register
     def _(self, command: PaceRun):
         command.run.pace = command.percent
--- a/sassafrasgrade/node_counters.py
+++ b/sassafrasgrade/node_counters.py
@@ -33,6 +33,9 @@
         self._starts = self._counter(
             "starts", "Starts of runs by outcome.", ["outcome"]
         )
+        self._second_runs = self._counter(
+            "second_runs", "Runs listed while their task had another.", []
+        )
         self._runs = self._histogram(
             "run_seconds", "Duration of runs that ended done.", ["queue"]
         )
@@ -88,6 +91,10 @@
         """Counts a start of a run."""
         self._child(self._starts, outcome).inc()
 
+    def count_second_run(self):
+        """Counts a run that was listed while its task had another."""
+        self._child(self._second_runs).inc()
+
     def count_run(self, queue, seconds):
         """Counts a run that ended ``done``."""
         self._child(self._runs, queue).observe(seconds)
--- /dev/null
+++ b/sassafrasgrade/systems/end_proofs.py
@@ -0,0 +1,64 @@
+"""Proofs that a run has ended, without which its task must not start again."""
+
+import logging
+from dataclasses import dataclass
+from enum import StrEnum
+
+from sassafrasgrade.work_tables import MS_PER_S
+
+logger = logging.getLogger(__name__)
+
+
+class ProofKind(StrEnum):
+    """What shows that a run has ended or never began."""
+
+    END_LISTED = "end listed"
+    ABSENT = "absent from a later list"
+    START_REFUSED = "start refused"
+    START_NOT_SENT = "start not sent"
+    LEASE_LAPSED = "lease lapsed"
+    WORKER_RESTARTED = "worker restarted"
+    ADDRESS_ANSWERS_FOR_OTHER = "another incarnation answers at the address"
+    ADDRESS_CHANGED = "worker registered with another address"
+    HOST_RUNS_ANOTHER = "host runs a later worker"
+    HOST_ORDERED = "host order carried out"
+    WORKER_GONE = "worker neither registered nor answering"
+
+
+@dataclass(frozen=True, slots=True)
+class EndProof:
+    """A fact that shows that a run has ended.
+
+    Attributes:
+        kind: What kind of fact.
+        known_at: Clock as of which it held, in seconds.
+    """
+
+    kind: ProofKind
+    known_at: float
+
+
+def log_forgotten_run(run, worker, proof, now):
+    """Logs why a run is forgotten; listed ends have a line of their own.
+
+    Args:
+        run: The run.
+        worker: Its worker, or None.
+        proof: ``EndProof``.
+        now: Current clock in seconds.
+    """
+    if proof.kind is ProofKind.END_LISTED:
+        return
+    fields = {
+        "job": run.task.job.job_id,
+        "task": run.task.name,
+        "run": run.number,
+        "worker": run.worker_id,
+        "state": str(run.state),
+        "proof": str(proof.kind),
+        "proof_age_ms": round((now - proof.known_at) * MS_PER_S),
+    }
+    if worker is not None:
+        fields["born"] = worker.born_ms
+        fields["lease_left_ms"] = round((worker.lease_until - now) * MS_PER_S)
+    logger.info("run forgotten", extra=fields)
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -3,7 +3,13 @@
 from sassafrasgrade.fleet_hosts import ENDING_STATES
 from sassafrasgrade.node_messages import HandedOverRun
 from sassafrasgrade.platform.messages import RunEnd, WorkerView
-from sassafrasgrade.work_commands import LogEvent, StopRun, StopUnknownRun
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind, log_forgotten_run
+from sassafrasgrade.work_commands import (
+    LogEvent,
+    ReportSecondRun,
+    StopRun,
+    StopUnknownRun,
+)
 from sassafrasgrade.work_tables import (
     MS_PER_S,
     UNTIL_BARRIER_LIFTED,
@@ -61,13 +67,23 @@
         commands += _apply_running(tables, worker, row, now)
     for key, run in list(worker.runs_by_key.items()):
         if key not in listed and _is_surely_absent(run, view.clock_ms, sent_at):
-            forget_run(tables, run, now)
-            commands.append(
-                LogEvent("run-absent", {"task": run.task.name, "run": run.number})
-            )
+            forget_run(tables, run, EndProof(ProofKind.ABSENT, sent_at), now)
+    if is_first_view:
+        commands.append(_describe_first_view(worker, view))
     return commands
 
 
+def _describe_first_view(worker, view):
+    """Logs what a worker runs when a leader first hears from it."""
+    fields = {
+        "worker": worker.worker_id,
+        "born": worker.born_ms,
+        "runs": [f"{row.task}#{row.run}" for row in view.running],
+        "ends": len(view.ended),
+    }
+    return LogEvent("worker-reported", fields)
+
+
 def _is_surely_absent(run, clock_ms, sent_at):
     """Whether a run that was not listed can no longer appear."""
     if run.stop_answered_at:
@@ -79,9 +95,10 @@
     return False
 
 
-def forget_run(tables, run: Run, now):
+def forget_run(tables, run: Run, proof: EndProof, now):
     """Removes a run that has certainly ended; its task may start again."""
     worker = tables.workers_by_id.get(run.worker_id)
+    log_forgotten_run(run, worker, proof, now)
     if worker is not None:
         worker.runs_by_key.pop((run.task.name, run.number), None)
     run.task.runs_by_number.pop(run.number, None)
@@ -117,12 +134,15 @@
     if task is None or task.is_done or not task.job.is_open:
         return [StopUnknownRun(worker.worker_id, row.task, row.run)]
     run = Run(task, row.run, worker.worker_id, RunState.RUNNING, now, answered_at=now)
+    commands = []
+    if task.runs_by_number and not task.step.is_speculative:
+        commands.append(ReportSecondRun(run, tuple(task.runs_by_number.values())))
     task.runs_by_number[row.run] = run
     task.last_number = max(task.last_number, row.run)
     worker.runs_by_key[(row.task, row.run)] = run
     record_start(tables, task.job)
     _record_progress(run, row, now)
-    return []
+    return commands
 
 
 def adopt_handed_over_runs(tables, handed_over_runs, now):
@@ -203,9 +223,10 @@
     task = tables.tasks_by_name.get(row.task)
     run = worker.runs_by_key.get((row.task, row.run))
     if run is not None:
-        forget_run(tables, run, now)
+        forget_run(tables, run, EndProof(ProofKind.END_LISTED, now), now)
     if task is None:
-        return []
+        fields = {"task": row.task, "run": row.run, "worker": worker.worker_id}
+        return [LogEvent("end-of-unknown-task", fields | {"how": str(row.how)})]
     if row.saved:
         task.saved = row.saved
     fields = {
@@ -332,17 +353,18 @@
     return [event, *stop_job_runs(job, "job cancelled")]
 
 
-def remove_worker(tables, worker, now, has_ended=True):
+def remove_worker(tables, worker, proof, now, has_ended=True):
     """Removes a worker whose runs have certainly ended.
 
     Args:
         tables: The tables.
         worker: The worker.
+        proof: ``EndProof`` of its runs.
         now: Current clock in seconds.
         has_ended: Whether this incarnation has ended and cannot come back.
     """
     for run in list(worker.runs_by_key.values()):
-        forget_run(tables, run, now)
+        forget_run(tables, run, proof, now)
     tables.workers_by_id.pop(worker.worker_id, None)
     if has_ended:
         incarnation = EndedIncarnation(worker.born_ms, now + STALE_REGISTRATION_S)
@@ -351,8 +373,9 @@
 
 def restart_worker(tables, worker, born_ms, now):
     """Resets the state of a worker that came back under the same id."""
+    proof = EndProof(ProofKind.WORKER_RESTARTED, now)
     for run in list(worker.runs_by_key.values()):
-        forget_run(tables, run, now)
+        forget_run(tables, run, proof, now)
     worker.born_ms = born_ms
     worker.seen_end = worker.stored_end = 0
     worker.view_clock_ms = 0.0
@@ -431,9 +454,10 @@
         if worker.unresponsive_since == 0:
             continue
         on_lapse(worker)
+        proof = EndProof(ProofKind.LEASE_LAPSED, worker.lease_until)
         for run in list(worker.runs_by_key.values()):
             # A start order in flight may still arrive, but is void by now: its
             # deadline is earlier than the end of the lease.
-            forget_run(tables, run, leader_until)
+            forget_run(tables, run, proof, leader_until)
         commands.append(LogEvent("worker-lapsed", {"worker": worker.worker_id}))
     return commands
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -21,6 +21,7 @@
 from sassafrasgrade.node_messages import HandOver
 from sassafrasgrade.platform import names
 from sassafrasgrade.prefix_followers import PrefixFollower
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.run_updates import (
     adopt_handed_over_runs,
     remove_worker,
@@ -298,7 +299,8 @@
                     "worker removed; neither registered nor answering",
                     extra={"worker": worker.worker_id},
                 )
-                remove_worker(self._tables, worker, now, has_ended=False)
+                proof = EndProof(ProofKind.WORKER_GONE, worker.lease_until)
+                remove_worker(self._tables, worker, proof, now, has_ended=False)
                 self._dispatcher.sync_sessions()
 
 
--- a/sassafrasgrade/work_commands.py
+++ b/sassafrasgrade/work_commands.py
@@ -29,6 +29,14 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReportSecondRun:
+    """Reports a run that a worker lists while the task has others in the tables."""
+
+    run: Run
+    others: tuple[Run, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PaceRun:
     """Limits the speed of a run, in percent."""
--- a/sassafrasgrade/worker_registrations.py
+++ b/sassafrasgrade/worker_registrations.py
@@ -8,6 +8,7 @@
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.messages import WorkerEntry
 from sassafrasgrade.systems.crash_records import record_crash
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.run_updates import remove_worker, restart_worker
 from sassafrasgrade.work_tables import MS_PER_S, Worker
 
@@ -58,7 +59,8 @@
     if entry is None:
         return
     if worker is not None and worker.address != entry.address:
-        remove_worker(tables, worker, now)
+        proof = EndProof(ProofKind.ADDRESS_CHANGED, now)
+        remove_worker(tables, worker, proof, now)
         worker = None
     if worker is None and _is_known_to_have_ended(tables, worker_id, entry, now):
         return
@@ -83,7 +85,9 @@
         is_same_host = entry.host and other.host == entry.host
         if is_same_host and is_later and other.unresponsive_since:
             record_crash(tables, other)
-            remove_worker(tables, other, now)
+            remove_worker(
+                tables, other, EndProof(ProofKind.HOST_RUNS_ANOTHER, now), now
+            )
             logger.info(
                 "worker removed; its host runs another",
                 extra={"worker": other.worker_id, "host_name": other.host},
