--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -19,3 +19,123 @@
     Given a job of one task that may fail 2 times
     When a second worker lists a run of the task
     Then one second run is reported
+
+  Scenario Outline: a successor of a leader that may still act starts <what>: <starts>
+    Then a successor of a leader that may still act starts "<what>": "<starts>"
+
+    Examples:
+      | what                                                | starts |
+      | a loaded job, before all workers reported           | no     |
+      | a loaded job, after all workers reported            | yes    |
+      | a job found later, after all workers reported       | yes    |
+      | a job found long after, before all workers reported | yes    |
+      | a next step, once earlier polls are over            | yes    |
+      | a queue's job, after its former pool reported       | yes    |
+
+    @known_red
+    Examples: runs of the previous leader that the successor does not know of
+      | what                                                 | starts |
+      | a job found later, before all workers reported       | no     |
+      | a job found after a worker listed its run            | no     |
+      | a job found after a worker listed its end            | no     |
+      | an occurrence due later, before all workers reported | no     |
+      | an occurrence whose run was handed over              | no     |
+      | a next step, while earlier polls may wait            | no     |
+      | a queue's job, before its former pool reported       | no     |
+      | a job of a run handed over on an unlisted worker     | no     |
+
+  Scenario Outline: a task starts again after <event>: <starts>
+    Then a task starts again after "<event>": "<starts>"
+
+    Examples:
+      | event                                                           | starts |
+      | silence while its lease is valid                                | no     |
+      | silence until its lease has lapsed                              | yes    |
+      | a later registration of its worker with another address         | yes    |
+      | an answer of a later worker on its host                         | yes    |
+      | an answer of another worker at its address, and its lease's end | yes    |
+      | a restart of its worker that it had started on                  | yes    |
+      | a restart of its worker, which then confirmed a stop            | yes    |
+      | silence of an adopted run's worker for 6.3 s                    | yes    |
+      | a list without it that has 499 ends                             | yes    |
+
+    @known_red
+    Examples: evidence that does not prove the end of its run
+      | event                                                           | starts |
+      | a registration of its worker with another address               | no     |
+      | a registration of a later worker on its host                    | no     |
+      | an answer of another worker at its address                      | no     |
+      | a restart of its worker before the start was answered           | no     |
+      | a late answer of an earlier incarnation                         | no     |
+      | silence of an adopted run's worker for 1 s                      | no     |
+      | silence of an adopted run's worker for 6 s                      | no     |
+      | a list without it that has 500 ends                             | no     |
+
+  Scenario Outline: a start that <event> is sent: <sent>
+    Then a start that "<event>" while it waits for its turn is sent: "<sent>"
+
+    Examples:
+      | event              | sent |
+      | stays in the table | yes  |
+
+    @known_red
+    Examples: starts that must not be sent
+      | event                                          | sent |
+      | is forgotten                                   | no   |
+      | waits while its worker's clock becomes unknown | no   |
+
+  Scenario Outline: a start that curl sent <copies> times and that was answered "<refusal>" had no effect: <proven>
+    Then a start sent in <copies> copies and answered "<refusal>" has surely had no effect: "<proven>"
+
+    Examples:
+      | copies | refusal    | proven |
+      | 1      | no refusal | no     |
+      | 2      | no refusal | no     |
+      | 1      | unhealthy  | yes    |
+      | 1      | late       | yes    |
+      | 1      | old        | yes    |
+      | 2      | fence      | yes    |
+
+    @known_red
+    Examples: the first copy may have been carried out
+      | copies | refusal   | proven |
+      | 2      | unhealthy | no     |
+      | 2      | busy      | no     |
+      | 2      | late      | no     |
+      | 2      | old       | no     |
+
+  Scenario Outline: an answer of <incarnation> tells the time of a worker: <tells>
+    Then an answer of <incarnation> tells the time of a worker: "<tells>"
+
+    Examples:
+      | incarnation             | tells |
+      | the present incarnation | yes   |
+
+    @known_red
+    Examples: clocks of other incarnations
+      | incarnation            | tells |
+      | an earlier incarnation | no    |
+
+  Scenario Outline: a node that campaigns for a vanished key after <missed> leads under epoch <epoch>
+    Then a node that campaigns for a vanished key after <missed> leads under epoch <epoch> with the leader it knew as predecessor: "<direct>"
+
+    Examples:
+      | missed                | epoch | direct |
+      | no missed leadership  | 2     | yes    |
+
+    @known_red
+    Examples: leaderships that it missed
+      | missed                | epoch | direct |
+      | one missed leadership | 3     | no     |
+
+  Scenario Outline: a leader whose key vanished writes it again after <missed>: <leads>
+    Then a leader whose key vanished leads again after <missed>: "<leads>"
+
+    Examples:
+      | missed                | leads |
+      | no missed leadership  | yes   |
+
+    @known_red
+    Examples: leaderships that it missed
+      | missed                | leads |
+      | one missed leadership | no    |
--- a/features/steps/run_end_steps.py
+++ b/features/steps/run_end_steps.py
@@ -1,10 +1,15 @@
 """Steps on the proofs that free a task for its next start."""
 
+import asyncio
 import logging
 
 from behave import given, then, when
 
+from features.support import missed_leaderships, order_cases, silent_workers
+from features.support.takeover_cases import CASES_BY_NAME
+from features.support.takeovers import run_in_loop
 from features.support.work_tables import NOW, apply_worker_view, start_run
+from sassafrasgrade.platform.workers import NO_EFFECT_OUTCOMES
 from sassafrasgrade.work_commands import ReportSecondRun
 
 
@@ -56,3 +61,57 @@
     reported = [c for c in context.commands if isinstance(c, ReportSecondRun)]
     assert [command.run.number for command in reported] == [2]
     assert [run.number for run in reported[0].others] == [1]
+
+
+@then('a successor of a leader that may still act starts "{what}": "{starts}"')
+def check_successor_starts(context, what, starts):
+    started = run_in_loop(CASES_BY_NAME[what])
+    assert bool(started) == (starts == "yes"), started
+
+
+@then('a task starts again after "{event}": "{starts}"')
+def check_starts_again(context, event, starts):
+    started = run_in_loop(silent_workers.CASES_BY_NAME[event])
+    assert bool(started) == (starts == "yes"), started
+
+
+@then('a start that "{event}" while it waits for its turn is sent: "{sent}"')
+def check_queued_start(context, event, sent):
+    was_sent, dropped = asyncio.run(order_cases.send_queued(event))
+    assert was_sent == (sent == "yes"), (was_sent, dropped)
+
+
+@then(
+    'a start sent in {copies:d} copies and answered "{refusal}" '
+    'has surely had no effect: "{proven}"'
+)
+def check_copies(context, copies, refusal, proven):
+    outcome = asyncio.run(order_cases.start_with_copies(refusal, copies))
+    assert (outcome in NO_EFFECT_OUTCOMES) == (proven == "yes"), outcome
+
+
+@then('an answer of {incarnation} tells the time of a worker: "{tells}"')
+def check_clock(context, incarnation, tells):
+    is_present = incarnation == "the present incarnation"
+    born_ms = order_cases.BORN_MS - (0 if is_present else 9)
+    told = asyncio.run(order_cases.poll_restarted_worker(born_ms, NOW * 1000))
+    assert told == (tells == "yes")
+
+
+@then(
+    "a node that campaigns for a vanished key after {missed} leads under epoch "
+    '{epoch:d} with the leader it knew as predecessor: "{direct}"'
+)
+def check_campaign(context, missed, epoch, direct):
+    gained, is_direct = asyncio.run(
+        missed_leaderships.campaign(missed == "one missed leadership")
+    )
+    assert gained == [epoch], gained
+    assert is_direct == (direct == "yes")
+
+
+@then('a leader whose key vanished leads again after {missed}: "{leads}"')
+def check_vanished_key(context, missed, leads):
+    is_missed = missed == "one missed leadership"
+    found = asyncio.run(missed_leaderships.write_vanished_key_again(is_missed))
+    assert found == (leads == "yes")
--- /dev/null
+++ b/features/support/missed_leaderships.py
@@ -0,0 +1,104 @@
+"""Nodes that miss a leadership: another node led and vanished without their notice."""
+
+import asyncio
+
+from features.support.memory_stores import MemoryStore
+from sassafrasgrade.leaderships import Leadership
+from sassafrasgrade.member_records import (
+    EPOCH_KEY,
+    LEADER_KEY,
+    LeaderRecord,
+    encode_record,
+)
+from sassafrasgrade.node_settings import check_node_settings
+from sassafrasgrade.timers import FakeTimerService
+
+TURNS = 50
+
+
+class Candidate:
+    """A node's ``Leadership`` and what it reports.
+
+    Attributes:
+        gained: Epochs under which it led.
+        renewed: Epochs under which it wrote its vanished key again.
+        lost: Reasons of losses.
+    """
+
+    def __init__(self, store):
+        self.gained, self.renewed, self.lost = [], [], []
+        self.leadership = Leadership(
+            store,
+            FakeTimerService(),
+            check_node_settings(
+                {"NODE_NAME": "node", "NODE_DATA_CENTRE": "z"}
+            ).unwrap(),
+            lambda token, epoch, gone: self.gained.append(epoch),
+            lambda token, epoch: self.renewed.append(epoch),
+            self.lost.append,
+            lambda leader: None,
+            lambda: 0.0,
+        )
+
+
+async def take_turns():
+    """Lets ready callbacks run."""
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
+
+
+def lead(store, name, epoch):
+    """Makes another node leader."""
+    record = LeaderRecord(name, f"incarnation-{name}", "127.0.0.1:1", epoch)
+    store.put(LEADER_KEY, encode_record(record))
+    store.put(EPOCH_KEY, str(epoch).encode())
+
+
+async def campaign(missed):
+    """A node campaigns for a vanished key.
+
+    Args:
+        missed: Whether another node led and vanished without its notice.
+
+    Returns:
+        (epochs under which it led, whether it takes the leader that it knew for its
+        direct predecessor).
+    """
+    store = MemoryStore()
+    lead(store, "first", 1)
+    known_revision = store.items_by_key[LEADER_KEY].revision
+    candidate = Candidate(store)
+    leadership = candidate.leadership
+    leadership.start()
+    await take_turns()
+    leadership.accept_handover(known_revision)
+    leadership._campaign_timeout = None
+    if missed:
+        lead(store, "second", 2)
+    store.remove(LEADER_KEY)
+    leadership.leader, leadership.leader_revision = None, 0
+    for _ in range(3):
+        if not leadership.is_leader:
+            await leadership._campaign()
+    return (
+        candidate.gained,
+        leadership.previous_leader_revision == known_revision,
+    )
+
+
+async def write_vanished_key_again(missed):
+    """A leader writes its vanished key again; returns whether it still leads."""
+    store = MemoryStore()
+    candidate = Candidate(store)
+    leadership = candidate.leadership
+    leadership.start()
+    await take_turns()
+    leadership._campaign_timeout = None
+    if not leadership.is_leader:
+        await leadership._campaign()
+    assert leadership.is_leader
+    if missed:
+        lead(store, "second", 2)
+    store.remove(LEADER_KEY)
+    await leadership.reacquire()
+    return leadership.is_leader
--- /dev/null
+++ b/features/support/silent_workers.py
@@ -0,0 +1,168 @@
+"""What happens to a worker or to an order, and whether its task may start again.
+
+Every case returns the names of the tasks that a placement starts. The first run is
+number 1 on worker-0; worker-1 answers all the while.
+"""
+
+from features.support.takeovers import Takeover, job_item, registration
+from features.support.work_tables import start_run
+from sassafrasgrade.platform.messages import Capacity
+from sassafrasgrade.work_tables import RunState
+
+JOB = "a" * 16
+TASK = f"{JOB}.0.0.0"
+BORN_MS = 1_000_000
+# Time for which worker-0 holds a lease as far as this leader knows, in seconds.
+LEASE_S = 5.0
+ENDS_PER_LIST = 500
+
+
+def lead(state=RunState.RUNNING, is_silent=True):
+    """Returns a leader, and its run of a task on a worker."""
+    leader = Takeover(epoch=1)
+    entry = registration("worker-0", born=BORN_MS, machine="host-0")
+    leader.load([job_item(JOB)])
+    apply_entry(leader, entry)
+    apply_entry(leader, registration("worker-1", "127.0.0.1:2", born=BORN_MS))
+    leader.report("worker-0", born_ms=BORN_MS)
+    leader.report("worker-1", born_ms=BORN_MS)
+    worker = leader.tables.workers_by_id["worker-0"]
+    run = start_run(leader.tables.tasks_by_name[TASK], worker, state)
+    worker.lease_until = leader.timers.now() + LEASE_S
+    if is_silent:
+        worker.unresponsive_since = leader.timers.now()
+    return leader, run
+
+
+def apply_entry(leader, item):
+    """Applies a registration as a watch reports it."""
+    leader.loader._apply_worker_changes([item])
+
+
+def started(leader):
+    """Returns what starts once worker-1 has answered and all changes are stored."""
+    leader.report("worker-1", born_ms=BORN_MS)
+    leader.store_changes()
+    return leader.started()
+
+
+def lapse(wait_s):
+    """The worker stays silent."""
+    leader, _ = lead()
+    leader.wait(wait_s)
+    return started(leader)
+
+
+def change_address(born_ms=BORN_MS):
+    """An entry of the same id names another address."""
+    leader, _ = lead()
+    apply_entry(
+        leader, registration("worker-0", "127.0.0.1:9", born=born_ms, machine="host-0")
+    )
+    return started(leader)
+
+
+def register_on_same_host(answers):
+    """A later worker is registered for the same host."""
+    leader, _ = lead()
+    later = registration(
+        "worker-2", "127.0.0.1:3", born=BORN_MS + 9, machine="host-0", state="draining"
+    )
+    apply_entry(leader, later)
+    if answers:
+        leader.report("worker-2", born_ms=BORN_MS + 9)
+        leader.wait(0.1)
+    return started(leader)
+
+
+def answer_for_another(wait_s=0.0):
+    """Another incarnation answers at the address of the silent worker."""
+    leader, run = lead()
+    worker = leader.tables.workers_by_id["worker-0"]
+    leader.dispatcher.handle_replaced_worker(worker)
+    leader.wait(wait_s)
+    return started(leader)
+
+
+def fill_worker(leader):
+    """Leaves no room on worker-0, so that starts there cannot hide others."""
+    leader.tables.workers_by_id["worker-0"].capacity = Capacity(0, 0, 0)
+
+
+def restart(state, stop_answered=False):
+    """The worker comes back under its id; an unanswered start may still reach it."""
+    leader, run = lead(state, is_silent=False)
+    leader.report("worker-0", clock_ms=10.0, born_ms=BORN_MS + 9)
+    fill_worker(leader)
+    if stop_answered:
+        run.stop_answered_at = leader.timers.now()
+        leader.wait(0.1)
+        leader.report("worker-0", clock_ms=110.0, born_ms=BORN_MS + 9)
+    return started(leader)
+
+
+def answer_of_earlier_incarnation():
+    """A late answer of the incarnation before this one, on another connection."""
+    leader, run = lead(is_silent=False)
+    leader.wait(0.1)
+    running = [] if run is None else [(TASK, run.number)]
+    leader.report("worker-0", running, born_ms=BORN_MS)
+    leader.report("worker-0", born_ms=BORN_MS - 9)
+    fill_worker(leader)
+    return started(leader)
+
+
+def lapse_of_adopted_run(wait_s):
+    """A worker lists a run of the previous leader and is silent from then on."""
+    leader = Takeover()
+    leader.load([job_item(JOB)], ["worker-0", "worker-1"])
+    leader.report("worker-0", running=[(TASK, 1)])
+    leader.report("worker-1")
+    worker = leader.tables.workers_by_id["worker-0"]
+    worker.unresponsive_since = leader.timers.now()
+    leader.wait(wait_s)
+    leader.report("worker-1")
+    return leader.started()
+
+
+def full_list_of_ends(ends):
+    """A list without the run that contains as many ends as a list may."""
+    leader, run = lead(is_silent=False)
+    leader.wait(0.1)
+    rows = [(n + 1, f"{'b' * 16}.0.0.{n}", 1, "done") for n in range(ends)]
+    leader.report("worker-0", ended=rows, born_ms=BORN_MS)
+    fill_worker(leader)
+    return started(leader)
+
+
+CASES_BY_NAME = {
+    "silence while its lease is valid": lambda: lapse(LEASE_S - 0.5),
+    "silence until its lease has lapsed": lambda: lapse(LEASE_S + 0.5),
+    "a registration of its worker with another address": change_address,
+    "a later registration of its worker with another address": (
+        lambda: change_address(BORN_MS + 9)
+    ),
+    "a registration of a later worker on its host": (
+        lambda: register_on_same_host(False)
+    ),
+    "an answer of a later worker on its host": lambda: register_on_same_host(True),
+    "an answer of another worker at its address": answer_for_another,
+    "an answer of another worker at its address, and its lease's end": (
+        lambda: answer_for_another(LEASE_S + 0.5)
+    ),
+    "a restart of its worker that it had started on": (
+        lambda: restart(RunState.RUNNING)
+    ),
+    "a restart of its worker before the start was answered": (
+        lambda: restart(RunState.UNCERTAIN)
+    ),
+    "a restart of its worker, which then confirmed a stop": (
+        lambda: restart(RunState.UNCERTAIN, stop_answered=True)
+    ),
+    "a late answer of an earlier incarnation": answer_of_earlier_incarnation,
+    "silence of an adopted run's worker for 1 s": lambda: lapse_of_adopted_run(1.0),
+    "silence of an adopted run's worker for 6 s": lambda: lapse_of_adopted_run(6.0),
+    "silence of an adopted run's worker for 6.3 s": lambda: lapse_of_adopted_run(6.3),
+    "a list without it that has 499 ends": lambda: full_list_of_ends(ENDS_PER_LIST - 1),
+    "a list without it that has 500 ends": lambda: full_list_of_ends(ENDS_PER_LIST),
+}
