Do not send a start whose run was forgotten while it waited for its turn

Callers saw: a task could run twice after its worker restarted or lapsed with starts still queued for it. Cause: an order outlives the row it belongs to: the session checked the worker and the job, not that the run is still in the tables, and a start without a known worker clock raised and left its run starting for ever. Change: a start is sent only for the run that the tables hold, and dropped while the worker's clock is unknown.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -77,11 +77,11 @@
     Examples:
       | event              | sent |
       | stays in the table | yes  |
+      | is forgotten       | no   |
 
     @known_red
     Examples: starts that must not be sent
       | event                                          | sent |
-      | is forgotten                                   | no   |
       | waits while its worker's clock becomes unknown | no   |
 
   Scenario Outline: a start that curl sent <copies> times and that was answered "<refusal>" had no effect: <proven>
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -147,7 +147,10 @@
     async def send_start(self, run):
         """Sends a start and reports its outcome to the dispatcher."""
         async with self._orders:
-            if self._is_closed or run.state is not RunState.STARTING:
+            if self._is_closed or not self._is_start_due(run):
+                return
+            if self.worker.clock_offset_ms is None:
+                self._dispatcher.drop_unsent_start(run, "the worker's clock is unknown")
                 return
             if not self._dispatcher.may_start(run):
                 self._dispatcher.drop_unsent_start(run, "no longer allowed")
@@ -175,6 +178,14 @@
             run, reply, reply.outcome in NO_EFFECT_OUTCOMES
         )
 
+    def _is_start_due(self, run):
+        """Whether a start is still to be sent.
+
+        Its run may have been forgotten while it waited, and its task started elsewhere.
+        """
+        known = self.worker.runs_by_key.get((run.task.name, run.number))
+        return known is run and run.state is RunState.STARTING
+
     async def send_stop(self, task_name, number, run=None):
         """Sends a stop; ``run`` is the run's row, if it is in the tables."""
         async with self._orders:
