Do not take a refusal as proof after curl has sent a call twice

Callers saw: a task could run twice while a worker refused some starts and connections were reset. Cause: curl sends a request again when a reused connection ends without an answer; the second copy's refusal (503, 429, late, old) was read as 'had no effect', though the first copy may have started the run. The same holds for writes to the store (a caller was told that its job was not stored) and for host orders.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -95,14 +95,26 @@
       | 1      | late       | yes    |
       | 1      | old        | yes    |
       | 2      | fence      | yes    |
+      | 2      | unhealthy  | no     |
+      | 2      | busy       | no     |
+      | 2      | late       | no     |
+      | 2      | old        | no     |
 
-    @known_red
-    Examples: the first copy may have been carried out
-      | copies | refusal   | proven |
-      | 2      | unhealthy | no     |
-      | 2      | busy      | no     |
-      | 2      | late      | no     |
-      | 2      | old       | no     |
+  Scenario Outline: a write that curl sent <copies> times and that the store refused was surely not done: <proven>
+    Then a write sent in <copies> copies and refused by the store was surely not done: "<proven>"
+
+    Examples:
+      | copies | proven |
+      | 1      | yes    |
+      | 2      | no     |
+
+  Scenario Outline: a host order that curl sent <copies> times and that was refused had surely no effect: <proven>
+    Then a host order sent in <copies> copies and refused had surely no effect: "<proven>"
+
+    Examples:
+      | copies | proven |
+      | 1      | yes    |
+      | 2      | no     |
 
   Scenario Outline: an answer of <incarnation> tells the time of a worker: <tells>
     Then an answer of <incarnation> tells the time of a worker: "<tells>"
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -83,7 +83,7 @@
             error=None,
             request_time=0.0,
             time_info={},
-            was_sent=True,
+            copies=1,
         )
 
     async def fetch(self, *arguments, **options):
--- a/features/steps/run_end_steps.py
+++ b/features/steps/run_end_steps.py
@@ -9,6 +9,8 @@
 from features.support.takeover_cases import CASES_BY_NAME
 from features.support.takeovers import run_in_loop
 from features.support.work_tables import NOW, apply_worker_view, start_run
+from sassafrasgrade.errors import StoreRefused
+from sassafrasgrade.platform.clouds import HostOrderOutcome
 from sassafrasgrade.platform.workers import NO_EFFECT_OUTCOMES
 from sassafrasgrade.work_commands import ReportSecondRun
 
@@ -86,10 +88,31 @@
     'has surely had no effect: "{proven}"'
 )
 def check_copies(context, copies, refusal, proven):
-    outcome = asyncio.run(order_cases.start_with_copies(refusal, copies))
+    call = order_cases.call_with_copies(order_cases.send_start, refusal, copies)
+    outcome = asyncio.run(call)
     assert (outcome in NO_EFFECT_OUTCOMES) == (proven == "yes"), outcome
 
 
+@then(
+    "a write sent in {copies:d} copies and refused by the store "
+    'was surely not done: "{proven}"'
+)
+def check_write_copies(context, copies, proven):
+    call = order_cases.call_with_copies(order_cases.send_write, "unhealthy", copies)
+    error = asyncio.run(call).failure()
+    assert isinstance(error, StoreRefused) == (proven == "yes"), error
+
+
+@then(
+    "a host order sent in {copies:d} copies and refused had surely no effect: "
+    '"{proven}"'
+)
+def check_host_order_copies(context, copies, proven):
+    send = order_cases.send_host_order
+    outcome = asyncio.run(order_cases.call_with_copies(send, "busy", copies))
+    assert (outcome is HostOrderOutcome.REFUSED) == (proven == "yes"), outcome
+
+
 @then('an answer of {incarnation} tells the time of a worker: "{tells}"')
 def check_clock(context, incarnation, tells):
     is_present = incarnation == "the present incarnation"
--- a/features/support/order_cases.py
+++ b/features/support/order_cases.py
@@ -13,7 +13,10 @@
     start_run,
 )
 from sassafrasgrade.http_clients import create_http_client
+from sassafrasgrade.platform.calls import JsonCaller
+from sassafrasgrade.platform.clouds import CloudClient
 from sassafrasgrade.platform.messages import WorkerView
+from sassafrasgrade.platform.stores import Put, StoreClient
 from sassafrasgrade.platform.workers import OrderOutcome, WorkerClient, WorkerReply
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.run_updates import forget_run
@@ -137,23 +140,45 @@
     return await asyncio.start_server(handle, "127.0.0.1", 0), read
 
 
-async def start_with_copies(refusal, copies):
-    """Returns the outcome of a start that curl sends once or twice."""
+async def call_with_copies(call, refusal, copies):
+    """Returns the outcome of a second call that curl sends once or twice.
+
+    Args:
+        call: Function of a client and an address that makes a call.
+        refusal: Name of the answer to the last copy.
+        copies: How often curl sends the second call.
+    """
     server, read = await serve_copies(REFUSALS_BY_NAME[refusal], copies)
     http = create_http_client(4)
     try:
         port = server.sockets[0].getsockname()[1]
-        client = WorkerClient(http, "worker", f"127.0.0.1:{port}")
-        await client.start(ORDER, 2.0)
-        reply = await client.start(ORDER, 2.0)
+        await call(http, f"127.0.0.1:{port}")
+        outcome = await call(http, f"127.0.0.1:{port}")
         assert len(read) == 1 + copies, read
     finally:
         http.close()
         server.close()
     await settle()
+    return outcome
+
+
+async def send_start(http, address):
+    """Sends a start; returns its ``OrderOutcome``."""
+    reply = await WorkerClient(http, "worker", address).start(ORDER, 2.0)
     return reply.outcome
 
 
+async def send_write(http, address):
+    """Sends a write to the store; returns its ``Result``."""
+    store = StoreClient(JsonCaller(http, address), 2.0, lambda *call: None)
+    return await store.commit([("key", 1)], [Put("key", b"value")])
+
+
+async def send_host_order(http, address):
+    """Sends a host order; returns its ``HostOrderOutcome``."""
+    return await CloudClient(http, address, "node", 2.0).move_host("host", "pool", 1)
+
+
 async def poll_restarted_worker(born_ms, clock_ms):
     """Returns whether an answer of an incarnation sets the worker's clock offset."""
     tables = create_tables(workers=1)
--- a/sassafrasgrade/platform/calls.py
+++ b/sassafrasgrade/platform/calls.py
@@ -86,28 +86,37 @@
 
 
 class SendTracker:
-    """Records whether curl has begun to send a request.
+    """Counts how often curl has begun to send a request.
 
     curl itself retries a request on a new connection when a reused one turns out
-    to be dead; its error then describes only the last attempt.
+    to be dead; its answer or error then describes only the last copy.
     """
 
     def __init__(self):
-        self.was_sent = False
+        self.copies = 0
 
     def prepare(self, curl):
         """Installs the tracker on a curl handle."""
         bypass_proxy_and_reset_on_close(curl)
-        curl.setopt(pycurl.PREREQFUNCTION, self._record_sent)
+        curl.setopt(pycurl.PREREQFUNCTION, self._record_copy)
 
-    def _record_sent(self, *addresses):
-        self.was_sent = True
+    def _record_copy(self, *addresses):
+        self.copies += 1
         return pycurl.PREREQFUNC_OK
 
 
 def was_never_sent(response):
     """Whether a call failed before any part of it was sent."""
-    return response.error is not None and not response.was_sent
+    return response.error is not None and not response.copies
+
+
+def was_sent_again(response):
+    """Whether curl sent a call more than once.
+
+    The answer is then the one to the last copy. If that one was refused, an earlier
+    copy may have been carried out all the same.
+    """
+    return response.copies > 1
 
 
 class JsonCaller:
@@ -127,7 +136,7 @@
     ):
         """Sends one call; a transport failure returns a response with ``error``.
 
-        ``was_sent`` of the response says whether sending had begun. With ``limits``
+        ``copies`` of the response says how often sending had begun. With ``limits``
         (``TransferLimits``) the timeout is theirs.
         """
         all_headers = {"Content-Type": "application/json", "Expect": ""}
@@ -161,5 +170,5 @@
         finally:
             if guard is not None:
                 guard.stop()
-        response.was_sent = tracker.was_sent
+        response.copies = tracker.copies
         return response
--- a/sassafrasgrade/platform/clouds.py
+++ b/sassafrasgrade/platform/clouds.py
@@ -7,7 +7,7 @@
 
 from sassafrasgrade.errors import PlatformUnavailable
 from sassafrasgrade.platform import names
-from sassafrasgrade.platform.calls import HTTP_OK, JsonCaller
+from sassafrasgrade.platform.calls import HTTP_OK, JsonCaller, was_sent_again
 from sassafrasgrade.platform.messages import AdviceReply, MachinePage, OrderReply
 
 HTTP_BAD_REQUEST = 400
@@ -85,6 +85,8 @@
         )
         if response.code == HTTP_OK:
             return HostOrderOutcome.DONE
+        if was_sent_again(response):
+            return HostOrderOutcome.UNKNOWN
         if response.code == HTTP_CONFLICT:
             return HostOrderOutcome(_replies.decode(response.body).reason)
         if response.code == HTTP_BAD_REQUEST:
--- a/sassafrasgrade/platform/stores.py
+++ b/sassafrasgrade/platform/stores.py
@@ -21,6 +21,7 @@
     HTTP_OK,
     TransferLimits,
     was_never_sent,
+    was_sent_again,
 )
 from sassafrasgrade.platform.messages import StoredItem, StorePage, StoreReply
 
@@ -269,7 +270,8 @@
         return Failure(
             HistoryCompacted("the watched history was compacted", "Read the range.")
         )
-    if code in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
+    is_refused = code in (HTTP_TOO_MANY, HTTP_UNAVAILABLE)
+    if is_refused and not was_sent_again(response):
         return Failure(
             StoreRefused(f"{kind} was refused with {code}", "Retry it after a pause.")
         )
--- a/sassafrasgrade/platform/workers.py
+++ b/sassafrasgrade/platform/workers.py
@@ -7,7 +7,7 @@
 
 from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.platform import names
-from sassafrasgrade.platform.calls import HTTP_OK, JsonCaller
+from sassafrasgrade.platform.calls import HTTP_OK, JsonCaller, was_sent_again
 from sassafrasgrade.platform.messages import OrderReply, WorkerView
 
 HTTP_BAD_REQUEST = 400
@@ -37,6 +37,11 @@
 
 # Outcomes that prove that the order had no effect.
 NO_EFFECT_OUTCOMES = frozenset(OrderOutcome) - {OrderOutcome.DONE, OrderOutcome.UNKNOWN}
+# Outcomes that say the same of every earlier copy of the order: the worker has seen a
+# higher token, or is another one.
+OUTCOMES_OF_ALL_COPIES = frozenset(
+    {OrderOutcome.DONE, OrderOutcome.FENCED, OrderOutcome.WRONG_INSTANCE}
+)
 
 
 @dataclass(frozen=True)
@@ -121,9 +126,13 @@
             "POST", path, body, timeout_s, self._headers
         )
         try:
-            return _reply(response, decoder)
+            reply = _reply(response, decoder)
         except DECODE_ERRORS as error:
             return WorkerReply(OrderOutcome.UNKNOWN, detail=f"unreadable: {error}")
+        if was_sent_again(response) and reply.outcome not in OUTCOMES_OF_ALL_COPIES:
+            detail = f"{reply.outcome.value}, after {response.copies} copies"
+            return WorkerReply(OrderOutcome.UNKNOWN, reply.clock_ms, detail=detail)
+        return reply
 
 
 def _reply(response, decoder):
