Hold back inherited tasks by job and pool, however they become known

Callers saw: two runs of one task after a takeover while the previous leader was still acting. Cause: the barrier after a takeover was a mark on the tasks that were loaded. Jobs that a watch reported afterwards, and occurrences created after the load, had no mark; lifting the barrier also wiped the wait for a handed-over run on an unlisted worker; and it went by the pool that a queue has now, not by the one in which its run was started. Change: jobs are inherited (loaded at the takeover, or found within 3 s, by when every node has noticed it), and placement asks whether a pool that their queue has had is held back; the wait for a lease's end is kept apart from it. Measured: four rows failed before (a job found later, an occurrence due later, a queue that moved, a run on an unlisted worker) and pass; scheduling.feature passes.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -7,13 +7,13 @@
     Then its run is logged as forgotten with the proof "<proof>"
 
     Examples:
-      | event                                                   | proof                    |
-      | a list without it, requested after the start answer     | absent from a later list |
-      | no start answer, and a list after the start's deadline  | absent from a later list |
-      | worker silence until the lease has lapsed               | lease lapsed             |
-      | a restart of its worker                                 | worker restarted         |
-      | worker silence while the lease is valid                 |                          |
-      | a report that it is done                                |                          |
+      | event                                                  | proof                    |
+      | a list without it, requested after the start answer    | absent from a later list |
+      | no start answer, and a list after the start's deadline | absent from a later list |
+      | worker silence until the lease has lapsed              | lease lapsed             |
+      | a restart of its worker                                | worker restarted         |
+      | worker silence while the lease is valid                |                          |
+      | a report that it is done                               |                          |
 
   Scenario: a second run of a task is reported
     Given a job of one task that may fail 2 times
@@ -24,26 +24,26 @@
     Then a successor of a leader that may still act starts "<what>": "<starts>"
 
     Examples:
-      | what                                                | starts |
-      | a loaded job, before all workers reported           | no     |
-      | a loaded job, after all workers reported            | yes    |
-      | a job found later, after all workers reported       | yes    |
-      | a job found long after, before all workers reported | yes    |
-      | a next step, once earlier polls are over            | yes    |
-      | a queue's job, after its former pool reported       | yes    |
-
-    @known_red
-    Examples: runs of the previous leader that the successor does not know of
       | what                                                 | starts |
+      | a loaded job, before all workers reported            | no     |
+      | a loaded job, after all workers reported             | yes    |
+      | a job found later, after all workers reported        | yes    |
+      | a job found long after, before all workers reported  | yes    |
+      | a next step, once earlier polls are over             | yes    |
+      | a queue's job, after its former pool reported        | yes    |
       | a job found later, before all workers reported       | no     |
-      | a job found after a worker listed its run            | no     |
-      | a job found after a worker listed its end            | no     |
       | an occurrence due later, before all workers reported | no     |
-      | an occurrence whose run was handed over              | no     |
-      | a next step, while earlier polls may wait            | no     |
       | a queue's job, before its former pool reported       | no     |
       | a job of a run handed over on an unlisted worker     | no     |
 
+    @known_red
+    Examples: runs of the previous leader that the successor does not know of
+      | what                                      | starts |
+      | a job found after a worker listed its run | no     |
+      | a job found after a worker listed its end | no     |
+      | an occurrence whose run was handed over   | no     |
+      | a next step, while earlier polls may wait | no     |
+
   Scenario Outline: a task starts again after <event>: <starts>
     Then a task starts again after "<event>": "<starts>"
 
@@ -61,15 +61,15 @@
 
     @known_red
     Examples: evidence that does not prove the end of its run
-      | event                                                           | starts |
-      | a registration of its worker with another address               | no     |
-      | a registration of a later worker on its host                    | no     |
-      | an answer of another worker at its address                      | no     |
-      | a restart of its worker before the start was answered           | no     |
-      | a late answer of an earlier incarnation                         | no     |
-      | silence of an adopted run's worker for 1 s                      | no     |
-      | silence of an adopted run's worker for 6 s                      | no     |
-      | a list without it that has 500 ends                             | no     |
+      | event                                                 | starts |
+      | a registration of its worker with another address     | no     |
+      | a registration of a later worker on its host          | no     |
+      | an answer of another worker at its address            | no     |
+      | a restart of its worker before the start was answered | no     |
+      | a late answer of an earlier incarnation               | no     |
+      | silence of an adopted run's worker for 1 s            | no     |
+      | silence of an adopted run's worker for 6 s            | no     |
+      | a list without it that has 500 ends                   | no     |
 
   Scenario Outline: a start that <event> is sent: <sent>
     Then a start that "<event>" while it waits for its turn is sent: "<sent>"
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -39,7 +39,6 @@
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs, stop_stalled
 from sassafrasgrade.systems.task_placement import order_jobs, place_tasks
 from sassafrasgrade.work_commands import MoveHost, StopRun
-from sassafrasgrade.work_tables import UNTIL_BARRIER_LIFTED
 from sassafrasgrade.worker_registrations import apply_item
 
 
@@ -342,7 +341,7 @@
     request = JobRequest(spec="s", steps=(step, later))
     job = add_job(tables, "a" * 16, SubmittedJob(QUEUE, NOW_UNIX, request))
     first, second = [row.tasks[0] for row in job.occurrences[0].steps]
-    first.blocked_until = second.blocked_until = UNTIL_BARRIER_LIFTED
+    job.is_inherited, tables.held_pools = True, frozenset([POOL])
     worker, other = tables.workers_by_id.values()
     done = [(1, first.name, 100_001, "done")]
     if case == "in the first list of its worker":
@@ -350,13 +349,17 @@
     elif case == "in a later list of its worker":
         apply_worker_view(tables, worker, NOW)
         apply_worker_view(tables, worker, NOW + 1, ended=done)
+    elif case == "in a list after two seconds":
+        apply_worker_view(tables, worker, NOW)
+        apply_worker_view(tables, worker, NOW + 2)
+        apply_worker_view(tables, worker, NOW + 2.5, ended=done)
     elif case == "in the first list, and a copy of it in a later one":
         apply_worker_view(tables, other, NOW)
         apply_worker_view(tables, worker, NOW, ended=done)
         copy = [(1, first.name, 100_002, "done")]
         apply_worker_view(tables, other, NOW + 1, ended=copy)
     assert first.is_done
-    assert (second.blocked_until > NOW + 1) == (held == "yes"), second.blocked_until
+    assert tables.is_held(second) == (held == "yes"), second
 
 
 @then("a copy of run {number:d}, adopted in epoch {epoch:d}, has the number {copy:d}")
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -162,8 +162,16 @@
         """Whether orders on hosts may be sent."""
         return not self._is_closed and self._leadership.has_host_authority()
 
-    def start(self, configuration):
-        """Starts ticking and loading jobs and workers."""
+    def start(self, configuration, pools_by_queue=None):
+        """Starts ticking and loading jobs and workers.
+
+        Args:
+            configuration: The ``Configuration`` in force, or None.
+            pools_by_queue: Pools that each queue has had in the configurations that
+                this node knows.
+        """
+        for queue_name, pools in (pools_by_queue or {}).items():
+            self.tables.pools_by_queue[queue_name] = set(pools)
         if configuration is not None:
             self.tables.adopt_configuration(configuration)
         self._periodic = self.timers.subscribe(TICK_S, self._tick)
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -12,7 +12,6 @@
 )
 from sassafrasgrade.work_tables import (
     MS_PER_S,
-    UNTIL_BARRIER_LIFTED,
     EndedIncarnation,
     Run,
     RunState,
@@ -205,7 +204,7 @@
     blocked = [
         HandedOverRun(task.name, task.last_number, "", task.blocked_until - now)
         for task in tables.tasks_by_name.values()
-        if now < task.blocked_until < UNTIL_BARRIER_LIFTED
+        if now < task.blocked_until
     ]
     return tuple(runs + blocked)
 
@@ -263,7 +262,7 @@
         is_startable = not any(steps[n].left for n in following.step.after)
         if task.step_number in following.step.after and is_startable:
             for other in following.tasks:
-                other.blocked_until = 0.0
+                other.is_new = True
 
 
 def finish_task(tables, task: Task, now):
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -319,7 +319,7 @@
     if task.is_done or task.runs_by_number or is_start_held(tables, task):
         return False
     task.waiting_since = task.waiting_since or now
-    return task.blocked_until <= now
+    return task.blocked_until <= now and not tables.is_held(task)
 
 
 def _place_group(tables, group, candidates, now):
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -29,7 +29,7 @@
     unreported_workers,
 )
 from sassafrasgrade.timers import CLOCK_DRIFT
-from sassafrasgrade.work_tables import MS_PER_S, UNTIL_BARRIER_LIFTED
+from sassafrasgrade.work_tables import ALL_POOLS, MS_PER_S
 from sassafrasgrade.worker_registrations import apply_item, apply_range
 
 logger = logging.getLogger(__name__)
@@ -40,9 +40,9 @@
 # Time in seconds after which a worker that is neither listed nor answering is
 # removed.
 MISSING_WORKER_S = 2.5
-# Time after a takeover on suspicion in which the previous leader may still receive
-# new jobs, in seconds.
-PREDECESSOR_ACCEPT_WINDOW_S = 1.5
+# Time after a takeover in which earlier leaders may still receive new jobs, in
+# seconds: until all nodes have noticed it, whose watches may hear nothing for a second.
+PREDECESSOR_ACCEPT_WINDOW_S = 3.0
 
 
 class TableLoader:
@@ -71,7 +71,6 @@
         self.barrier_until = 0.0
         self._began_at = self._timers.now()
         self._has_jobs = self._has_workers = False
-        self._blocked_pools = None
         self._workers = PrefixFollower(
             services.store,
             services.timers,
@@ -98,6 +97,7 @@
                 # The previous leader may renew leases until its own has lapsed.
                 barrier_s += LEASE_TTL_S
             self.barrier_until = self._timers.now() + barrier_s * CLOCK_DRIFT
+            self._tables.held_pools = ALL_POOLS
         self._jobs.start()
         self._workers.start()
 
@@ -166,8 +166,7 @@
         self._dispatcher.learned_durations.record_job(job)
         if progress is not None:
             apply_progress(self._tables, job, progress)
-        if not self.is_loaded and self.barrier_until:
-            self._block_tasks(job, UNTIL_BARRIER_LIFTED)
+        job.is_inherited = self._may_have_been_started()
         if CANCEL in values:
             self._dispatcher.cancel(job_id)
 
@@ -181,10 +180,16 @@
                 return
             job = add_job(self._tables, job_id, submitted)
             self._dispatcher.learned_durations.record_job(job)
-            if self.barrier_until and not self._is_predecessor_gone:
-                self._block_tasks(job, self._began_at + PREDECESSOR_ACCEPT_WINDOW_S)
+            job.is_inherited = self._may_have_been_started()
             self._dispatcher.schedule_placement()
 
+    def _may_have_been_started(self):
+        """Whether an earlier leader may have started a job that becomes known now."""
+        if not self.barrier_until:
+            return False
+        age_s = self._timers.now() - self._began_at
+        return not self.is_loaded or age_s < PREDECESSOR_ACCEPT_WINDOW_S
+
     def _finish_load(self):
         if self.is_loaded or not (self._has_jobs and self._has_workers):
             return
@@ -233,18 +238,11 @@
             revision, is_complete, runs, progress_by_job, order_age_s_by_host
         )
 
-    @staticmethod
-    def _block_tasks(job, until):
-        for occurrence in job.occurrences.values():
-            for row in occurrence.steps:
-                for task in row.tasks:
-                    task.blocked_until = until
-
     def lift_barrier(self):
-        """Unblocks the tasks that were blocked at the takeover, pool by pool.
+        """Lets the tasks that were inherited at the takeover start, pool by pool.
 
-        A pool's tasks are unblocked once all its workers have reported their runs, or
-        the leases that the previous leader gave have surely lapsed.
+        A pool's tasks may start once all its workers have reported their runs, or
+        the leases that earlier leaders gave have surely lapsed.
         """
         if not self.barrier_until or not self.is_loaded:
             return
@@ -253,20 +251,17 @@
             unreported = {}
         if unreported is None:
             return
-        pools = set(unreported.values())
-        if self._blocked_pools is not None:
+        held = frozenset(unreported.values())
+        if self._tables.held_pools is not ALL_POOLS:
             # Workers that registered later have no runs of the previous leader.
-            pools &= self._blocked_pools
-        if pools == self._blocked_pools:
+            held &= self._tables.held_pools
+        if held == self._tables.held_pools:
             return
-        self._blocked_pools = pools
-        for task in self._tables.tasks_by_name.values():
-            if task.blocked_until and self._tables.pool_of(task.job) not in pools:
-                task.blocked_until = 0.0
-        if not pools:
+        self._tables.held_pools = held
+        if not held:
             self.barrier_until = 0.0
         logger.info(
-            "take-over", extra={"unheard": unreported, "held_pools": sorted(pools)}
+            "take-over", extra={"unheard": unreported, "held_pools": sorted(held)}
         )
         self._dispatcher.schedule_placement()
 
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -16,8 +16,8 @@
 from sassafrasgrade.tickets import TicketTable
 
 MS_PER_S = 1000.0
-# ``Task.blocked_until`` of tasks blocked until the barrier after a takeover is lifted.
-UNTIL_BARRIER_LIFTED = float("inf")
+# ``WorkTables.held_pools`` before it is known which workers have not reported.
+ALL_POOLS = None
 
 
 class WorkState(StrEnum):
@@ -136,7 +136,10 @@
         last_number: Highest known run number.
         avoided_workers: Workers on which it failed, stalled or was slow; chosen
             last.
-        blocked_until: Clock before which an unreported run of it may still exist.
+        blocked_until: Clock before which a run of it may still exist on a worker that
+            is not in the tables.
+        is_new: Whether no earlier leader can have started it, although its job is
+            inherited.
         waiting_since: Clock when it last became startable.
         crashes: Crashes of workers under it.
     """
@@ -154,6 +157,7 @@
     last_number: int = 0
     avoided_workers: set[str] = field(default_factory=set)
     blocked_until: float = 0.0
+    is_new: bool = False
     waiting_since: float = 0.0
     crashes: tuple[Crash, ...] = ()
 
@@ -217,6 +221,7 @@
         version: Count of changes, which shows what a write has covered.
         progress_revision: Store revision of its progress; 0 if none is stored.
         urgency: ``Urgency`` as of the last placement.
+        is_inherited: Whether an earlier leader may have started its tasks.
     """
 
     job_id: str
@@ -233,6 +238,7 @@
     version: int = 0
     progress_revision: int = 0
     urgency: Urgency = Urgency.IN_TIME
+    is_inherited: bool = False
 
     @property
     def is_open(self):
@@ -360,6 +366,10 @@
         has_seen_work: Whether any job that ends by itself was accepted.
         work_seen_at: Clock when the planner first saw such work; 0 before.
         crashed_tasks: ``CrashedTask`` values recorded and not settled yet.
+        held_pools: Pools whose inherited tasks must not start, since one of their
+            workers, which may run them for an earlier leader, has not reported yet;
+            ``ALL_POOLS`` before that is known.
+        pools_by_queue: Pools that each queue has had in any known configuration.
     """
 
     epoch: int = 0
@@ -377,6 +387,8 @@
     has_seen_work: bool = False
     work_seen_at: float = 0.0
     crashed_tasks: list[CrashedTask] = field(default_factory=list)
+    held_pools: frozenset[str] | None = frozenset()
+    pools_by_queue: dict[str, set[str]] = field(default_factory=dict)
 
     def adopt_configuration(self, configuration):
         """Applies a newer configuration; removed queues stay in the tables.
@@ -387,6 +399,19 @@
         self.pools_by_name = {pool.name: pool for pool in configuration.pools}
         for queue in configuration.queues:
             self.queues_by_name[queue.name] = queue
+        record_pools(self.pools_by_queue, configuration)
+
+    def is_held(self, task):
+        """Whether an earlier leader's run of a task may exist on an unreported worker.
+
+        A run stays on a worker of the pool that its queue had when it started.
+        """
+        if not task.job.is_inherited or task.is_new:
+            return False
+        if self.held_pools is ALL_POOLS:
+            return True
+        pools = self.pools_by_queue.get(task.job.queue_name, ())
+        return not self.held_pools.isdisjoint(pools)
 
     def pool_of(self, job):
         """Returns the name of the pool that runs a job, or None."""
@@ -400,6 +425,12 @@
         self.dirty_job_ids.add(job.job_id)
 
 
+def record_pools(pools_by_queue, configuration):
+    """Adds the pools of a configuration's queues to those that the queues have had."""
+    for queue in configuration.queues:
+        pools_by_queue.setdefault(queue.name, set()).add(queue.pool)
+
+
 def create_occurrence(job, number):
     """Creates the rows of one occurrence and returns its tasks."""
     request = job.request
