Release a next step only once no earlier leader's poll can wait at a worker

Callers saw: two runs of one task, both started for the end of the step before. Cause: after a takeover the tasks of a next step were released when a worker listed the end of the last one after it had seen the new token. But a long poll that the previous leader had sent before that is still held, and brings it the same end: both leaders start the step, the previous one on a worker that has not seen the new token yet. Change: the end has to follow a list that was made 2 s (the longest wait of a poll) after the worker's first list to this leader, by the worker's own clock. Measured: 'a next step, while earlier polls may wait' failed before and passes. The row 'in a later list of its worker' said that the task is free 1 s after the first list, which was the fault; it now says held, and a row after two seconds says free.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -286,7 +286,8 @@
     Examples: an end that the previous leader cannot know of frees the next step
       | case                                               | held |
       | in the first list of its worker                    | yes  |
-      | in a later list of its worker                      | no   |
+      | in a later list of its worker                      | yes  |
+      | in a list after two seconds                        | no   |
       | in the first list, and a copy of it in a later one | yes  |
 
   Scenario Outline: a copy of run <number>, adopted in epoch <epoch>, has the number <copy>
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -29,6 +29,9 @@
 # Time for which the registration of a worker incarnation may stay listed after its
 # end, in seconds: three heartbeats and the delay until a watch reports the change.
 STALE_REGISTRATION_S = 6.0
+# Longest time for which a worker holds a poll, also one that it received before it saw
+# a newer leader's token, in milliseconds (published limit).
+LONGEST_WAIT_MS = 2000.0
 # Tolerance on clock readings that were sent over the network, in milliseconds.
 CLOCK_TOLERANCE_MS = 50.0
 
@@ -49,17 +52,20 @@
     if view.clock_ms < worker.view_clock_ms:
         # Answers on different connections may arrive out of order.
         return []
-    worker.view_clock_ms = view.clock_ms
+    previous_clock_ms, worker.view_clock_ms = worker.view_clock_ms, view.clock_ms
     commands = []
     is_first_view, worker.has_shown_runs = not worker.has_shown_runs, True
+    if is_first_view:
+        worker.first_view_clock_ms = previous_clock_ms = view.clock_ms
+    shown_ms = previous_clock_ms - worker.first_view_clock_ms
     for row in view.ended:
         if row.number > worker.seen_end:
             worker.seen_end = row.number
             task = tables.tasks_by_name.get(row.task)
             was_open = task is not None and not task.is_done
             commands += _apply_end(tables, worker, row, now)
-            if was_open and task.is_done and not is_first_view:
-                _unblock_following(task)
+            if was_open and task.is_done and shown_ms >= LONGEST_WAIT_MS:
+                _release_following(task)
     listed = set()
     for row in view.running:
         listed.add((row.task, row.run))
@@ -247,11 +253,12 @@
     return commands
 
 
-def _unblock_following(task):
-    """Unblocks the tasks of steps that have become startable by the end of a task.
+def _release_following(task):
+    """Releases the tasks of steps that have become startable by the end of a task.
 
-    The worker listed the end after it had seen this leader's token, so that the
-    previous leader cannot have known of it, nor have started a later step.
+    Its worker had shown its runs to this leader ``LONGEST_WAIT_MS`` before the list
+    that precedes the end. No poll of an earlier leader can have been waiting there any
+    more, so that none of them knows of the end, nor has started a later step.
     Load pattern: the leader is cut off together with some workers, while jobs of
     several steps run on all others.
     """
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -281,6 +281,7 @@
         lease_until: Clock at which all its runs have lapsed if not renewed.
         last_answer_at: Clock of its last answer.
         view_clock_ms: The worker's clock in the last view applied.
+        first_view_clock_ms: The worker's clock in the first view applied.
         unresponsive_since: Clock of the first unanswered call since its last answer; 0
             if there is none.
         failures: Decaying count of runs that failed, stalled or were slow, and of
@@ -317,6 +318,7 @@
     lease_until: float = 0.0
     last_answer_at: float = 0.0
     view_clock_ms: float = 0.0
+    first_view_clock_ms: float = 0.0
     unresponsive_since: float = 0.0
     failures: float = 0.0
     successes: float = 0.0
