Assume the longest lease for a run that was started by an earlier leader

Cause: a leader that adopted a run from a worker's list counted the lease from its own first renewal (5.3 s), or had none at all before that; a leader without the store gives 6 s, which may end 0.8 s later. Change: an adopted run holds the longest lease from the list on. Measured: silence of an adopted run's worker for 1 s and for 6 s freed its task before and does not now; after 6.3 s it does.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -54,6 +54,8 @@
       | a restart of its worker, which then confirmed a stop            | yes    |
       | silence of an adopted run's worker for 6.3 s                    | yes    |
       | a list without it that has 499 ends                             | yes    |
+      | silence of an adopted run's worker for 1 s                      | no     |
+      | silence of an adopted run's worker for 6 s                      | no     |
 
     @known_red
     Examples: evidence that does not prove the end of its run
@@ -63,8 +65,6 @@
       | an answer of another worker at its address            | no     |
       | a restart of its worker before the start was answered | no     |
       | a late answer of an earlier incarnation               | no     |
-      | silence of an adopted run's worker for 1 s            | no     |
-      | silence of an adopted run's worker for 6 s            | no     |
       | a list without it that has 500 ends                   | no     |
 
   Scenario Outline: a start that <event> is sent: <sent>
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -115,7 +115,9 @@
         self._services = services
         self._leadership = leadership
         self.tables = WorkTables(
-            epoch=epoch, remote_slowdown=services.settings.bounds_remote_slowdown
+            epoch=epoch,
+            remote_slowdown=services.settings.bounds_remote_slowdown,
+            longest_lease_s=services.settings.bounds_hold_most_ms / MS_PER_S,
         )
         self.learned_durations = LearnedDurations()
         self._is_closed = False
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -5,6 +5,7 @@
 from sassafrasgrade.node_messages import HandedOverRun
 from sassafrasgrade.platform.messages import RunEnd, WorkerView
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind, log_forgotten_run
+from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_commands import (
     LogEvent,
     ReportSecondRun,
@@ -204,11 +205,18 @@
     task.runs_by_number[row.run] = run
     task.last_number = max(task.last_number, row.run)
     worker.runs_by_key[(row.task, row.run)] = run
+    _extend_lease(tables, worker, now)
     record_start(tables, task.job)
     _record_progress(run, row, now)
     return commands
 
 
+def _extend_lease(tables, worker, now):
+    """Records that a worker may hold the longest lease, from a leader unknown here."""
+    lapses_at = now + tables.longest_lease_s * CLOCK_DRIFT
+    worker.lease_until = max(worker.lease_until, lapses_at)
+
+
 def adopt_handed_over_runs(tables, handed_over_runs, now):
     """Adds the runs that the previous leader handed over.
 
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -385,6 +385,7 @@
     Attributes:
         epoch: Number of the leadership; keeps run numbers of leaderships apart.
         remote_slowdown: Factor on the duration of tasks away from their data's rack.
+        longest_lease_s: Longest lease that any leader can give a run, in seconds.
         dirty_job_ids: Jobs whose progress is to be stored.
         tickets: Tickets of the advice service.
         ended_by_worker: ``EndedIncarnation`` by id of workers ended by host orders or
@@ -401,6 +402,7 @@
 
     epoch: int = 0
     remote_slowdown: float = 2.0
+    longest_lease_s: float = 6.0
     configuration: Configuration | None = None
     queues_by_name: dict[str, Queue] = field(default_factory=dict)
     pools_by_name: dict[str, Pool] = field(default_factory=dict)
