Count a slow clock's lease by its own rate

Callers saw: at most a second run some milliseconds too early. Cause: a clock that runs 2% slow takes 1/0.98 of a duration, not 1.02 of it: 6 s last 6.122 s, and 6.120 s were counted. A start's lease also left out the age of the clock offset, as polls do not. Change: the factor is 1/0.98; starts and polls record leases in one place. Measured: the row on 6.121 s of silence failed with 1.02 and passes.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -56,6 +56,7 @@
       | a list without it that has 499 ends                             | yes    |
       | silence of an adopted run's worker for 1 s                      | no     |
       | silence of an adopted run's worker for 6 s                      | no     |
+      | silence of an adopted run's worker for 6.121 s                  | no     |
 
     @known_red
     Examples: evidence that does not prove the end of its run
--- a/features/support/silent_workers.py
+++ b/features/support/silent_workers.py
@@ -162,6 +162,9 @@
     "a late answer of an earlier incarnation": answer_of_earlier_incarnation,
     "silence of an adopted run's worker for 1 s": lambda: lapse_of_adopted_run(1.0),
     "silence of an adopted run's worker for 6 s": lambda: lapse_of_adopted_run(6.0),
+    "silence of an adopted run's worker for 6.121 s": (
+        lambda: lapse_of_adopted_run(6.121)
+    ),
     "silence of an adopted run's worker for 6.3 s": lambda: lapse_of_adopted_run(6.3),
     "a list without it that has 499 ends": lambda: full_list_of_ends(ENDS_PER_LIST - 1),
     "a list without it that has 500 ends": lambda: full_list_of_ends(ENDS_PER_LIST),
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -180,8 +180,9 @@
         return applied
 
     def wait(self, seconds):
-        """Lets time pass, with the leader's ticks."""
+        """Lets time pass, with the leader's ticks and one at the end."""
         self.timers.advance(seconds)
+        self.dispatcher._tick(self.timers.now())
 
     def store_changes(self):
         """Marks the progress of all jobs as stored."""
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -102,7 +102,7 @@
 
 
 def _drop_unclaimed_ends(tables, worker):
-    """Drops ends of jobs that do not exist, or no longer, so that they are discarded."""
+    """Drops ends of jobs that do not exist any more, so that they are discarded."""
     commands = []
     for number, unclaimed in list(worker.unclaimed_ends.items()):
         if not _is_unclaimed(tables, unclaimed.row, unclaimed.seen_at):
--- a/sassafrasgrade/timers.py
+++ b/sassafrasgrade/timers.py
@@ -9,9 +9,9 @@
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1000.0
-# Factor by which the clock of a worker or of the store may run slow (published
-# protocol).
-CLOCK_DRIFT = 1.02
+# Factor on durations that a worker or the store measures: its clock may run 2% slow
+# (published protocol).
+CLOCK_DRIFT = 1 / 0.98
 # Difference from the expected time of day up to which a clock counts as slewed, in
 # seconds; a larger one is a step.
 MAX_SLEW_S = 0.25
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -105,9 +105,7 @@
         )
         if is_responsive and lease_s:
             deadline_ms = self._worker_clock(now) + lease_s * MS_PER_S
-            # Recorded even if the call fails: the worker may have received it.
-            lapses_at = now + ANSWER_TIMEOUT_S + lease_s * CLOCK_DRIFT
-            worker.lease_until = max(worker.lease_until, lapses_at)
+            self._extend_lease(now, lease_s)
         may_long_poll = worker.has_seen_token and worker.unresponsive_since == 0
         wait_s = LONG_POLL_WAIT_S if may_long_poll else 0
         reply = await self._client.poll_runs(
@@ -132,6 +130,14 @@
         self._dispatcher.record_unresponsive(worker, reply.detail)
         return False
 
+    def _extend_lease(self, now, lease_s):
+        """Records a lease before it is sent: the call may arrive and still fail.
+
+        ``ANSWER_TIMEOUT_S`` covers the age of the clock offset of a slow worker clock.
+        """
+        lapses_at = now + ANSWER_TIMEOUT_S + lease_s * CLOCK_DRIFT
+        self.worker.lease_until = max(self.worker.lease_until, lapses_at)
+
     def _worker_clock(self, now):
         return now * MS_PER_S + self.worker.clock_offset_ms
 
@@ -157,9 +163,7 @@
                 return
             now = self._timers.now()
             run.deadline_ms = self._worker_clock(now) + START_VALID_MS
-            self.worker.lease_until = max(
-                self.worker.lease_until, now + START_VALID_MS / MS_PER_S * CLOCK_DRIFT
-            )
+            self._extend_lease(now, START_VALID_MS / MS_PER_S)
             task = run.task
             order = StartOrder(
                 task.name,
