Read no run's absence from a full page of ends

Callers saw: a start after an end 'done', if a worker holds 500 ends or more that are not stored yet. Cause: a worker lists at most 500 ends, and a run whose end is on the next page is in neither list; it was taken for absent and its task started again. Change: runs are not called absent by a list with 500 ends.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -57,6 +57,7 @@
       | silence of an adopted run's worker for 1 s                      | no     |
       | silence of an adopted run's worker for 6 s                      | no     |
       | silence of an adopted run's worker for 6.121 s                  | no     |
+      | a list without it that has 500 ends                             | no     |
 
     @known_red
     Examples: evidence that does not prove the end of its run
@@ -66,7 +67,6 @@
       | an answer of another worker at its address            | no     |
       | a restart of its worker before the start was answered | no     |
       | a late answer of an earlier incarnation               | no     |
-      | a list without it that has 500 ends                   | no     |
 
   Scenario Outline: a start that <event> is sent: <sent>
     Then a start that "<event>" while it waits for its turn is sent: "<sent>"
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -35,6 +35,9 @@
 # Longest time for which a worker holds a poll, also one that it received before it
 # saw a newer leader's token, in milliseconds (published limit).
 LONGEST_WAIT_MS = 2000.0
+# Maximum number of ends in one list of a worker (published limit): the end of a run
+# that is not listed as running may be on the next page.
+MAX_LISTED_ENDS = 500
 # Tolerance on clock readings that were sent over the network, in milliseconds.
 CLOCK_TOLERANCE_MS = 50.0
 
@@ -83,8 +86,11 @@
         else:
             commands += _apply_running(tables, worker, row, now)
     commands += _drop_unclaimed_ends(tables, worker)
+    shows_all_ends = len(view.ended) < MAX_LISTED_ENDS
     for key, run in list(worker.runs_by_key.items()):
-        if key not in listed and _is_surely_absent(run, view.clock_ms, sent_at):
+        if key in listed or not shows_all_ends:
+            continue
+        if _is_surely_absent(run, view.clock_ms, sent_at):
             forget_run(tables, run, EndProof(ProofKind.ABSENT, sent_at), now)
     if is_first_view:
         commands.append(_describe_first_view(worker, view))
