End no run by a registration; ask the worker instead

Callers saw: possibly two runs of one task while a worker was only silent. Cause: an entry among those of the workers, which anyone may write, was enough to forget a silent worker's runs: another address for its id, a later 'born', or a later worker on the same host. Change: a registration ends no run. A later 'born' makes the leader ask the worker at once; another address is ignored, with one line, while runs are left; a later worker on the host counts once it has answered, and is looked for on each tick. Measured: two rows failed before (another address, a later worker's registration) and pass, with the end of the lease and the later worker's answer still freeing the task. Two rows changed: a later registration with another address frees the task at the lease's end, no longer at once. The crash tests now use answers where they used registrations, as the dispatcher does; their outcomes are unchanged.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -47,7 +47,9 @@
       | event                                                           | starts |
       | silence while its lease is valid                                | no     |
       | silence until its lease has lapsed                              | yes    |
-      | a later registration of its worker with another address         | yes    |
+      | a later registration of its worker with another address         | no     |
+      | that registration, and its lease's end                          | yes    |
+      | a later registration of its worker at its address               | no     |
       | an answer of a later worker on its host                         | yes    |
       | an answer of another worker at its address, and its lease's end | yes    |
       | a restart of its worker that it had started on                  | yes    |
@@ -59,12 +61,12 @@
       | silence of an adopted run's worker for 6.121 s                  | no     |
       | a list without it that has 500 ends                             | no     |
       | a late answer of an earlier incarnation                         | no     |
+      | a registration of its worker with another address               | no     |
+      | a registration of a later worker on its host                    | no     |
 
     @known_red
     Examples: evidence that does not prove the end of its run
       | event                                                 | starts |
-      | a registration of its worker with another address     | no     |
-      | a registration of a later worker on its host          | no     |
       | an answer of another worker at its address            | no     |
       | a restart of its worker before the start was answered | no     |
 
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -34,11 +34,15 @@
 )
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.learned_durations import LearnedDurations
-from sassafrasgrade.systems.run_updates import expire_leases, remove_worker
+from sassafrasgrade.systems.run_updates import (
+    expire_leases,
+    remove_worker,
+    restart_worker,
+)
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
 from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_tables import Crash, RunState, WorkState
-from sassafrasgrade.worker_registrations import apply_item
+from sassafrasgrade.worker_registrations import apply_item, remove_replaced_workers
 
 # Time after which every run is overdue, in seconds.
 SIMULATED_LONG_S = 60.0
@@ -149,7 +153,9 @@
 def crash_and_restart(context, worker):
     run_on(context, worker)
     worker.born_ms = 1
-    apply_item(context.tables, registration(worker, born_ms=2), NOW)
+    # As the dispatcher does on an answer of a later incarnation.
+    record_crash(context.tables, worker)
+    restart_worker(context.tables, worker, 2, NOW)
     settle_crashes(context.tables)
 
 
@@ -159,6 +165,9 @@
     worker.unresponsive_since = NOW + 0.1
     item = registration(worker, "worker-new", "127.0.0.1:9", born_ms)
     apply_item(context.tables, item, NOW)
+    # As the dispatcher does when the registered worker has answered.
+    context.tables.workers_by_id["worker-new"].has_seen_token = True
+    remove_replaced_workers(context.tables, NOW)
     settle_crashes(context.tables)
 
 
--- a/features/support/silent_workers.py
+++ b/features/support/silent_workers.py
@@ -53,12 +53,12 @@
     return started(leader)
 
 
-def change_address(born_ms=BORN_MS):
-    """An entry of the same id names another address."""
+def register_again(address, born_ms, wait_s=0.0):
+    """An entry of the same id names an address and an incarnation."""
     leader, _ = lead()
-    apply_entry(
-        leader, registration("worker-0", "127.0.0.1:9", born=born_ms, machine="host-0")
-    )
+    entry = registration("worker-0", address, born=born_ms, machine="host-0")
+    apply_entry(leader, entry)
+    leader.wait(wait_s)
     return started(leader)
 
 
@@ -138,9 +138,17 @@
 CASES_BY_NAME = {
     "silence while its lease is valid": lambda: lapse(LEASE_S - 0.5),
     "silence until its lease has lapsed": lambda: lapse(LEASE_S + 0.5),
-    "a registration of its worker with another address": change_address,
+    "a registration of its worker with another address": (
+        lambda: register_again("127.0.0.1:9", BORN_MS)
+    ),
     "a later registration of its worker with another address": (
-        lambda: change_address(BORN_MS + 9)
+        lambda: register_again("127.0.0.1:9", BORN_MS + 9)
+    ),
+    "that registration, and its lease's end": (
+        lambda: register_again("127.0.0.1:9", BORN_MS + 9, LEASE_S + 0.5)
+    ),
+    "a later registration of its worker at its address": (
+        lambda: register_again("127.0.0.1:1", BORN_MS + 9)
     ),
     "a registration of a later worker on its host": (
         lambda: register_on_same_host(False)
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -209,6 +209,9 @@
         """Records a stop."""
         self._stops.append((self.worker.worker_id, task_name, number))
 
+    async def ask(self):
+        """Does nothing."""
+
     def close(self):
         """Does nothing."""
 
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -42,6 +42,7 @@
 )
 from sassafrasgrade.table_loaders import TableLoader
 from sassafrasgrade.work_commands import (
+    AskWorker,
     LogEvent,
     MaintainHost,
     MoveHost,
@@ -53,6 +54,7 @@
     StopUnknownRun,
 )
 from sassafrasgrade.work_tables import MS_PER_S, RunState, WorkState, WorkTables
+from sassafrasgrade.worker_registrations import remove_replaced_workers
 from sassafrasgrade.worker_sessions import WorkerSession
 
 logger = logging.getLogger(__name__)
@@ -498,8 +500,11 @@
         self._carry_out_all(
             expire_leases(self.tables, self._leadership.last_renewal_at, note_lapse)
         )
+        remove_replaced_workers(self.tables, now)
+        self.sync_sessions()
         self._repeat_stops(now)
         self._sweeper.sweep(now)
+        self.loader.remove_moved(now)
         self.loader.drop_missing(now)
         self.loader.reread_after_expiry(now)
         if self._reaches_too_few_workers(now):
@@ -624,6 +629,12 @@
             },
         )
 
+    @carry_out.register
+    def _(self, command: AskWorker):
+        session = self._sessions_by_id.get(command.worker_id)
+        if session is not None:
+            IOLoop.current().add_callback(session.ask)
+
     @carry_out.register
     def _(self, command: PaceRun):
         command.run.pace = command.percent
--- a/sassafrasgrade/systems/host_states.py
+++ b/sassafrasgrade/systems/host_states.py
@@ -27,10 +27,15 @@
 
 
 def attach_workers(tables, fleet):
-    """Sets the worker of each host from the host names that workers report."""
+    """Sets the worker of each host from the host names that workers report.
+
+    Workers that have not answered are left out: anyone may have registered them.
+    """
     for worker in tables.workers_by_id.values():
         host = fleet.hosts_by_name.get(worker.host)
-        if host is not None and host.pool == worker.pool and not worker.missing_since:
+        if host is None or host.pool != worker.pool or not worker.has_seen_token:
+            continue
+        if not worker.missing_since:
             host.worker_id = worker.worker_id
             host.arrives_at = 0.0
 
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -32,7 +32,7 @@
 )
 from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_tables import ALL_POOLS, MS_PER_S
-from sassafrasgrade.worker_registrations import apply_item, apply_range
+from sassafrasgrade.worker_registrations import apply_item, apply_range, has_moved
 
 logger = logging.getLogger(__name__)
 
@@ -111,16 +111,19 @@
         self._jobs.close()
 
     def _apply_all_workers(self, items):
-        apply_range(self._tables, items, self._timers.now())
+        commands = apply_range(self._tables, items, self._timers.now())
         self._has_workers = True
         self._finish_load()
         self._dispatcher.sync_sessions()
+        self._carry_out_all(commands)
         self._dispatcher.schedule_placement()
 
     def _apply_worker_changes(self, items):
+        commands = []
         for item in items:
-            apply_item(self._tables, item, self._timers.now())
+            commands += apply_item(self._tables, item, self._timers.now())
         self._dispatcher.sync_sessions()
+        self._carry_out_all(commands)
         self._dispatcher.schedule_placement()
 
     def _apply_all_jobs(self, items):
@@ -190,7 +193,10 @@
             self._dispatcher.schedule_placement()
 
     def _claim_rows(self, job):
-        for command in claim_rows(self._tables, job, self._timers.now()):
+        self._carry_out_all(claim_rows(self._tables, job, self._timers.now()))
+
+    def _carry_out_all(self, commands):
+        for command in commands:
             self._dispatcher.carry_out(command)
 
     @property
@@ -231,8 +237,7 @@
             },
         )
         self._dispatcher.sync_sessions()
-        for command in commands:
-            self._dispatcher.carry_out(command)
+        self._carry_out_all(commands)
 
     @property
     def full_handover(self):
@@ -298,6 +303,16 @@
         if expired:
             self._workers.reread_range()
 
+    def remove_moved(self, now):
+        """Removes workers whose id is registered with another address, to read it."""
+        moved = [w for w in self._tables.workers_by_id.values() if has_moved(w, now)]
+        for worker in moved:
+            proof = EndProof(ProofKind.ADDRESS_CHANGED, now)
+            remove_worker(self._tables, worker, proof, now, has_ended=False)
+        if moved:
+            self._dispatcher.sync_sessions()
+            self._workers.reread_range()
+
     def drop_missing(self, now):
         """Removes workers that are neither listed nor answering any more."""
         if self.barrier_until:
--- a/sassafrasgrade/work_commands.py
+++ b/sassafrasgrade/work_commands.py
@@ -37,6 +37,13 @@
     others: tuple[Run, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AskWorker:
+    """Asks a worker at once what it runs, beside its session's polls."""
+
+    worker_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class PaceRun:
     """Limits the speed of a run, in percent."""
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -286,6 +286,7 @@
         leaves_at: Clock at which it may be gone; None if it stays.
         born_ms: Start of the incarnation; None before the worker reported it.
         host: Name of its host; empty while unknown.
+        other_address: Another address under which its id was registered; empty if none.
         clock_offset_ms: Its clock minus the node's, in milliseconds.
         has_seen_token: Whether it has answered this leader, and so has seen its
             fencing token.
@@ -326,6 +327,7 @@
     leaves_at: float | None = None
     born_ms: int | None = None
     host: str = ""
+    other_address: str = ""
     clock_offset_ms: float | None = None
     has_seen_token: bool = False
     has_shown_runs: bool = False
--- a/sassafrasgrade/worker_registrations.py
+++ b/sassafrasgrade/worker_registrations.py
@@ -9,7 +9,8 @@
 from sassafrasgrade.platform.messages import WorkerEntry
 from sassafrasgrade.systems.crash_records import record_crash
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
-from sassafrasgrade.systems.run_updates import remove_worker, restart_worker
+from sassafrasgrade.systems.run_updates import remove_worker
+from sassafrasgrade.work_commands import AskWorker
 from sassafrasgrade.work_tables import MS_PER_S, Worker
 
 logger = logging.getLogger(__name__)
@@ -36,58 +37,106 @@
 
 
 def apply_range(tables, items, now):
-    """Applies a full read; workers that are not in it count as missing."""
+    """Applies a full read; workers that are not in it count as missing.
+
+    Returns:
+        Commands.
+    """
+    commands = []
     listed = set()
     for item in items:
         listed.add(item.key.removeprefix(names.WORKERS_PREFIX))
-        apply_item(tables, item, now)
+        commands += apply_item(tables, item, now)
     for worker_id, worker in tables.workers_by_id.items():
         if worker_id not in listed and not worker.missing_since:
             worker.missing_since = now
+    return commands
 
 
 def apply_item(tables, item, now):
-    """Applies one changed registration."""
+    """Applies one changed registration.
+
+    A registration ends no run: anyone may have written it. Whether a worker has
+    restarted, or another runs on its host, is shown by that worker's own answers.
+
+    Returns:
+        Commands.
+    """
     worker_id = item.key.removeprefix(names.WORKERS_PREFIX)
     worker = tables.workers_by_id.get(worker_id)
     if item.value is None:
         if worker is not None and not worker.missing_since:
             worker.missing_since = now
             logger.info("worker no longer registered", extra={"worker": worker_id})
-        return
+        return []
     entry = decode_entry(item)
     if entry is None:
-        return
+        return []
     if worker is not None and worker.address != entry.address:
+        if worker.runs_by_key or not worker.unresponsive_since:
+            _note_other_address(worker, entry)
+            return []
         proof = EndProof(ProofKind.ADDRESS_CHANGED, now)
         remove_worker(tables, worker, proof, now)
         worker = None
     if worker is None and _is_known_to_have_ended(tables, worker_id, entry, now):
-        return
+        return []
     if worker is None:
-        _remove_replaced(tables, entry, now)
         worker = _add_worker(tables, worker_id, entry)
-    elif (
-        entry.born_ms is not None
-        and worker.born_ms is not None
-        and entry.born_ms > worker.born_ms
-    ):
-        record_crash(tables, worker)
-        restart_worker(tables, worker, entry.born_ms, now)
-        logger.info("worker restarted", extra={"worker": worker_id})
     _update_worker(worker, entry, now)
+    if is_later(entry.born_ms, worker.born_ms):
+        return [AskWorker(worker_id)]
+    return []
+
+
+def is_later(born_ms, other_born_ms):
+    """Whether an incarnation surely started after another."""
+    return None not in (born_ms, other_born_ms) and born_ms > other_born_ms
+
+
+def _note_other_address(worker, entry):
+    """Logs, once for each address, that a registration is not followed."""
+    if worker.other_address != entry.address:
+        worker.other_address = entry.address
+        logger.warning(
+            "registration with another address ignored; the worker still has runs or "
+            "answers at its own",
+            extra={
+                "worker": worker.worker_id,
+                "address": worker.address,
+                "other_address": entry.address,
+                "born": entry.born_ms,
+            },
+        )
 
 
-def _remove_replaced(tables, entry, now):
-    """Removes silent workers whose host runs a later one now: they have crashed."""
+def has_moved(worker, now):
+    """Whether a worker that registered with another address left nothing behind."""
+    return bool(
+        worker.other_address
+        and worker.unresponsive_since
+        and not worker.runs_by_key
+        and now > worker.lease_until
+    )
+
+
+def remove_replaced_workers(tables, now):
+    """Removes silent workers whose host runs a later one that has answered.
+
+    A worker is one incarnation of its host, so that the earlier one has ended.
+    """
     for other in list(tables.workers_by_id.values()):
-        is_later = (entry.born_ms or 0) > (other.born_ms or 0)
-        is_same_host = entry.host and other.host == entry.host
-        if is_same_host and is_later and other.unresponsive_since:
+        if not other.unresponsive_since or not other.host:
+            continue
+        if any(
+            worker.host == other.host
+            and worker.has_seen_token
+            and is_later(worker.born_ms, other.born_ms)
+            for worker in tables.workers_by_id.values()
+        ):
             record_crash(tables, other)
-            remove_worker(
-                tables, other, EndProof(ProofKind.HOST_RUNS_ANOTHER, now), now
-            )
+            proof = EndProof(ProofKind.HOST_RUNS_ANOTHER, now)
+            remove_worker(tables, other, proof, now)
             logger.info(
                 "worker removed; its host runs another",
                 extra={"worker": other.worker_id, "host_name": other.host},
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -74,10 +74,15 @@
             elif self.worker.stored_end < self.worker.seen_end:
                 await self._wait_until_stored()
 
-    async def _poll_safely(self):
+    async def ask(self):
+        """Asks at once for both lists, beside a poll that may wait."""
+        if not self._is_closed:
+            await self._poll_safely(renews=False)
+
+    async def _poll_safely(self, renews=True):
         """Polls; an error in applying an answer must not end all later polls."""
         try:
-            return await self._poll_once()
+            return await self._poll_once(renews)
         except Exception:
             logger.exception(
                 "answer of a worker not applied",
@@ -94,7 +99,8 @@
         except TimeoutError:
             logger.debug("ended runs not stored yet; polling the worker again")
 
-    async def _poll_once(self):
+    async def _poll_once(self, renews=True):
+        """Makes one call; without ``renews`` it neither renews leases nor waits."""
         worker, now = self.worker, self._timers.now()
         deadline_ms = None
         lease_s = self._dispatcher.lease_s()
@@ -103,10 +109,12 @@
         is_responsive = (
             worker.clock_offset_ms is not None and not worker.unresponsive_since
         )
-        if is_responsive and lease_s:
+        if renews and is_responsive and lease_s:
             deadline_ms = self._worker_clock(now) + lease_s * MS_PER_S
             self._extend_lease(now, lease_s)
-        may_long_poll = worker.has_seen_token and worker.unresponsive_since == 0
+        may_long_poll = (
+            renews and worker.has_seen_token and worker.unresponsive_since == 0
+        )
         wait_s = LONG_POLL_WAIT_S if may_long_poll else 0
         reply = await self._client.poll_runs(
             self._dispatcher.token,
