Wait for the lease's end when another worker answers at a silent one's address

Callers saw: possibly two runs of one task where addresses go to another service. Cause: the answer 421 was taken for the end of the worker that was there; it proves only who answers at the address now, not what the silent worker does elsewhere. Change: such a worker is given up (no polls, no starts), but its runs are forgotten when its lease has lapsed, or when a later worker of its host has answered. Measured: the row on an answer of another worker failed before and passes; after the lease's end the task starts.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -63,11 +63,11 @@
       | a late answer of an earlier incarnation                         | no     |
       | a registration of its worker with another address               | no     |
       | a registration of a later worker on its host                    | no     |
+      | an answer of another worker at its address                      | no     |
 
     @known_red
     Examples: evidence that does not prove the end of its run
       | event                                                 | starts |
-      | an answer of another worker at its address            | no     |
       | a restart of its worker before the start was answered | no     |
 
   Scenario Outline: a start that <event> is sent: <sent>
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -389,20 +389,36 @@
             self._leadership.step_down("another node leads")
 
     def handle_replaced_worker(self, worker):
-        """Removes a worker at whose address another incarnation answers."""
-        logger.info(
-            "worker removed; another incarnation answers at its address",
-            extra={"worker": worker.worker_id},
-        )
+        """Gives up a worker at whose address another incarnation answers.
+
+        That proves who is at the address now. The worker itself may run on elsewhere
+        until its lease ends, unless a later worker of its host answers before.
+        """
         host = self.fleet.hosts_by_name.get(worker.host)
         if host is None or host.state not in ENDING_STATES:
             record_crash(self.tables, worker)
         now = self.timers.now()
-        proof = EndProof(ProofKind.ADDRESS_ANSWERS_FOR_OTHER, now)
-        remove_worker(self.tables, worker, proof, now)
+        worker.is_superseded = True
+        worker.unresponsive_since = worker.unresponsive_since or now
+        logger.info(
+            "worker given up; another incarnation answers at its address",
+            extra={
+                "worker": worker.worker_id,
+                "runs": len(worker.runs_by_key),
+                "lease_left_ms": round((worker.lease_until - now) * MS_PER_S),
+            },
+        )
+        self._remove_superseded(now)
         self.sync_sessions()
         self.schedule_placement()
 
+    def _remove_superseded(self, now):
+        """Removes workers that were given up and have no runs left."""
+        for worker in list(self.tables.workers_by_id.values()):
+            if worker.is_superseded and not worker.runs_by_key:
+                proof = EndProof(ProofKind.ADDRESS_ANSWERS_FOR_OTHER, now)
+                remove_worker(self.tables, worker, proof, now)
+
     def record_unresponsive(self, worker, detail):
         """Records that a worker did not answer."""
         if not worker.unresponsive_since:
@@ -419,11 +435,12 @@
         if not self.is_loaded:
             return
         for worker_id, session in list(self._sessions_by_id.items()):
-            if self.tables.workers_by_id.get(worker_id) is not session.worker:
+            worker = self.tables.workers_by_id.get(worker_id)
+            if worker is not session.worker or worker.is_superseded:
                 session.close()
                 del self._sessions_by_id[worker_id]
         for worker_id, worker in self.tables.workers_by_id.items():
-            if worker_id not in self._sessions_by_id:
+            if worker_id not in self._sessions_by_id and not worker.is_superseded:
                 session = WorkerSession(worker, self._services.leader_http(), self)
                 self._sessions_by_id[worker_id] = session
                 session.start()
@@ -501,6 +518,7 @@
             expire_leases(self.tables, self._leadership.last_renewal_at, note_lapse)
         )
         remove_replaced_workers(self.tables, now)
+        self._remove_superseded(now)
         self.sync_sessions()
         self._repeat_stops(now)
         self._sweeper.sweep(now)
@@ -529,6 +547,7 @@
             worker
             for worker in self.tables.workers_by_id.values()
             if not worker.missing_since
+            and not worker.is_superseded
             and not has_incarnation_ended(worker, self._hosts.fleet)
         ]
         unreachable = sum(
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -315,6 +315,8 @@
         lapsed_suspects: ``CrashedTask`` values of runs that lapsed while it did not
             answer; they count if it turns out to have crashed.
         is_crash_recorded: Whether the crash of this incarnation is recorded.
+        is_superseded: Whether another incarnation answers at its address; it is not
+            polled any more, and its runs wait for a proof of their end.
     """
 
     worker_id: str
@@ -351,6 +353,7 @@
     is_yielding: bool = False
     lapsed_suspects: tuple[CrashedTask, ...] = ()
     is_crash_recorded: bool = False
+    is_superseded: bool = False
 
     @property
     def settled_end(self):
