Count the authority of all earlier leaders at a takeover, not only the last's

Callers saw: possibly two runs of one task after two takeovers within seconds. Cause: a leader whose predecessor is known to have stopped waits 6 s for unreported workers. If that one had itself taken over on suspicion, the leader before it may still act for 6 s and renew leases of 6 s: 12 s in all. Change: each node notes when a leader that it doesn't know to have stopped was replaced; the leader's record carries what a node that starts later cannot have seen. Measured: four rows failed before (7 s after a stopped leader whose predecessor may act; what a node knows of that one, three rows) and pass; a job still starts after 7 s if the one before had stopped, too.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -24,21 +24,23 @@
     Then a successor of a leader that may still act starts "<what>": "<starts>"
 
     Examples:
-      | what                                                 | starts |
-      | a loaded job, before all workers reported            | no     |
-      | a loaded job, after all workers reported             | yes    |
-      | a job found later, after all workers reported        | yes    |
-      | a job found long after, before all workers reported  | yes    |
-      | a next step, once earlier polls are over             | yes    |
-      | a queue's job, after its former pool reported        | yes    |
-      | a job found later, before all workers reported       | no     |
-      | an occurrence due later, before all workers reported | no     |
-      | a queue's job, before its former pool reported       | no     |
-      | a job of a run handed over on an unlisted worker     | no     |
-      | a next step, while earlier polls may wait            | no     |
-      | a job found after a worker listed its run            | no     |
-      | a job found after a worker listed its end            | no     |
-      | an occurrence whose run was handed over              | no     |
+      | what                                                         | starts |
+      | a job 7 s after a stopped leader, the one before had stopped | yes    |
+      | a job 7 s after a stopped leader, the one before may act     | no     |
+      | a loaded job, before all workers reported                    | no     |
+      | a loaded job, after all workers reported                     | yes    |
+      | a job found later, after all workers reported                | yes    |
+      | a job found long after, before all workers reported          | yes    |
+      | a next step, once earlier polls are over                     | yes    |
+      | a queue's job, after its former pool reported                | yes    |
+      | a job found later, before all workers reported               | no     |
+      | an occurrence due later, before all workers reported         | no     |
+      | a queue's job, before its former pool reported               | no     |
+      | a job of a run handed over on an unlisted worker             | no     |
+      | a next step, while earlier polls may wait                    | no     |
+      | a job found after a worker listed its run                    | no     |
+      | a job found after a worker listed its end                    | no     |
+      | an occurrence whose run was handed over                      | no     |
 
   Scenario Outline: a task starts again after <event>: <starts>
     Then a task starts again after "<event>": "<starts>"
@@ -130,3 +132,12 @@
       | missed                | leads |
       | no missed leadership  | yes   |
       | one missed leadership | no    |
+
+  Scenario Outline: a node succeeds a stopped leader, of the one before <state>: it may act for <left> s
+    Then a node that succeeds a stopped leader while of the one before "<state>" knows that it may act for <left> s
+
+    Examples:
+      | state                                       | left |
+      | it is known to have stopped                 | 0.0  |
+      | nothing is known                            | 6.1  |
+      | its successor's record says that it may act | 5.0  |
--- a/features/steps/run_end_steps.py
+++ b/features/steps/run_end_steps.py
@@ -138,3 +138,12 @@
     is_missed = missed == "one missed leadership"
     found = asyncio.run(missed_leaderships.write_vanished_key_again(is_missed))
     assert found == (leads == "yes")
+
+
+@then(
+    'a node that succeeds a stopped leader while of the one before "{state}" '
+    "knows that it may act for {left_s:g} s"
+)
+def check_earlier_leader(context, state, left_s):
+    found = asyncio.run(missed_leaderships.succeed_twice(state))
+    assert abs(max(0.0, found) - left_s) < 0.05, found
--- a/features/support/missed_leaderships.py
+++ b/features/support/missed_leaderships.py
@@ -27,9 +27,10 @@
 
     def __init__(self, store):
         self.gained, self.renewed, self.lost = [], [], []
+        self.timers = FakeTimerService()
         self.leadership = Leadership(
             store,
-            FakeTimerService(),
+            self.timers,
             check_node_settings(
                 {"NODE_NAME": "node", "NODE_DATA_CENTRE": "z"}
             ).unwrap(),
@@ -47,9 +48,11 @@
         await asyncio.sleep(0)
 
 
-def lead(store, name, epoch):
+def lead(store, name, epoch, earlier_left_s=0.0):
     """Makes another node leader."""
-    record = LeaderRecord(name, f"incarnation-{name}", "127.0.0.1:1", epoch)
+    record = LeaderRecord(
+        name, f"incarnation-{name}", "127.0.0.1:1", epoch, earlier_left_s
+    )
     store.put_all({LEADER_KEY: encode_record(record), EPOCH_KEY: str(epoch).encode()})
 
 
@@ -101,3 +104,34 @@
     store.remove(LEADER_KEY)
     await leadership.reacquire()
     return leadership.is_leader
+
+
+async def succeed_twice(state):
+    """A node succeeds a leader that is known to have stopped.
+
+    Args:
+        state: What is known of the leader before that one.
+
+    Returns:
+        Seconds for which some earlier leader may still have authority.
+    """
+    store = MemoryStore()
+    candidate = Candidate(store)
+    leadership = candidate.leadership
+    if state != "its successor's record says that it may act":
+        lead(store, "first", 1)
+        leadership.start()
+        await take_turns()
+    if state == "it is known to have stopped":
+        leadership.accept_handover(store.items_by_key[LEADER_KEY].revision)
+    leadership._campaign_timeout = None
+    lead(store, "second", 2, 5.0 if "record" in state else 0.0)
+    if state == "its successor's record says that it may act":
+        leadership.start()
+        await take_turns()
+    leadership._apply_items(tuple(store.items_by_key.values()))
+    leadership.record_leader_death("incarnation-second")
+    leadership._campaign_timeout = None
+    await leadership._campaign()
+    assert candidate.gained == [3], candidate.gained
+    return leadership.earlier_leaders_until - candidate.timers.now()
--- a/features/support/takeover_cases.py
+++ b/features/support/takeover_cases.py
@@ -151,7 +151,23 @@
     return leader.started()
 
 
+def wait_for_leases(earlier_left_s):
+    """A job waits 7 s after the takeover from a stopped leader; a worker is silent."""
+    leader = Takeover(is_predecessor_gone=True, earlier_left_s=earlier_left_s)
+    leader.load([job_item(JOB)], WORKERS)
+    leader.report("worker-0")
+    leader.wait(7.0)
+    leader.report("worker-0")
+    return leader.started()
+
+
 CASES_BY_NAME = {
+    "a job 7 s after a stopped leader, the one before had stopped": (
+        lambda: wait_for_leases(0.0)
+    ),
+    "a job 7 s after a stopped leader, the one before may act": (
+        lambda: wait_for_leases(5.0)
+    ),
     "a loaded job, before all workers reported": load_before_reports,
     "a loaded job, after all workers reported": load_after_reports,
     "a job found later, before all workers reported": find_before_reports,
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -38,10 +38,12 @@
 
     Args:
         timers: ``FakeTimerService``.
+        earlier_left_s: Time for which an earlier leader may still have authority.
     """
 
-    def __init__(self, timers):
+    def __init__(self, timers, earlier_left_s):
         self._timers = timers
+        self.earlier_leaders_until = timers.now() + earlier_left_s
 
     @property
     def last_renewal_at(self):
@@ -93,10 +95,17 @@
         handover: ``HandOver`` of the predecessor, or None.
         is_predecessor_gone: Whether it has certainly stopped.
         configuration: ``Configuration`` at the takeover.
+        epoch: Number of the leadership.
+        earlier_left_s: Time for which an earlier leader may still have authority.
     """
 
     def __init__(
-        self, handover=None, is_predecessor_gone=False, configuration=None, epoch=EPOCH
+        self,
+        handover=None,
+        is_predecessor_gone=False,
+        configuration=None,
+        epoch=EPOCH,
+        earlier_left_s=0.0,
     ):
         self.timers = FakeTimerService()
         settings = check_node_settings(
@@ -111,7 +120,7 @@
         self.counters = NodeCounters()
         self.dispatcher = Dispatcher(
             services,
-            FakeLeadership(self.timers),
+            FakeLeadership(self.timers, earlier_left_s),
             TOKEN,
             epoch,
             self.counters,
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -33,6 +33,7 @@
     campaign_wait_s,
     rank_successors,
 )
+from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.watchers import Backoff
 
 logger = logging.getLogger(__name__)
@@ -123,6 +124,8 @@
         self._renounced_revision = 0
         # Keeps its value when the leader's key vanishes.
         self.last_leader_revision = 0
+        # Clock until which some leader before the present one may have authority.
+        self.earlier_leaders_until = 0.0
         self._leader_lease = 0
         self._next_campaign_at = 0.0
         self._renewed_at = 0.0
@@ -341,10 +344,32 @@
         ]
 
     def _own_record(self, epoch):
+        left_s = max(0.0, self.earlier_leaders_until - self._timers.now())
         return LeaderRecord(
-            self._settings.node_name, self.incarnation, self.address, epoch
+            self._settings.node_name, self.incarnation, self.address, epoch, left_s
         )
 
+    def _record_succession(self, record, revision):
+        """Records how long the leader that is replaced may still have authority.
+
+        Its lease was renewed before it was replaced, and not after. What this node did
+        not see is in the record of the successor.
+        """
+        now = self._timers.now()
+        is_stopped = self.leader_revision == self._stopped_revision
+        if self._is_replaced_by(record, revision) and not is_stopped:
+            self._extend_earlier(now + LEASE_TTL_S * CLOCK_DRIFT)
+        if record is not None:
+            self._extend_earlier(now + record.earlier_left_s)
+
+    def _is_replaced_by(self, record, revision):
+        if self.leader is None or revision == self.leader_revision:
+            return False
+        return record is None or record.incarnation != self.leader.incarnation
+
+    def _extend_earlier(self, until):
+        self.earlier_leaders_until = max(self.earlier_leaders_until, until)
+
     # Watch of the members.
 
     async def _watch_loop(self):
@@ -413,6 +438,7 @@
 
     def _set_leader(self, record, revision, lease=0):
         changed = record != self.leader
+        self._record_succession(record, revision)
         self.leader = record
         self.leader_revision = revision
         if record is not None:
@@ -481,6 +507,8 @@
         if self._waits_for_fitter_nodes():
             return
         epoch = self._last_epoch + 1
+        if not is_predecessor_gone:
+            self._extend_earlier(self._timers.now() + LEASE_TTL_S * CLOCK_DRIFT)
         record = self._own_record(epoch)
         previous_lease = self._leader_lease if self.leader is not None else 0
         expected = self.leader_revision if self.leader is not None else 0
--- a/sassafrasgrade/member_records.py
+++ b/sassafrasgrade/member_records.py
@@ -34,12 +34,22 @@
 
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
-    """The current leader and its epoch, the number of leaderships so far."""
+    """The current leader.
+
+    Attributes:
+        name: Name of its node.
+        incarnation: Identifier of its process.
+        address: Address of its streams.
+        epoch: Number of leaderships so far.
+        earlier_left_s: Longest time for which an earlier leader may still have had
+            authority when this one took over, in seconds.
+    """
 
     name: str
     incarnation: str
     address: str
     epoch: int
+    earlier_left_s: float = 0.0
 
 
 _node_decoder = msgspec.msgpack.Decoder(NodeRecord)
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -96,11 +96,12 @@
     def start(self):
         """Starts loading."""
         if self._tables.epoch > 1 and self.full_handover is None:
-            barrier_s = self._settings.bounds_hold_most_ms / MS_PER_S
+            # Earlier leaders may renew leases until their own have lapsed.
+            lapses_at = max(self._began_at, self._leadership.earlier_leaders_until)
             if not self._is_predecessor_gone:
-                # The previous leader may renew leases until its own has lapsed.
-                barrier_s += LEASE_TTL_S
-            self.barrier_until = self._timers.now() + barrier_s * CLOCK_DRIFT
+                lapses_at = max(lapses_at, self._began_at + LEASE_TTL_S * CLOCK_DRIFT)
+            longest_lease_s = self._settings.bounds_hold_most_ms / MS_PER_S
+            self.barrier_until = lapses_at + longest_lease_s * CLOCK_DRIFT
             self._tables.held_pools = ALL_POOLS
         self._jobs.start()
         self._workers.start()
