Remove only the worker that a host had when its order was sent

Callers saw: possibly two runs of one task after a move or maintenance was ordered twice. Cause: a host order is also answered with success if it had been carried out before; the leader then removed, and forgot the runs of, the worker that the host had at the time of the answer, which may be the next one. Change: the worker is noted before the order is sent, when it has no runs, and only that one is removed.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -47,6 +47,8 @@
 
     Examples:
       | event                                                           | starts |
+      | a move of another worker's host                                 | no     |
+      | a move of its host that was ordered before it started           | no     |
       | silence while its lease is valid                                | no     |
       | silence until its lease has lapsed                              | yes    |
       | a later registration of its worker with another address         | no     |
--- a/features/support/silent_workers.py
+++ b/features/support/silent_workers.py
@@ -4,9 +4,13 @@
 number 1 on worker-0; worker-1 answers all the while.
 """
 
+from features.support.fleets import run_to_completion
 from features.support.takeovers import Takeover, job_item, registration
-from features.support.work_tables import start_run
+from features.support.work_tables import POOL, start_run
+from sassafrasgrade.fleet_hosts import STATE_UP, HostRow
+from sassafrasgrade.platform.clouds import HostOrderOutcome
 from sassafrasgrade.platform.messages import Capacity
+from sassafrasgrade.work_commands import MoveHost
 from sassafrasgrade.work_tables import RunState
 
 JOB = "a" * 16
@@ -135,7 +139,46 @@
     return started(leader)
 
 
+class LateCloud:
+    """A host service that answers a move after the host's next worker has started.
+
+    Args:
+        on_move: Called before the answer.
+    """
+
+    def __init__(self, on_move):
+        self._on_move = on_move
+
+    async def move_host(self, host, pool, token):
+        """Answers that the move is done, as if it had been done already."""
+        self._on_move()
+        return HostOrderOutcome.DONE
+
+
+def order_done_already(answers_late):
+    """A host order is answered; the task's run is on the host's next worker."""
+    leader, run = lead(is_silent=False)
+    controller = leader.dispatcher._hosts
+    host = HostRow("host-1", POOL, STATE_UP, worker_id="worker-2")
+    leader.dispatcher.fleet.hosts_by_name["host-1"] = host
+    apply_entry(leader, registration("worker-2", "127.0.0.1:3", born=BORN_MS))
+    leader.report("worker-2", born_ms=BORN_MS)
+
+    def replace_worker():
+        if answers_late:
+            host.worker_id = "worker-0"
+
+    controller._cloud = LateCloud(replace_worker)
+    run_to_completion(controller._carry_out(MoveHost("host-1", POOL, "")))
+    fill_worker(leader)
+    return started(leader)
+
+
 CASES_BY_NAME = {
+    "a move of another worker's host": lambda: order_done_already(False),
+    "a move of its host that was ordered before it started": (
+        lambda: order_done_already(True)
+    ),
     "silence while its lease is valid": lambda: lapse(LEASE_S - 0.5),
     "silence until its lease has lapsed": lambda: lapse(LEASE_S + 0.5),
     "a registration of its worker with another address": (
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -140,6 +140,12 @@
         self._advice = AdviceRequester(services, self)
         self._sweeper = JobSweeper(services, self)
 
+    def is_present(self, worker):
+        """Whether a worker's row is still in the tables."""
+        if worker is None:
+            return False
+        return self.tables.workers_by_id.get(worker.worker_id) is worker
+
     def remove_worker(self, worker):
         """Removes a worker that a host order has ended."""
         now = self.timers.now()
--- a/sassafrasgrade/host_controllers.py
+++ b/sassafrasgrade/host_controllers.py
@@ -234,11 +234,12 @@
         source = host.pool
         token = self._dispatcher.token
         host.ordered_at = self._timers.now()
+        worker = worker_of(self._dispatcher.tables, host)
         outcome = await self._cloud.move_host(command.host, command.pool, token)
         self._log_order("move", command, outcome, source=source, reason=command.reason)
         if outcome is HostOrderOutcome.DONE:
             host.pool = command.pool
-        self._apply_outcome(host, outcome)
+        self._apply_outcome(host, worker, outcome)
 
     @_carry_out.register
     async def _(self, command: MaintainHost):
@@ -251,6 +252,7 @@
             return
         token = self._dispatcher.token
         host.ordered_at = self._timers.now()
+        worker = worker_of(self._dispatcher.tables, host)
         outcome = await self._cloud.maintain_host(command.host, command.wave, token)
         self._log_order("upkeep", command, outcome, wave=command.wave)
         if outcome is HostOrderOutcome.DONE:
@@ -259,7 +261,7 @@
             row.done.add(command.host)
         elif outcome is not HostOrderOutcome.UNKNOWN:
             row.down_until_by_host.pop(command.host, None)
-        self._apply_outcome(host, outcome)
+        self._apply_outcome(host, worker, outcome)
 
     def _is_order_allowed(self, host):
         """Checks, just before an order is sent, that it is allowed and ends no run."""
@@ -270,14 +272,21 @@
             return False
         return not self._is_closed and self._dispatcher.has_host_authority()
 
-    def _apply_outcome(self, host, outcome):
-        """Applies the outcome of an order to the tables."""
+    def _apply_outcome(self, host, worker, outcome):
+        """Applies the outcome of an order to the tables.
+
+        Args:
+            host: The ordered host.
+            worker: Its worker when the order was sent, or None. By the time of the
+                answer, which is also positive if the order had been carried out
+                before, the host may have the next one.
+            outcome: ``HostOrderOutcome``.
+        """
         now = self._timers.now()
         self._last_order_at = now
-        worker = worker_of(self._dispatcher.tables, host)
         if outcome is HostOrderOutcome.DONE:
             host.worker_id = ""
-            if worker is not None:
+            if self._dispatcher.is_present(worker):
                 self._dispatcher.remove_worker(worker)
             return
         if outcome is HostOrderOutcome.UNKNOWN:
