Stop all but one of a task's runs as soon as a second one is seen

Callers saw: two runs of one task that went on beside each other until both ended. Cause: a run listed by a worker was added beside another of its task, and nothing stopped either. Change: of the runs of a task that allows no copies, the most advanced one on an answering worker is kept and the others are stopped.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -15,10 +15,18 @@
       | worker silence while the lease is valid                |                          |
       | a report that it is done                               |                          |
 
-  Scenario: a second run of a task is reported
+  Scenario Outline: of two runs of a task, the first at <first> and <answering>, the second at 10 percent, run <stopped> is stopped
     Given a job of one task that may fail 2 times
-    When a second worker lists a run of the task
+    When a second worker lists a run of the task at 10 percent, the first is at <first> percent on a worker that is <answering>
     Then one second run is reported
+    And run <stopped> of the task is stopped
+
+    Examples:
+      | first | answering | stopped |
+      | 5     | answering | 1       |
+      | 10    | answering | 2       |
+      | 50    | answering | 2       |
+      | 50    | silent    | 1       |
 
   Scenario Outline: a successor of a leader that may still act starts <what>: <starts>
     Then a successor of a leader that may still act starts "<what>": "<starts>"
--- a/features/steps/run_end_steps.py
+++ b/features/steps/run_end_steps.py
@@ -12,7 +12,7 @@
 from sassafrasgrade.errors import StoreRefused
 from sassafrasgrade.platform.clouds import HostOrderOutcome
 from sassafrasgrade.platform.workers import NO_EFFECT_OUTCOMES
-from sassafrasgrade.work_commands import ReportSecondRun
+from sassafrasgrade.work_commands import ReportSecondRun, StopRun
 
 
 class RecordingHandler(logging.Handler):
@@ -48,9 +48,13 @@
         assert record.proof_age_ms >= 0, record.proof_age_ms
 
 
-@when("a second worker lists a run of the task")
-def list_second_run(context):
-    start_run(context.task, context.worker)
+@when(
+    "a second worker lists a run of the task at 10 percent, "
+    "the first is at {percent:d} percent on a worker that is {answering}"
+)
+def list_second_run(context, percent, answering):
+    start_run(context.task, context.worker).percent = percent
+    context.worker.unresponsive_since = NOW if answering == "silent" else 0.0
     other = context.tables.workers_by_id["worker-1"]
     running = [(context.task.name, 2, "", 10, 0)]
     context.commands = apply_worker_view(
@@ -65,6 +69,12 @@
     assert [run.number for run in reported[0].others] == [1]
 
 
+@then("run {number:d} of the task is stopped")
+def check_stopped_run(context, number):
+    stopped = [c.run.number for c in context.commands if isinstance(c, StopRun)]
+    assert stopped == [number], stopped
+
+
 @then('a successor of a leader that may still act starts "{what}": "{starts}"')
 def check_successor_starts(context, what, starts):
     started = run_in_loop(CASES_BY_NAME[what])
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -210,17 +210,34 @@
         return [StopUnknownRun(worker.worker_id, row.task, row.run)]
     run = Run(task, row.run, worker.worker_id, RunState.RUNNING, now, answered_at=now)
     commands = []
-    if task.runs_by_number and not task.step.is_speculative:
-        commands.append(ReportSecondRun(run, tuple(task.runs_by_number.values())))
+    others = tuple(task.runs_by_number.values())
     task.runs_by_number[row.run] = run
     task.last_number = max(task.last_number, row.run)
     worker.runs_by_key[(row.task, row.run)] = run
     _extend_lease(tables, worker, now)
     record_start(tables, task.job)
     _record_progress(run, row, now)
+    if others and not task.step.is_speculative:
+        commands.append(ReportSecondRun(run, others))
+        commands += _stop_all_but_one(tables, (run, *others))
     return commands
 
 
+def _stop_all_but_one(tables, runs):
+    """Returns commands that stop all runs of a task but the most advanced.
+
+    Runs on workers that do not answer come last: their leases end by themselves.
+    """
+
+    def rank(run):
+        worker = tables.workers_by_id.get(run.worker_id)
+        is_answering = worker is not None and not worker.unresponsive_since
+        return (is_answering, run.state is RunState.RUNNING, run.percent, -run.number)
+
+    kept = max(runs, key=rank)
+    return [StopRun(run, "second run of the task") for run in runs if run is not kept]
+
+
 def _extend_lease(tables, worker, now):
     """Records that a worker may hold the longest lease, from a leader unknown here."""
     lapses_at = now + tables.longest_lease_s * CLOCK_DRIFT
