Refuse entries of workers whose values are out of range

Cause: the decoder checked types only. Port 99999, host names, capacities of 10^400 or below 0 and births of 10^30 were used. Over a worker's own entry they removed the worker with its runs, and it stayed away.

The types of the entry now hold the ranges (msgspec constraints: IPv4 address with port, whole numbers up to 2^53, times up to 10^14 ms, lengths of names); `decode_entry` is the one place that says whether an entry is usable, its id included. A refused entry changes nothing: a worker that it names keeps its last valid one. Time left may be negative: a worker may stay on for longer. A refusal is logged once for each key and reason instead of at each read.

--- a/sassafrasgrade/platform/messages.py
+++ b/sassafrasgrade/platform/messages.py
@@ -1,9 +1,36 @@
-"""Messages of the platform, decoded once into types with this project's names."""
+"""Messages of the platform, decoded once into types with this project's names.
+
+Numbers and texts that other writers may have sent are checked for their range here.
+"""
 
 from enum import StrEnum
+from typing import Annotated, Literal
 
 import msgspec
-from msgspec import field
+from msgspec import Meta, field
+
+# Limit of whole numbers: each fits into a float without loss.
+MAX_WHOLE = 2**53
+# Limit of a length of time or of a clock, in milliseconds: the year 5138 in Unix time.
+MAX_MS = 1e14
+# Length of a name or a label, and number of labels.
+MAX_NAME_LENGTH = 200
+MAX_LABELS = 100
+
+Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
+UnixMilliseconds = Annotated[int, Meta(ge=0, le=int(MAX_MS))]
+# Time that is left may be negative: a worker may stay longer than it announced.
+Milliseconds = Annotated[float, Meta(ge=-MAX_MS, le=MAX_MS)]
+Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
+Labels = Annotated[tuple[Name, ...], Meta(max_length=MAX_LABELS)]
+
+_OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+PORT_PATTERN = (
+    "(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
+    "|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+)
+# IPv4 address and port.
+Address = Annotated[str, Meta(pattern=rf"\A({_OCTET}\.){{3}}{_OCTET}:{PORT_PATTERN}\Z")]
 
 
 class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -150,9 +177,9 @@
 class Capacity(msgspec.Struct, frozen=True):
     """Capacity of a worker, in thousandths of a core, MB and accelerators."""
 
-    cpu_millis: int = field(name="cpu", default=0)
-    memory_mb: int = field(name="memMb", default=0)
-    gpus: int = field(name="gpu", default=0)
+    cpu_millis: Whole = field(name="cpu", default=0)
+    memory_mb: Whole = field(name="memMb", default=0)
+    gpus: Whole = field(name="gpu", default=0)
 
 
 class WorkerEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -171,16 +198,16 @@
         host: Host that runs it (``machine`` on the wire).
     """
 
-    pool: str = field(name="service")
-    address: str
-    data_centre: str = field(name="zone")
-    state: str
+    pool: Name = field(name="service")
+    address: Address
+    data_centre: Name = field(name="zone")
+    state: Literal["ready", "draining"]
     capacity: Capacity
-    labels: tuple[str, ...] = ()
-    remaining_ms: float | None = field(name="remainingMs", default=None)
-    warmup_ms: float = field(name="warmupLeftMs", default=0)
-    born_ms: int | None = field(name="born", default=None)
-    host: str = field(name="machine", default="")
+    labels: Labels = ()
+    remaining_ms: Milliseconds | None = field(name="remainingMs", default=None)
+    warmup_ms: Milliseconds = field(name="warmupLeftMs", default=0)
+    born_ms: UnixMilliseconds | None = field(name="born", default=None)
+    host: Name = field(name="machine", default="")
 
 
 class RunningRow(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -13,6 +13,7 @@
     Queue,
     Step,
 )
+from sassafrasgrade.refused_values import RefusedValues
 from sassafrasgrade.tickets import TicketTable
 
 MS_PER_S = 1000.0
@@ -360,6 +361,7 @@
         has_seen_work: Whether any job that ends by itself was accepted.
         work_seen_at: Clock when the planner first saw such work; 0 before.
         crashed_tasks: ``CrashedTask`` values recorded and not settled yet.
+        refused_entries: Entries of workers that name no worker to use.
     """
 
     epoch: int = 0
@@ -377,6 +379,7 @@
     has_seen_work: bool = False
     work_seen_at: float = 0.0
     crashed_tasks: list[CrashedTask] = field(default_factory=list)
+    refused_entries: RefusedValues = field(default_factory=RefusedValues)
 
     def adopt_configuration(self, configuration):
         """Applies a newer configuration; removed queues stay in the tables.
--- a/sassafrasgrade/worker_registrations.py
+++ b/sassafrasgrade/worker_registrations.py
@@ -1,6 +1,7 @@
 """Keeps the table of workers in step with their registrations."""
 
 import logging
+import re
 
 import msgspec
 
@@ -13,24 +14,23 @@
 
 logger = logging.getLogger(__name__)
 
+# Id of a worker: printable ASCII, as it is sent in a header.
+WORKER_ID_PATTERN = re.compile("[!-~]{1,200}")
+
 _entry_decoder = msgspec.json.Decoder(WorkerEntry)
 
 
-def decode_entry(item):
-    """Returns the ``WorkerEntry`` of an item; None if it is not a valid one."""
+def decode_entry(tables, item):
+    """Returns the ``WorkerEntry`` of an item; None if it names no worker to use."""
     try:
+        if not WORKER_ID_PATTERN.fullmatch(item.key.removeprefix(names.WORKERS_PREFIX)):
+            raise ValueError("the id cannot be sent in a header")
         entry = _entry_decoder.decode(item.value)
     except DECODE_ERRORS as error:
-        logger.warning(
-            "worker registration cannot be decoded",
-            extra={"key": item.key, "error": str(error)},
-        )
-        return None
-    if entry.state not in (names.WORKER_READY, names.WORKER_DRAINING):
-        logger.warning(
-            "worker registration has an unknown state", extra={"key": item.key}
-        )
+        message = "worker registration cannot be decoded"
+        tables.refused_entries.log_new(logger, message, item.key, error)
         return None
+    tables.refused_entries.forget(item.key)
     return entry
 
 
@@ -54,7 +54,7 @@
             worker.missing_since = now
             logger.info("worker no longer registered", extra={"worker": worker_id})
         return
-    entry = decode_entry(item)
+    entry = decode_entry(tables, item)
     if entry is None:
         return
     if worker is not None and worker.address != entry.address:
