Keep the lead beside silent entries of a service that is not named

Cause: a leader releases its leadership when it reaches too few workers, and counted among them entries whose service no configuration names. Ten such entries beside three workers moved the lead twice in one scenario, each time with a takeover.

The check counts workers of named services only. Such entries are still polled, as their service may be added later.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -480,6 +480,8 @@
             worker
             for worker in self.tables.workers_by_id.values()
             if not worker.missing_since
+            # An entry of a service that is not named may be another writer's.
+            and worker.pool in self.tables.pools_by_name
             and not has_incarnation_ended(worker, self._hosts.fleet)
         ]
         unreachable = sum(
