Decode the list of hosts row by row

Cause: one row out of form refused the whole list, so that no host was known any more; a capacity of 10^400 was accepted and fails in the sums of pool moves.

Rows are decoded one by one, with ranges. An odd row is skipped and logged once; its host stays as it was, since a list with such a row shows of no host that it is gone.

The step of the test passes the new `HostList` on; its check is unchanged.

--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -421,7 +421,8 @@
     client._caller = PagesCaller(pages)
     found = asyncio.run(client.list_hosts())
     assert isinstance(found, Success), found
-    context.fleet_hosts.apply_list(found.unwrap(), NOW)
+    hosts = found.unwrap()
+    context.fleet_hosts.apply_list(hosts.rows, NOW, hosts.is_complete)
 
 
 @given("a list of hosts on two pages")
--- a/sassafrasgrade/fleet_hosts.py
+++ b/sassafrasgrade/fleet_hosts.py
@@ -126,11 +126,12 @@
         for name, age_s in order_age_s_by_host.items():
             self.orders_after_by_host[name] = now + pause_s - age_s
 
-    def apply_list(self, rows: tuple[MachineRow, ...], sent_at):
+    def apply_list(self, rows: tuple[MachineRow, ...], sent_at, is_complete=True):
         """Applies a list of hosts.
 
         Args:
             rows: All hosts.
+            is_complete: Whether hosts that are not in ``rows`` are no longer listed.
             sent_at: Clock when the list was requested; the list does not show
                 the effect of later orders.
         """
@@ -151,6 +152,7 @@
             host.labels = row.labels
             host.capacity = row.capacity
             host.listed_at = sent_at
-        for name in set(self.hosts_by_name) - names:
-            del self.hosts_by_name[name]
+        if is_complete:
+            for name in set(self.hosts_by_name) - names:
+                del self.hosts_by_name[name]
         self.listed_at = sent_at
--- a/sassafrasgrade/host_controllers.py
+++ b/sassafrasgrade/host_controllers.py
@@ -216,7 +216,8 @@
                 extra={"dependency": "hosts", "error": str(result.failure())},
             )
             return
-        self.fleet.apply_list(result.unwrap(), sent_at)
+        hosts = result.unwrap()
+        self.fleet.apply_list(hosts.rows, sent_at, hosts.is_complete)
 
     def carry_out_soon(self, command):
         """Schedules the execution of a command."""
--- a/sassafrasgrade/platform/messages.py
+++ b/sassafrasgrade/platform/messages.py
@@ -274,19 +274,22 @@
         worker_id: Id of its current worker; None or empty if none.
     """
 
-    name: str = field(name="machine")
-    pool: str
-    state: str
-    data_centre: str = field(name="zone", default="")
-    labels: tuple[str, ...] = ()
+    name: Name = field(name="machine")
+    pool: Name
+    state: Name
+    data_centre: Name = field(name="zone", default="")
+    labels: Labels = ()
     capacity: Capacity = Capacity()
-    worker_id: str | None = field(name="id", default=None)
+    worker_id: Name | None = field(name="id", default=None)
 
 
 class MachinePage(msgspec.Struct, frozen=True):
-    """One page of hosts; ``next_page`` is None on the last."""
+    """One page of hosts; ``next_page`` is None on the last.
+
+    ``machines`` holds the bytes of each ``MachineRow``, decoded one by one.
+    """
 
-    machines: tuple[MachineRow, ...] = ()
+    machines: tuple[msgspec.Raw, ...] = ()
     next_page: str | None = field(name="nextToken", default=None)
 
 
