Check the range of the members' records; keep their watch going

Cause: a leader's record with an address without a valid port raised an error in the watch of the members, which then ended for good; an epoch of 2^64 - 1 could not be written by the next leader; cores of NaN have no order.

The records hold ranges. An item that cannot be applied is logged with its key, and the rest of the changes and the watch go on.

--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -373,11 +373,18 @@
                 return found
             items, self._revision = found.unwrap().items, found.unwrap().revision
         for item in items:
-            self._apply_item(item)
+            self._apply_safely(item)
         if self.leader is None:
             self._schedule_campaign()
         return found
 
+    def _apply_safely(self, item):
+        """Applies an item; an error concerns only this one, and the watch goes on."""
+        try:
+            self._apply_item(item)
+        except Exception:
+            logger.exception("change of the members not applied: %s", item.key)
+
     def _apply_item(self, item):
         if item.key == LEADER_KEY:
             if item.revision < self.leader_revision:
--- a/sassafrasgrade/member_records.py
+++ b/sassafrasgrade/member_records.py
@@ -1,10 +1,13 @@
 """Records of live nodes and of their leader, as the store holds them."""
 
 import logging
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from sassafrasgrade.errors import DECODE_ERRORS
+from sassafrasgrade.platform.messages import PORT_PATTERN, Quantity, Whole
 
 logger = logging.getLogger(__name__)
 
@@ -14,6 +17,9 @@
 # Number of the last leadership; remains after the leader's key is deleted.
 EPOCH_KEY = "own/epoch"
 
+# Address of a node's streams: what its settings name it, and a port.
+StreamAddress = Annotated[str, Meta(pattern=rf"\A\S+:{PORT_PATTERN}\Z")]
+
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
     """A live node.
@@ -28,9 +34,9 @@
 
     name: str
     incarnation: str
-    address: str
-    cores: float
-    link_mbps: float = 0.0
+    address: StreamAddress
+    cores: Quantity
+    link_mbps: Quantity = 0.0
 
 
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -38,13 +44,13 @@
 
     name: str
     incarnation: str
-    address: str
-    epoch: int
+    address: StreamAddress
+    epoch: Whole
 
 
 _node_decoder = msgspec.msgpack.Decoder(NodeRecord)
 _leader_decoder = msgspec.msgpack.Decoder(LeaderRecord)
-_epoch_decoder = msgspec.json.Decoder(int)
+_epoch_decoder = msgspec.json.Decoder(Whole)
 encode_record = msgspec.msgpack.Encoder().encode
 
 
--- a/sassafrasgrade/platform/messages.py
+++ b/sassafrasgrade/platform/messages.py
@@ -21,6 +21,7 @@
 UnixMilliseconds = Annotated[int, Meta(ge=0, le=int(MAX_MS))]
 # Time that is left may be negative: a worker may stay longer than it announced.
 Milliseconds = Annotated[float, Meta(ge=-MAX_MS, le=MAX_MS)]
+Quantity = Annotated[float, Meta(ge=0, le=MAX_WHOLE)]
 Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
 Labels = Annotated[tuple[Name, ...], Meta(max_length=MAX_LABELS)]
 
