Check the range of maintenance waves; log an odd one once

Cause: numbers, caps and durations of any size were accepted, and each change by the operator logged every odd wave again, as all waves are read anew.

The types hold ranges. A refused wave is logged once for each key and reason, now as a warning. Stored progress of a wave with a time of NaN is refused.

--- a/sassafrasgrade/host_controllers.py
+++ b/sassafrasgrade/host_controllers.py
@@ -13,8 +13,9 @@
 from sassafrasgrade.member_records import LEADER_KEY
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.clouds import CloudClient, HostOrderOutcome
-from sassafrasgrade.platform.messages import Wave
+from sassafrasgrade.platform.messages import Quantity, Wave
 from sassafrasgrade.platform.stores import Put
+from sassafrasgrade.refused_values import RefusedValues
 from sassafrasgrade.systems.host_planning import REFUSED_PAUSE_S, plan_hosts
 from sassafrasgrade.systems.host_states import worker_of
 from sassafrasgrade.work_commands import MaintainHost, MoveHost, ReportWave
@@ -52,7 +53,7 @@
             that are no longer listed.
     """
 
-    began_at: float
+    began_at: Quantity
     is_completed: bool
     done: tuple[str, ...] = ()
 
@@ -86,6 +87,7 @@
         self._reporting = set()
         self._is_closed = False
         self._has_wave_progress = False
+        self._refused_waves = RefusedValues()
 
     def start(self):
         """Starts; orders wait until those of a previous leader are surely over."""
@@ -162,10 +164,8 @@
             try:
                 wave = _wave_decoder.decode(value)
             except DECODE_ERRORS as error:
-                logger.error(
-                    "maintenance wave skipped; its value cannot be decoded",
-                    extra={"key": key, "error": str(error)},
-                )
+                message = "maintenance wave skipped; its value cannot be decoded"
+                self._refused_waves.log_new(logger, message, key, error)
                 continue
             if wave.number not in self.fleet.waves_by_number:
                 row = WaveRow(wave, self._timers.now())
--- a/sassafrasgrade/platform/messages.py
+++ b/sassafrasgrade/platform/messages.py
@@ -304,10 +304,10 @@
         most_at_once: Limit of hosts down at a time (``cap`` on the wire).
     """
 
-    number: int = field(name="wave")
-    hosts: tuple[str, ...] = field(name="machines", default=())
-    duration_s: float = field(name="durationS", default=0)
-    most_at_once: int = field(name="cap", default=1)
+    number: Whole = field(name="wave")
+    hosts: tuple[Name, ...] = field(name="machines", default=())
+    duration_s: Quantity = field(name="durationS", default=0)
+    most_at_once: Whole = field(name="cap", default=1)
 
 
 class AdviceReply(msgspec.Struct, frozen=True, kw_only=True):
