Check the range of workers' lists and of handed-over runs

Cause: a run numbered 10^30 in a worker's list made the task's next start number too large to be sent, and a clock of 10^300 made all later lists of that worker count as older; a handed-over lease of NaN never compares.

The types hold ranges; a list out of range counts as no answer, as unreadable ones did before.

--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from sassafrasgrade.platform.messages import Quantity, Whole
+
 
 class NodeHello(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """First message of either side: identifies the sender.
@@ -96,9 +98,9 @@
     """A run that may be under way: task, number, worker, remaining lease."""
 
     task: str
-    number: int
+    number: Whole
     worker_id: str
-    lease_left_s: float
+    lease_left_s: Quantity
 
 
 class HandOver(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/sassafrasgrade/platform/messages.py
+++ b/sassafrasgrade/platform/messages.py
@@ -219,10 +219,10 @@
     """
 
     task: str
-    run: int
+    run: Whole
     saved: str = ""
-    percent: float = 0
-    load_metric: float = 0
+    percent: Quantity = 0
+    load_metric: Quantity = 0
 
 
 class RunEnd(StrEnum):
@@ -239,9 +239,9 @@
 class EndedRow(msgspec.Struct, frozen=True, array_like=True):
     """An ended run: number of the end, task, run, how it ended, saved progress."""
 
-    number: int
+    number: Whole
     task: str
-    run: int
+    run: Whole
     how: RunEnd
     saved: str = ""
 
@@ -249,16 +249,16 @@
 class WorkerView(msgspec.Struct, frozen=True, kw_only=True):
     """A worker's report of its running and its ended runs."""
 
-    clock_ms: float = field(name="timestampMs")
+    clock_ms: Milliseconds = field(name="timestampMs")
     running: tuple[RunningRow, ...] = ()
     ended: tuple[EndedRow, ...] = field(name="finished", default=())
-    born_ms: int | None = field(name="born", default=None)
+    born_ms: UnixMilliseconds | None = field(name="born", default=None)
 
 
 class OrderReply(msgspec.Struct, frozen=True, kw_only=True):
     """A worker's answer to a start or stop."""
 
-    clock_ms: float = field(name="timestampMs", default=0)
+    clock_ms: Milliseconds = field(name="timestampMs", default=0)
     reason: str = ""
 
 
