Check stored jobs and their progress before they are loaded

Cause: a stored job's numbers were not checked (10^12 tasks exhaust memory), and progress that names a step or task which the job lacks raised an error while the jobs were loaded: that leader never finished loading, nor would the next. A negative index marked another task done.

`decode_submitted` applies the checks of submitted jobs (`find_fault`), and `check_progress` comes before any change of the tables. Such a job is skipped and logged, as unreadable ones were; the others are loaded.

--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from sassafrasgrade.errors import DECODE_ERRORS
-from sassafrasgrade.platform.messages import JobRequest
+from sassafrasgrade.job_requests import find_fault
+from sassafrasgrade.platform.messages import JobRequest, Quantity
 from sassafrasgrade.work_tables import (
     ENDED_STATES,
     Crash,
@@ -27,7 +28,7 @@
     """A job as accepted: queue, arrival time in Unix seconds, request."""
 
     queue_name: str
-    accepted_at: float
+    accepted_at: Quantity
     request: JobRequest
 
 
@@ -68,8 +69,12 @@
 
 
 def decode_submitted(value):
-    """Decodes a ``SubmittedJob``; raises ``msgspec.DecodeError``."""
-    return _submitted_decoder.decode(value)
+    """Decodes a ``SubmittedJob``; raises one of ``DECODE_ERRORS``."""
+    submitted = _submitted_decoder.decode(value)
+    fault = find_fault(submitted.request)
+    if fault:
+        raise ValueError(fault)
+    return submitted
 
 
 def decode_progress(value):
@@ -77,6 +82,23 @@
     return _progress_decoder.decode(value)
 
 
+def check_progress(request, progress):
+    """Raises ``ValueError`` if progress names a step or a task that a job lacks.
+
+    Args:
+        request: ``JobRequest``.
+        progress: ``JobProgress``.
+    """
+    occurrences, steps = range(max(1, request.repeats)), range(len(request.steps))
+    for name, indices in progress.done.items():
+        number, step_number = (int(part) for part in name.split("."))
+        if number not in occurrences or step_number not in steps:
+            raise ValueError(f"the job has no step {name}")
+        tasks = range(request.steps[step_number].count)
+        if not all(index in tasks for index in indices):
+            raise ValueError(f"step {name} has fewer tasks than are named")
+
+
 def progress_of(job: Job):
     """Returns the ``JobProgress`` to store for a job."""
     done, failures, crashes = {}, {}, {}
@@ -133,6 +155,7 @@
             continue
         try:
             progress = decode_progress(value)
+            check_progress(job.request, progress)
         except DECODE_ERRORS as error:
             logger.error(
                 "handed-over progress skipped; it cannot be decoded",
--- a/sassafrasgrade/job_requests.py
+++ b/sassafrasgrade/job_requests.py
@@ -28,26 +28,32 @@
         request = _requests.decode(body)
     except DECODE_ERRORS as error:
         return _invalid(str(error))
+    fault = find_fault(request)
+    return _invalid(fault) if fault else Success(request)
+
+
+def find_fault(request):
+    """Returns what is wrong with a ``JobRequest``, as a clause, or an empty text."""
     if len(request.spec.encode()) > MAX_SPEC_BYTES:
-        return _invalid(f"spec is longer than {MAX_SPEC_BYTES} bytes")
+        return f"spec is longer than {MAX_SPEC_BYTES} bytes"
     if not request.steps:
-        return _invalid("steps is empty")
+        return "steps is empty"
     for number, step in enumerate(request.steps):
         if step.count < 1:
-            return _invalid(f"step {number} has no tasks")
+            return f"step {number} has no tasks"
         if not all(0 <= value <= MAX_QUANTITY for value in _quantities(step)):
-            return _invalid(f"step {number} has a number out of range")
+            return f"step {number} has a number out of range"
         if any(before < 0 or before >= number for before in step.after):
-            return _invalid(f"step {number} comes after a step that is not earlier")
+            return f"step {number} comes after a step that is not earlier"
     if sum(step.count for step in request.steps) > MAX_TASKS:
-        return _invalid(f"the job has more than {MAX_TASKS} tasks")
+        return f"the job has more than {MAX_TASKS} tasks"
     if not 0 <= request.repeats <= MAX_REPEATS:
-        return _invalid("repeats is out of range")
+        return "repeats is out of range"
     if request.repeats and not 1 <= request.interval_ms <= MAX_QUANTITY:
-        return _invalid("intervalMs of a repeated job is out of range")
+        return "intervalMs of a repeated job is out of range"
     if not 0 <= request.first_ms <= MAX_TIME_MS:
-        return _invalid("firstMs is out of range")
-    return Success(request)
+        return "firstMs is out of range"
+    return ""
 
 
 def _quantities(step):
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -11,6 +11,7 @@
     add_job,
     apply_progress,
     apply_unstored_progress,
+    check_progress,
     decode_progress,
     decode_submitted,
     encode,
@@ -158,6 +159,8 @@
             submitted = decode_submitted(values[REQUEST])
             progress = values.get(PROGRESS)
             progress = decode_progress(progress) if progress else None
+            if progress is not None:
+                check_progress(submitted.request, progress)
         except DECODE_ERRORS as error:
             _log_skipped(job_id, error)
             return
