--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -135,6 +135,22 @@
     When a node reads three changes of the leader, of which the second cannot be applied
     Then it has applied the other two
 
+  Scenario Outline: a node leads although the leader's key <state>
+    Given a store whose leader's key "<state>"
+    When a node campaigns until it has written the leader's key
+    Then it leads
+
+    Examples:
+      | state             |
+      | is absent         |
+      | cannot be decoded |
+      | names port 99999  |
+
+  Scenario: a leader whose key another writer replaced goes on leading
+    Given a store whose leader's key "is absent"
+    When a node leads and its key is replaced by bytes that cannot be decoded
+    Then it leads under a later token without having stopped
+
   Scenario: an odd row of the list of hosts does not hide the others
     Given a list of hosts on two pages
     When a row of the first page turns odd
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -15,7 +15,7 @@
     settings,
     strategies as st,
 )
-from returns.result import Success
+from returns.result import Failure, Success
 
 from features.support.calls import call
 from features.support.node_fleets import NodeFleet, job_body
@@ -27,7 +27,7 @@
     odd_rows,
     odd_rows_over,
 )
-from features.support.scripted_stores import ScriptedStore
+from features.support.scripted_stores import LEADER_REVISION, ScriptedStore
 from features.support.waiting import wait_until
 from features.support.work_tables import (
     NOW,
@@ -37,6 +37,7 @@
     add_simple_job,
     create_tables,
 )
+from sassafrasgrade.errors import RevisionConflict
 from sassafrasgrade.fleet_hosts import FleetHosts
 from sassafrasgrade.host_controllers import HostController, WaveProgress
 from sassafrasgrade.job_records import (
@@ -356,20 +357,7 @@
             record = LeaderRecord(name, name, f"127.0.0.1:{number + 1}", number + 2)
             item = Item(LEADER_KEY, encode_record(record), 6 + number)
             store.events.put_nowait(item)
-        node_settings = check_node_settings(
-            {"NODE_NAME": "node", "NODE_DATA_CENTRE": "z"}
-        ).unwrap()
-        leadership = Leadership(
-            store,
-            FakeTimerService(),
-            node_settings,
-            lambda *gained: None,
-            lambda *renewed: None,
-            lambda reason: None,
-            see,
-            lambda: 0.0,
-        )
-        leadership.start()
+        leadership = create_leadership(store, see)
         await asyncio.wait_for(store.registered.wait(), WAIT_TIMEOUT_S)
         for _ in range(100):
             await asyncio.sleep(0)
@@ -384,6 +372,119 @@
     assert context.seen[-3:] == ["first", "second", "third"], context.seen
 
 
+class LeaderKeyStore(ScriptedStore):
+    """Holds the leader's key with a value and revision, and compares revisions."""
+
+    def __init__(self, value):
+        super().__init__()
+        self.value = value
+        self.revision = LEADER_REVISION if value is not None else 0
+        self.last_revision = LEADER_REVISION
+
+    async def read_range(self, prefix, on_progress=None):
+        """Returns the leader's key, if there is one."""
+        item = Item(LEADER_KEY, self.value, self.revision)
+        items = (item,) if self.value is not None else ()
+        return Success((items, self.last_revision))
+
+    async def commit(self, conditions=(), puts=(), deletes=()):
+        """Writes the leader's key if its revision is as expected."""
+        values_by_key = {put.key: put.value for put in puts}
+        if LEADER_KEY not in values_by_key:
+            return await super().commit(conditions, puts, deletes)
+        if dict(conditions)[LEADER_KEY] != self.revision:
+            item = Item(LEADER_KEY, self.value, self.revision)
+            return Failure(RevisionConflict("changed", "", (item,)))
+        self.write(values_by_key[LEADER_KEY])
+        self.leader_key_written.set()
+        return Success(self.revision)
+
+    def write(self, value):
+        """Writes the key as any writer does; the watch reports it."""
+        self.last_revision += 1
+        self.value, self.revision = value, self.last_revision
+        self.events.put_nowait(Item(LEADER_KEY, value, self.revision))
+
+
+LEADER_VALUES = {
+    "is absent": None,
+    "cannot be decoded": b"\xff",
+    "names port 99999": encode_record(LeaderRecord("n", "i", "127.0.0.1:99999", 1)),
+}
+
+
+def create_leadership(
+    store, on_leader=lambda leader: None, on_loss=lambda reason: None
+):
+    """Returns the started ``Leadership`` of a node."""
+    values = {"NODE_NAME": "node", "NODE_DATA_CENTRE": "z"}
+    leadership = Leadership(
+        store,
+        FakeTimerService(),
+        check_node_settings(values).unwrap(),
+        lambda *gained: None,
+        lambda *renewed: None,
+        on_loss,
+        on_leader,
+        lambda: 0.0,
+    )
+    leadership.start()
+    return leadership
+
+
+async def await_lead(store, leadership):
+    """Waits until the node has written the leader's key and leads."""
+    await asyncio.wait_for(store.leader_key_written.wait(), WAIT_TIMEOUT_S)
+    store.leader_key_written.clear()
+    while not leadership.is_leader:
+        await asyncio.sleep(0)
+
+
+@given('a store whose leader\'s key "{state}"')
+def create_store(context, state):
+    context.value = LEADER_VALUES[state]
+
+
+@when("a node campaigns until it has written the leader's key")
+def campaign(context):
+    async def lead():
+        store = LeaderKeyStore(context.value)
+        leadership = create_leadership(store)
+        await await_lead(store, leadership)
+        leadership.close()
+        return leadership.token
+
+    context.token = asyncio.run(lead())
+
+
+@then("it leads")
+def check_leads(context):
+    assert context.token > LEADER_REVISION, context.token
+
+
+@when("a node leads and its key is replaced by bytes that cannot be decoded")
+def replace_leader_key(context):
+    context.losses = []
+
+    async def lead():
+        store = LeaderKeyStore(None)
+        leadership = create_leadership(store, on_loss=context.losses.append)
+        await await_lead(store, leadership)
+        first_token = leadership.token
+        store.write(b"\xff")
+        await await_lead(store, leadership)
+        leadership.close()
+        return first_token, leadership.token
+
+    context.tokens = asyncio.run(lead())
+
+
+@then("it leads under a later token without having stopped")
+def check_goes_on(context):
+    first, second = context.tokens
+    assert second > first and not context.losses, (context.tokens, context.losses)
+
+
 # Hosts and waves.
 
 
