Let nodes take a leader's key whose record cannot be decoded

Cause: an unreadable leader's key counted as absent, so that each campaign expected no key and was refused: no node could lead, and a leader whose key was replaced lost it for good.

A campaign and the renewed write of a leader's own key expect the revision of the unreadable key. Without one, both expect what they expected before.

--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -102,6 +102,8 @@
         self.leader = None
         self.leader_revision = 0
         self.previous_leader_revision = 0
+        # Revision of a leader's key whose record cannot be decoded; 0 for none.
+        self._unreadable_revision = 0
         self._last_epoch = 0
         self._lease_until = 0.0
         self._records_by_name = {}
@@ -307,12 +309,13 @@
         )
 
     async def reacquire(self):
-        """Writes this leader's vanished key again, under a new token."""
+        """Writes this leader's vanished or unreadable key again, under a new token."""
         if not self.is_leader or not self.lease:
             return
         token = self.token
         record = self._own_record(self._last_epoch + 1)
-        result = await self._store.commit([(LEADER_KEY, 0)], self._puts(record))
+        conditions = [(LEADER_KEY, self._unreadable_revision)]
+        result = await self._store.commit(conditions, self._puts(record))
         logger.info(
             "tried to write the vanished leader key again",
             extra={"token": token, "outcome": _outcome(result)},
@@ -363,6 +366,7 @@
             items, self._revision = found.unwrap()
             self._records_by_name = {}
             if not any(item.key == LEADER_KEY for item in items):
+                self._unreadable_revision = 0
                 self._set_leader(None, 0)
         else:
             # After withdrawal there are no renewals: only the watch shows whether
@@ -390,6 +394,8 @@
             if item.revision < self.leader_revision:
                 return
             record = decode_leader(item)
+            is_unreadable = record is None and item.value is not None
+            self._unreadable_revision = item.revision if is_unreadable else 0
             if self._is_unclaimed(record, item.revision):
                 # A write of this node whose answer was lost has been applied.
                 self._become_leader(record, item.revision, False)
@@ -410,6 +416,7 @@
         self.leader = record
         self.leader_revision = revision
         if record is not None:
+            self._unreadable_revision = 0
             self._last_epoch = max(self._last_epoch, record.epoch)
             self.last_leader_revision = revision
             self._leader_lease = lease
@@ -477,7 +484,9 @@
         epoch = self._last_epoch + 1
         record = self._own_record(epoch)
         previous_lease = self._leader_lease if self.leader is not None else 0
-        expected = self.leader_revision if self.leader is not None else 0
+        expected = self._unreadable_revision
+        if self.leader is not None:
+            expected = self.leader_revision
         began = time.monotonic()
         conditions = [(LEADER_KEY, expected)]
         result = await self._store.commit(conditions, self._puts(record))
