--- a/features/support/odd_entries.py
+++ b/features/support/odd_entries.py
@@ -79,7 +79,9 @@
     "a state that is a number": {"state": 1},
 }
 VALUES_BY_FAULT = {
-    "a value nested 200000 deep": b'{"capacity":' + b"[" * NESTING_DEPTH,
+    "a value nested 200000 deep": entry_value().replace(
+        b"{", b'{"deep":' + b"[" * NESTING_DEPTH + b"]" * NESTING_DEPTH + b",", 1
+    ),
     "bytes that are not UTF-8": entry_value().replace(b"pool-1", b"\xff\xfe"),
     "a number of 1e400": entry_value().replace(b"16000", b"1e400"),
 } | {fault: entry_value(**fields) for fault, fields in FIELDS_BY_FAULT.items()}
