--- a/sassafrasgrade/refused_values.py
+++ b/sassafrasgrade/refused_values.py
@@ -3,7 +3,7 @@
 # Number of keys remembered; the one refused first is forgotten first.
 MAX_KEYS = 1000
 # Length of a logged reason: it may quote the value.
-MAX_REASON_LENGTH = 200
+MAX_REASON_LENGTH = 400
 
 
 class RefusedValues:
