Merge the range checks of what other writers send

A worker's progress and load are checked for their size only, as a worker's whole list would be refused for them.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -554,8 +554,9 @@
         workers = [
             worker
             for worker in self.tables.workers_by_id.values()
-            if not worker.missing_since
-            and not worker.is_superseded
+            if not worker.missing_since and not worker.is_superseded
+            # An entry of a service that is not named may be another writer's.
+            and worker.pool in self.tables.pools_by_name
             and not has_incarnation_ended(worker, self._hosts.fleet)
         ]
         unreachable = sum(
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -103,6 +103,8 @@
         self.leader = None
         self.leader_revision = 0
         self.previous_leader_revision = 0
+        # Revision of a leader's key whose record cannot be decoded; 0 for none.
+        self._unreadable_revision = 0
         self._last_epoch = 0
         # Revision of the epoch's key. Each leadership writes that key and none removes
         # it: a condition on it sees leaders that came and went unnoticed.
@@ -313,12 +315,15 @@
         )
 
     async def reacquire(self):
-        """Writes this leader's vanished key again, under a new token."""
+        """Writes this leader's vanished or unreadable key again, under a new token."""
         if not self.is_leader or not self.lease:
             return
         token = self.token
         record = self._own_record(self._last_epoch + 1)
-        conditions = [(LEADER_KEY, 0), (EPOCH_KEY, self._epoch_revision)]
+        conditions = [
+            (LEADER_KEY, self._unreadable_revision),
+            (EPOCH_KEY, self._epoch_revision),
+        ]
         result = await self._store.commit(conditions, self._puts(record))
         logger.info(
             "tried to write the vanished leader key again",
@@ -393,8 +398,12 @@
                 return found
             items, self._revision = found.unwrap()
             self._records_by_name = {}
-            if not any(item.key == LEADER_KEY for item in items):
+            keys = {item.key for item in items}
+            if LEADER_KEY not in keys:
+                self._unreadable_revision = 0
                 self._set_leader(None, 0)
+            if EPOCH_KEY not in keys:
+                self._epoch_revision = 0
         else:
             # After withdrawal there are no renewals: only the watch shows whether
             # the store answers, so it returns more often.
@@ -411,19 +420,31 @@
     def _apply_items(self, items):
         """Applies items in order; of one write, the leader's key before the epoch's."""
         for item in sorted(items, key=lambda i: (i.revision, i.key == EPOCH_KEY)):
+            self._apply_safely(item)
+
+    def _apply_safely(self, item):
+        """Applies an item; an error concerns only this one, and the watch goes on."""
+        try:
             self._apply_item(item)
+        except Exception:
+            logger.exception("change of the members not applied: %s", item.key)
 
     def _apply_item(self, item):
         if item.key == LEADER_KEY:
             if item.revision < self.leader_revision:
                 return
             record = decode_leader(item)
+            is_unreadable = record is None and item.value is not None
+            self._unreadable_revision = item.revision if is_unreadable else 0
             if self._is_unclaimed(record, item.revision):
                 # A write of this node whose answer was lost has been applied.
                 self._become_leader(record, item.revision, False)
             else:
                 self._set_leader(record, item.revision, item.lease)
-        elif item.key == EPOCH_KEY and item.value is not None:
+        elif item.key == EPOCH_KEY and item.value is None:
+            # Another writer removed it; the next leader writes it again.
+            self._epoch_revision = 0
+        elif item.key == EPOCH_KEY:
             self._last_epoch = max(self._last_epoch, decode_epoch(item))
             self._epoch_revision = max(self._epoch_revision, item.revision)
             # A leader writes both keys at once, so that this is also its revision.
@@ -442,6 +463,7 @@
         self.leader = record
         self.leader_revision = revision
         if record is not None:
+            self._unreadable_revision = 0
             self._last_epoch = max(self._last_epoch, record.epoch)
             self.last_leader_revision = revision
             self._leader_lease = lease
@@ -511,7 +533,9 @@
             self._extend_earlier(self._timers.now() + LEASE_TTL_S * CLOCK_DRIFT)
         record = self._own_record(epoch)
         previous_lease = self._leader_lease if self.leader is not None else 0
-        expected = self.leader_revision if self.leader is not None else 0
+        expected = self._unreadable_revision
+        if self.leader is not None:
+            expected = self.leader_revision
         began = time.monotonic()
         conditions = [(LEADER_KEY, expected), (EPOCH_KEY, self._epoch_revision)]
         result = await self._store.commit(conditions, self._puts(record))
--- a/sassafrasgrade/platform/messages.py
+++ b/sassafrasgrade/platform/messages.py
@@ -1,9 +1,39 @@
-"""Messages of the platform, decoded once into types with this project's names."""
+"""Messages of the platform, decoded once into types with this project's names.
+
+Numbers and texts that other writers may have sent are checked for their range here.
+"""
 
 from enum import StrEnum
+from typing import Annotated, Literal
 
 import msgspec
-from msgspec import field
+from msgspec import Meta, field
+
+# Limit of whole numbers: each fits into a float without loss.
+MAX_WHOLE = 2**53
+# Limit of a length of time or of a clock, in milliseconds: the year 5138 in Unix time.
+MAX_MS = 1e14
+# Length of a name or a label, and number of labels.
+MAX_NAME_LENGTH = 200
+MAX_LABELS = 100
+
+Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
+UnixMilliseconds = Annotated[int, Meta(ge=0, le=int(MAX_MS))]
+# Time that is left may be negative: a worker may stay longer than it announced.
+Milliseconds = Annotated[float, Meta(ge=-MAX_MS, le=MAX_MS)]
+Quantity = Annotated[float, Meta(ge=0, le=MAX_WHOLE)]
+# A worker's rough figure, of which only the range is checked.
+Measure = Annotated[float, Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
+Labels = Annotated[tuple[Name, ...], Meta(max_length=MAX_LABELS)]
+
+_OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+PORT_PATTERN = (
+    "(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
+    "|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+)
+# IPv4 address and port.
+Address = Annotated[str, Meta(pattern=rf"\A({_OCTET}\.){{3}}{_OCTET}:{PORT_PATTERN}\Z")]
 
 
 class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -150,9 +180,9 @@
 class Capacity(msgspec.Struct, frozen=True):
     """Capacity of a worker, in thousandths of a core, MB and accelerators."""
 
-    cpu_millis: int = field(name="cpu", default=0)
-    memory_mb: int = field(name="memMb", default=0)
-    gpus: int = field(name="gpu", default=0)
+    cpu_millis: Whole = field(name="cpu", default=0)
+    memory_mb: Whole = field(name="memMb", default=0)
+    gpus: Whole = field(name="gpu", default=0)
 
 
 class WorkerEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -171,16 +201,16 @@
         host: Host that runs it (``machine`` on the wire).
     """
 
-    pool: str = field(name="service")
-    address: str
-    data_centre: str = field(name="zone")
-    state: str
+    pool: Name = field(name="service")
+    address: Address
+    data_centre: Name = field(name="zone")
+    state: Literal["ready", "draining"]
     capacity: Capacity
-    labels: tuple[str, ...] = ()
-    remaining_ms: float | None = field(name="remainingMs", default=None)
-    warmup_ms: float = field(name="warmupLeftMs", default=0)
-    born_ms: int | None = field(name="born", default=None)
-    host: str = field(name="machine", default="")
+    labels: Labels = ()
+    remaining_ms: Milliseconds | None = field(name="remainingMs", default=None)
+    warmup_ms: Milliseconds = field(name="warmupLeftMs", default=0)
+    born_ms: UnixMilliseconds | None = field(name="born", default=None)
+    host: Name = field(name="machine", default="")
 
 
 class RunningRow(msgspec.Struct, frozen=True, array_like=True):
@@ -191,10 +221,10 @@
     """
 
     task: str
-    run: int
+    run: Whole
     saved: str = ""
-    percent: float = 0
-    load_metric: float = 0
+    percent: Measure = 0
+    load_metric: Measure = 0
 
 
 class RunEnd(StrEnum):
@@ -211,9 +241,9 @@
 class EndedRow(msgspec.Struct, frozen=True, array_like=True):
     """An ended run: number of the end, task, run, how it ended, saved progress."""
 
-    number: int
+    number: Whole
     task: str
-    run: int
+    run: Whole
     how: RunEnd
     saved: str = ""
 
@@ -221,16 +251,16 @@
 class WorkerView(msgspec.Struct, frozen=True, kw_only=True):
     """A worker's report of its running and its ended runs."""
 
-    clock_ms: float = field(name="timestampMs")
+    clock_ms: Milliseconds = field(name="timestampMs")
     running: tuple[RunningRow, ...] = ()
     ended: tuple[EndedRow, ...] = field(name="finished", default=())
-    born_ms: int | None = field(name="born", default=None)
+    born_ms: UnixMilliseconds | None = field(name="born", default=None)
 
 
 class OrderReply(msgspec.Struct, frozen=True, kw_only=True):
     """A worker's answer to a start or stop."""
 
-    clock_ms: float = field(name="timestampMs", default=0)
+    clock_ms: Milliseconds = field(name="timestampMs", default=0)
     reason: str = ""
 
 
@@ -247,19 +277,22 @@
         worker_id: Id of its current worker; None or empty if none.
     """
 
-    name: str = field(name="machine")
-    pool: str
-    state: str
-    data_centre: str = field(name="zone", default="")
-    labels: tuple[str, ...] = ()
+    name: Name = field(name="machine")
+    pool: Name
+    state: Name
+    data_centre: Name = field(name="zone", default="")
+    labels: Labels = ()
     capacity: Capacity = Capacity()
-    worker_id: str | None = field(name="id", default=None)
+    worker_id: Name | None = field(name="id", default=None)
 
 
 class MachinePage(msgspec.Struct, frozen=True):
-    """One page of hosts; ``next_page`` is None on the last."""
+    """One page of hosts; ``next_page`` is None on the last.
+
+    ``machines`` holds the bytes of each ``MachineRow``, decoded one by one.
+    """
 
-    machines: tuple[MachineRow, ...] = ()
+    machines: tuple[msgspec.Raw, ...] = ()
     next_page: str | None = field(name="nextToken", default=None)
 
 
@@ -273,10 +306,10 @@
         most_at_once: Limit of hosts down at a time (``cap`` on the wire).
     """
 
-    number: int = field(name="wave")
-    hosts: tuple[str, ...] = field(name="machines", default=())
-    duration_s: float = field(name="durationS", default=0)
-    most_at_once: int = field(name="cap", default=1)
+    number: Whole = field(name="wave")
+    hosts: tuple[Name, ...] = field(name="machines", default=())
+    duration_s: Quantity = field(name="durationS", default=0)
+    most_at_once: Whole = field(name="cap", default=1)
 
 
 class AdviceReply(msgspec.Struct, frozen=True, kw_only=True):
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -15,6 +15,7 @@
     RunningRow,
     Step,
 )
+from sassafrasgrade.refused_values import RefusedValues
 from sassafrasgrade.tickets import TicketTable
 
 MS_PER_S = 1000.0
@@ -403,6 +404,7 @@
             ``ALL_POOLS`` before that is known.
         pools_by_queue: Pools that each queue has had in any known configuration.
         jobs_complete_at: Clock as of which every stored job is in the tables.
+        refused_entries: Entries of workers that name no worker to use.
     """
 
     epoch: int = 0
@@ -424,6 +426,7 @@
     held_pools: frozenset[str] | None = frozenset()
     pools_by_queue: dict[str, set[str]] = field(default_factory=dict)
     jobs_complete_at: float = float("-inf")
+    refused_entries: RefusedValues = field(default_factory=RefusedValues)
 
     def adopt_configuration(self, configuration):
         """Applies a newer configuration; removed queues stay in the tables.
