Let a restarted worker's next list decide on its runs

Callers saw: two runs of one task on a worker that had come back under its id. Cause: a start is not addressed to one incarnation. Change: a restart forgets no run; a list of the new incarnation that was requested after the start's answer does. Tests that took the restart itself for the end now let the next list follow it, as the dispatcher does.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -11,7 +11,7 @@
       | a list without it, requested after the start answer    | absent from a later list |
       | no start answer, and a list after the start's deadline | absent from a later list |
       | worker silence until the lease has lapsed              | lease lapsed             |
-      | a restart of its worker                                | worker restarted         |
+      | a restart of its worker                                | absent from a later list |
       | worker silence while the lease is valid                |                          |
       | a report that it is done                               |                          |
 
@@ -64,6 +64,8 @@
       | a later registration of its worker at its address               | no     |
       | an answer of a later worker on its host                         | yes    |
       | an answer of another worker at its address, and its lease's end | yes    |
+      | a restart of its worker that may have answered the start        | no     |
+      | a restart of its worker, and a later list without it            | yes    |
       | a restart of its worker that it had started on                  | yes    |
       | a restart of its worker, which then confirmed a stop            | yes    |
       | silence of an adopted run's worker for 6.3 s                    | yes    |
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -13,6 +13,7 @@
     NOW_UNIX,
     POOL,
     add_simple_job,
+    apply_worker_view,
     create_tables,
     first_task,
     start_run,
@@ -156,6 +157,7 @@
     # As the dispatcher does on an answer of a later incarnation.
     record_crash(context.tables, worker)
     restart_worker(context.tables, worker, 2, NOW)
+    apply_worker_view(context.tables, worker, NOW + 0.1)
     settle_crashes(context.tables)
 
 
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -95,6 +95,7 @@
 def restart_running_worker(context):
     start_run(context.task, context.worker)
     restart_worker(context.tables, context.worker, 7, NOW + 1)
+    apply_worker_view(context.tables, context.worker, NOW + 1, sent_at=NOW + 0.9)
 
 
 RUNNING, UNCERTAIN = RunState.RUNNING, RunState.UNCERTAIN
--- a/features/support/order_cases.py
+++ b/features/support/order_cases.py
@@ -99,7 +99,7 @@
     calls = [asyncio.ensure_future(session.send_start(run)) for run in runs]
     await settle()
     if event == "is forgotten":
-        forget_run(tables, runs[2], EndProof(ProofKind.WORKER_RESTARTED, NOW), NOW)
+        forget_run(tables, runs[2], EndProof(ProofKind.LEASE_LAPSED, NOW), NOW)
     elif event == "waits while its worker's clock becomes unknown":
         worker.clock_offset_ms = None
     client.released.set()
--- a/features/support/silent_workers.py
+++ b/features/support/silent_workers.py
@@ -96,6 +96,7 @@
 def restart(state, stop_answered=False):
     """The worker comes back under its id; an unanswered start may still reach it."""
     leader, run = lead(state, is_silent=False)
+    leader.wait(0.1)
     leader.report("worker-0", clock_ms=10.0, born_ms=BORN_MS + 9)
     fill_worker(leader)
     if stop_answered:
@@ -105,6 +106,20 @@
     return started(leader)
 
 
+def start_at_next_incarnation(is_listed_later):
+    """A start is answered by the next incarnation, before the leader knows of it."""
+    leader, run = lead(is_silent=False)
+    leader.wait(0.1)
+    # The list was requested before the start's answer.
+    run.answered_at = leader.timers.now()
+    leader.report("worker-0", clock_ms=10.0, born_ms=BORN_MS + 9)
+    fill_worker(leader)
+    if is_listed_later:
+        leader.wait(0.1)
+        leader.report("worker-0", clock_ms=110.0, born_ms=BORN_MS + 9)
+    return started(leader)
+
+
 def answer_of_earlier_incarnation():
     """A late answer of the incarnation before this one, on another connection."""
     leader, run = lead(is_silent=False)
@@ -210,6 +225,12 @@
     "a restart of its worker, which then confirmed a stop": (
         lambda: restart(RunState.UNCERTAIN, stop_answered=True)
     ),
+    "a restart of its worker that may have answered the start": (
+        lambda: start_at_next_incarnation(False)
+    ),
+    "a restart of its worker, and a later list without it": (
+        lambda: start_at_next_incarnation(True)
+    ),
     "a late answer of an earlier incarnation": answer_of_earlier_incarnation,
     "silence of an adopted run's worker for 1 s": lambda: lapse_of_adopted_run(1.0),
     "silence of an adopted run's worker for 6 s": lambda: lapse_of_adopted_run(6.0),
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -163,7 +163,7 @@
     """Whether a run that was not listed can no longer appear."""
     if run.stop_answered_at:
         return run.stop_answered_at < sent_at
-    if run.state is RunState.RUNNING:
+    if run.state in (RunState.RUNNING, RunState.STOPPING):
         return run.answered_at < sent_at
     if run.state is RunState.UNCERTAIN:
         return clock_ms > run.deadline_ms + CLOCK_TOLERANCE_MS
@@ -473,23 +473,21 @@
 def restart_worker(tables, worker, born_ms, now):
     """Resets the state of a worker that came back under the same id.
 
-    A start that got no answer may still be carried out, now by this incarnation: it has
-    seen no token and no stop, and the order's deadline is of another clock. Such a run
-    is stopped here, too, before its task may start again.
+    Its next lists decide on its runs: starts are not addressed to one incarnation, so
+    that this one may have answered some of them. One without an answer may still be
+    carried out: this incarnation has seen no token and no stop, and the order's
+    deadline is of another clock. It is stopped here, too.
 
     Returns:
         Commands.
     """
     commands = []
-    proof = EndProof(ProofKind.WORKER_RESTARTED, now)
-    for run in list(worker.runs_by_key.values()):
+    for run in worker.runs_by_key.values():
         if run.deadline_ms and run.state in UNANSWERED_STATES:
             run.state = RunState.UNCERTAIN
             run.deadline_ms = NEVER
-            run.stop_answered_at = 0.0
             commands.append(StopRun(run, "worker restarted before a start's answer"))
-        else:
-            forget_run(tables, run, proof, now)
+        run.stop_answered_at = 0.0
     worker.born_ms = born_ms
     worker.seen_end = worker.stored_end = 0
     worker.unclaimed_runs, worker.unclaimed_ends = {}, {}
