--- /dev/null
+++ b/features/support/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""Virtual time: real nodes against a simulated platform, without sockets."""
--- /dev/null
+++ b/features/support/virtual/commands.py
@@ -0,0 +1,145 @@
+"""Plays many seeds: ``python -m features.support.virtual.commands --first 1``."""
+
+import argparse
+import multiprocessing
+import os
+import random
+import sys
+import time
+
+from features.support.virtual.schedules import draw_schedule
+from features.support.virtual.worlds import Size, World
+
+SHOWN_LINES = 45
+GENERAL = ("leadership", "take-over", "jobs loaded", "worker re", "worker l", "suspect")
+
+
+def size_of(seed):
+    """Returns the ``Size`` of a seed's site."""
+    source = random.Random(f"{seed}/size")
+    return Size(
+        nodes=source.choice((2, 3, 3)),
+        workers=source.choice((3, 4, 5)),
+        seconds=source.choice((35.0, 45.0)),
+        job_period_s=source.choice((0.3, 0.5, 0.8)),
+    )
+
+
+def play(seed, faults=None):
+    """Plays one seed, with its own schedule unless one is given; returns the world."""
+    size = size_of(seed)
+    world = World(seed, size)
+    world.run(draw_schedule(seed, size.seconds) if faults is None else faults)
+    return world
+
+
+def shrink(seed, faults, rule):
+    """Drops faults one by one while the same rule is still broken."""
+    faults = tuple(faults)
+    for fault in list(faults):
+        fewer = tuple(other for other in faults if other is not fault)
+        if any(found.rule == rule for found in play(seed, fewer).checker.violations):
+            faults = fewer
+    return faults
+
+
+def describe(world, violation, shown=SHOWN_LINES):
+    """Returns the lines of a report on a broken rule."""
+    lines = [f"  {violation.rule}: task {violation.task} at {violation.at:.3f}"]
+    lines += [f"    {run}" for run in violation.runs]
+    text = " ".join(violation.runs)
+    job_id = violation.task.partition(".")[0]
+
+    def is_shown(line):
+        if line.at > violation.at + 0.5:
+            return False
+        if line.task or line.job:
+            return line.task == violation.task or (not line.task and line.job == job_id)
+        if line.kind in ("node", "fault"):
+            return True
+        is_involved = line.worker and f"{line.worker}@" in text
+        return is_involved or any(word in line.text for word in GENERAL)
+
+    found = [line for line in world.lines if is_shown(line)]
+    lines += [f"    {line.at:8.3f} {line.text}" for line in found[-shown:]]
+    return lines
+
+
+def _play_counted(seed):
+    began = time.process_time()
+    world = play(seed)
+    return {
+        "seed": seed,
+        "spent_s": time.process_time() - began,
+        "violations": list(world.checker.violations),
+        "errors": world.errors[:3],
+        "starts": world.checker.starts,
+        "acknowledged": world.checker.acknowledged,
+        "accepted": world.jobs.accepted,
+        "completed": world.checker.completed,
+        "takeovers": world.takeovers,
+        "report": [
+            line
+            for found in world.checker.violations[:1]
+            for line in describe(world, found)
+        ],
+    }
+
+
+def run_seeds(seeds, processes):
+    """Yields the results of seeds, in any order."""
+    if processes == 1:
+        yield from map(_play_counted, seeds)
+        return
+    with multiprocessing.Pool(processes, maxtasksperchild=100) as pool:
+        yield from pool.imap_unordered(_play_counted, seeds)
+
+
+def main():
+    """Plays the seeds that the command line names; exit code 1 if any fails."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=100)
+    parser.add_argument("--processes", type=int, default=1)
+    parser.add_argument("--shrink", action="store_true")
+    parser.add_argument("--brief", action="store_true")
+    options = parser.parse_args()
+    if "PYTHONHASHSEED" not in os.environ:
+        # The order of sets of texts must be the same in each run of a seed.
+        os.environ["PYTHONHASHSEED"] = "0"
+        module = "features.support.virtual.commands"
+        os.execv(sys.executable, [sys.executable, "-m", module, *sys.argv[1:]])
+    seeds = range(options.first, options.first + options.seeds)
+    failing, totals, spent_s = [], {}, 0.0
+    for result in run_seeds(seeds, options.processes):
+        spent_s += result["spent_s"]
+        for name in ("starts", "acknowledged", "accepted", "completed", "takeovers"):
+            totals[name] = totals.get(name, 0) + result[name]
+        for error in result["errors"]:
+            print(f"seed {result['seed']}: error {error}", flush=True)
+        if result["violations"]:
+            failing.append(result["seed"])
+            _print_failure(result, options)
+    print(f"{len(failing)} of {options.seeds} seeds failed: {sorted(failing)}")
+    print(f"{totals}, {spent_s:.1f} s of processor time")
+    sys.exit(1 if failing else 0)
+
+
+def _print_failure(result, options):
+    seed, first = result["seed"], result["violations"][0]
+    print(f"seed {seed}: {len(result['violations'])} broken, first {first.rule}")
+    faults = draw_schedule(seed, size_of(seed).seconds)
+    if options.shrink:
+        faults = shrink(seed, faults, first.rule)
+        world = play(seed, faults)
+        found = [v for v in world.checker.violations if v.rule == first.rule][0]
+        result["report"] = describe(world, found)
+    for fault in faults:
+        print(f"  {fault}")
+    if not options.brief:
+        print("\n".join(result["report"]))
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
