Let simulated late orders reach a later incarnation only on request

Cause: whether the platform carries an order out at the next incarnation under the same id is not known; such cases would hide the others. Change: an option of the lateness, off in random schedules.

--- a/features/support/virtual/faults.py
+++ b/features/support/virtual/faults.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from features.support.virtual.networks import ANYONE, Cut, Lateness
+from features.support.virtual.networks import ANYONE, LATE_RANGE_S, Cut, Lateness
 
 # Time after which a fault that waits for a takeover strikes all the same.
 MOST_WAIT_S = 12.0
@@ -122,13 +122,14 @@
     place = ANYONE if fault.target == "all" else fault.machine(world).name
     until = world.now + fault.lasts_s
     share = fault.options.get("share", 0.3)
-    window = tuple(fault.options.get("range", (1.5, 12.0)))
+    window = tuple(fault.options.get("range", LATE_RANGE_S))
+    reaches = fault.options.get("reaches_next", False)
     if place == ANYONE:
         for machine in world.cloud.machines_by_name.values():
-            late = Lateness(machine.name, share, until, window)
+            late = Lateness(machine.name, share, until, window, reaches)
             world.network.lateness.append(late)
     else:
-        world.network.lateness.append(Lateness(place, share, until, window))
+        world.network.lateness.append(Lateness(place, share, until, window, reaches))
 
 
 def late_cloud(fault, world):
--- a/features/support/virtual/networks.py
+++ b/features/support/virtual/networks.py
@@ -35,12 +35,16 @@
 
 @dataclass(frozen=True)
 class Lateness:
-    """Share of the calls to a place that are carried out late, until a time."""
+    """Share of the calls to a place that are carried out late, until a time.
+
+    With ``reaches_next`` also by a later incarnation at the address.
+    """
 
     target: str
     share: float
     until: float
     range_s: tuple = LATE_RANGE_S
+    reaches_next: bool = False
 
 
 class Endpoint:
@@ -125,12 +129,15 @@
         return self.open_at(source, target) + self.delay_s(source, target)
 
     def late_s(self, target):
-        """Returns how much later a call is carried out; 0 if in time."""
+        """Returns how much later a call is carried out, and the ``Lateness``.
+
+        The time is 0 if it is carried out in time.
+        """
         for late in self.lateness:
             if late.until > self.world.now and late.target in (target, ANYONE):
                 if self.random.random() < late.share:
-                    return self.random.uniform(*late.range_s)
-        return 0.0
+                    return self.random.uniform(*late.range_s), late
+        return 0.0, None
 
     def listen(self, address, place, handle):
         """Makes a server listen at an address."""
@@ -286,17 +293,17 @@
             return
         if not self.node.is_alive and was_held:
             return
-        late_s = self._network.late_s(endpoint.place)
+        late_s, late = self._network.late_s(endpoint.place)
         if late_s:
             at = self._world.now + late_s
-            self._world.at(at, self._carry_out, copy, endpoint, sent_at, True)
+            self._world.at(at, self._carry_out, copy, endpoint, sent_at, late)
             return
-        self._carry_out(copy, endpoint, sent_at, False)
+        self._carry_out(copy, endpoint, sent_at, None)
 
-    def _carry_out(self, copy, endpoint, sent_at, is_late):
-        current = self._network.endpoints_by_address[self.address]
-        if is_late:
-            endpoint = current
+    def _carry_out(self, copy, endpoint, sent_at, late):
+        is_late = late is not None
+        if is_late and late.reaches_next:
+            endpoint = self._network.endpoints_by_address[self.address]
         if endpoint.handle is None:
             if not endpoint.is_dark and not is_late:
                 self._answer_later(self._world.now, copy, None, "reset")
