Add directed cases to the simulation in virtual time

Cause: random schedules seldom reach the suspected windows. Change: one named case for each suspect, played with many seeds.

--- /dev/null
+++ b/features/support/virtual/cases.py
@@ -0,0 +1,165 @@
+"""Directed schedules: each aims at one way in which a task might run twice."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from features.support.virtual.faults import Fault
+from features.support.virtual.worlds import Size
+
+# When the directed faults begin, in seconds: jobs are under way by then.
+BEGIN_S = 8.0
+SMALL = Size(nodes=3, workers=3, seconds=30.0, job_period_s=0.25)
+BUSY = Size(nodes=2, workers=3, seconds=22.0, job_period_s=0.05)
+
+
+@dataclass(frozen=True)
+class Case:
+    """A directed case: ``draw`` returns its faults for a ``random.Random``."""
+
+    draw: Callable
+    size: Size = SMALL
+
+
+def _reborn(source, gap_s=(0.02, 0.5), **options):
+    lasts_s = source.uniform(*gap_s)
+    at = BEGIN_S + source.uniform(0, 2)
+    options = {"returns": "reborn", "dark": True} | options
+    return Fault("worker_crash", at, lasts_s, "spoken", None, options)
+
+
+def queued_start(source):
+    """a. Starts wait for a connection while their worker is reborn."""
+    slow = Fault("slow_links", BEGIN_S - 1, 8.0, "0", None, {"slow_s": 0.3})
+    crash = Fault(
+        "worker_crash",
+        BEGIN_S + source.uniform(0, 2),
+        source.uniform(0.02, 0.5),
+        "0",
+        None,
+        {"returns": "reborn", "dark": source.random() < 0.5},
+    )
+    return (slow, crash)
+
+
+def job_behind_barrier(source):
+    """b, c. The old leader works on with a worker that the new one cannot reach."""
+    cut = Fault("node_cut", BEGIN_S, 9.0, "leader", None, {"from": "nodes"})
+    at = BEGIN_S + source.uniform(0.2, 1.2)
+    worker = source.choice("012")
+    options = {"from": "followers", "how": "both"}
+    unreached = Fault("worker_cut", at, source.uniform(2, 6), worker, None, options)
+    return (cut, unreached)
+
+
+def adopted_lease(source):
+    """d. Leases of the old leader outlive what the new one believes."""
+    cut = Fault("node_cut", BEGIN_S, 9.0, "leader", None, {"from": "core"})
+    delay_s = source.uniform(0.0, 0.5)
+    return (cut,) + tuple(
+        Fault("worker_cut", BEGIN_S, 9.0, worker, delay_s, {"from": "nodes"})
+        for worker in source.sample("012", 2)
+    )
+
+
+def leader_came_and_went(source):
+    """e, f. A leader comes and goes while the watches hear nothing."""
+    faults = [Fault("store_deaf", BEGIN_S, source.uniform(2, 6))]
+    for number in range(3):
+        kind = source.choice(("node_kill", "node_stop", "node_freeze"))
+        at = BEGIN_S + number * source.uniform(0.5, 2.0)
+        faults.append(Fault(kind, at, source.uniform(0.2, 8.0), "leader"))
+    if source.random() < 0.5:
+        faults.append(Fault("lost_handover", BEGIN_S, source.uniform(1, 5)))
+    return tuple(faults)
+
+
+def earlier_answer(source):
+    """g. Answers of the earlier incarnation come after the restart is known."""
+    worker = source.choice("012")
+    slow_s = source.uniform(0.2, 0.6)
+    slow = Fault("slow_links", BEGIN_S - 1, 6.0, worker, None, {"slow_s": slow_s})
+    at = BEGIN_S + source.uniform(0, 2)
+    options = {"returns": "reborn", "dark": False}
+    gap_s = source.uniform(0.01, 0.3)
+    return (slow, Fault("worker_crash", at, gap_s, worker, None, options))
+
+
+def late_to_next(source):
+    """h. Orders are carried out late by the next incarnation under the same id."""
+    options = {"share": 0.5, "reaches_next": True}
+    late = Fault("late_orders", BEGIN_S, 2.0, "all", None, options)
+    return (late, _reborn(source, (0.1, 3.0)), _reborn(source, (0.1, 3.0)))
+
+
+def second_copy(source):
+    """i. curl sends a start again, and the second copy is refused."""
+    worker = source.choice("012")
+    resets = Fault("resets", BEGIN_S, 3.0, worker, None, {"times": 60})
+    share = source.choice((0.3, 0.6))
+    refusals = Fault("unhealthy", BEGIN_S, 4.0, worker, None, {"share": share})
+    return (resets, refusals)
+
+
+def moved_queue(source):
+    """j. A queue moves while a worker of its former pool has not reported."""
+    kill = Fault("node_kill", BEGIN_S, 5.0)
+    at = BEGIN_S + source.uniform(-0.5, 0.5)
+    cut = Fault("worker_cut", at, 6.0, source.choice("012"), None, {"from": "nodes"})
+    delay_s = source.uniform(0.0, 1.5)
+    moves = Fault("queue_moves", BEGIN_S, 9.0, "leader", delay_s, {"queue": "q1"})
+    return (kill, cut, moves)
+
+
+def unlisted_worker(source):
+    """k. A worker is missing from the store when a leader takes over."""
+    worker = source.choice("012")
+    lost = Fault("worker_cut", BEGIN_S, 6.0, worker, None, {"from": "store"})
+    hidden = Fault("cloud_down", BEGIN_S, source.uniform(2, 6))
+    at = BEGIN_S + source.uniform(1.0, 2.0)
+    kind = source.choice(("node_kill", "node_freeze"))
+    silent = Fault("worker_cut", at, 3.0, worker, None, {"from": "nodes"})
+    return (lost, hidden, Fault(kind, at, 8.0), silent)
+
+
+def many_ends(source):
+    """l. More ends than one page lists wait while nothing can be stored."""
+    large = Fault("large_job", BEGIN_S, options={"count": 4000, "estimate_ms": 20})
+    at = BEGIN_S + source.uniform(0.2, 1.0)
+    return (large, Fault("store_down", at, source.uniform(4.0, 5.5)))
+
+
+def odd_writer(source):
+    """m. Another writer names the machine of a silent worker."""
+    worker = source.choice("012")
+    cut = Fault("worker_cut", BEGIN_S, 6.0, worker, None, {"from": "nodes"})
+    at = BEGIN_S + source.uniform(1.0, 1.6)
+    return (cut, Fault("odd_entry", at, target=worker))
+
+
+def changed_address(source):
+    """m. Another writer names another address of a worker."""
+    worker = source.choice("012")
+    at = BEGIN_S + source.uniform(0.0, 2.0)
+    return (Fault("odd_entry", at, target=worker, options={"same_id": True}),)
+
+
+def start_at_next(source):
+    """A start reaches the next incarnation before its leader knows of it."""
+    return (_reborn(source), _reborn(source), _reborn(source))
+
+
+CASES = {
+    "queued-start": Case(queued_start, BUSY),
+    "job-behind-barrier": Case(job_behind_barrier),
+    "adopted-lease": Case(adopted_lease),
+    "leader-came-and-went": Case(leader_came_and_went),
+    "earlier-answer": Case(earlier_answer, BUSY),
+    "late-to-next": Case(late_to_next, BUSY),
+    "second-copy": Case(second_copy, BUSY),
+    "moved-queue": Case(moved_queue),
+    "unlisted-worker": Case(unlisted_worker),
+    "many-ends": Case(many_ends, BUSY),
+    "odd-writer": Case(odd_writer),
+    "changed-address": Case(changed_address),
+    "start-at-next": Case(start_at_next, BUSY),
+}
--- a/features/support/virtual/commands.py
+++ b/features/support/virtual/commands.py
@@ -7,6 +7,7 @@
 import sys
 import time
 
+from features.support.virtual.cases import CASES
 from features.support.virtual.schedules import draw_schedule
 from features.support.virtual.worlds import Size, World
 
@@ -33,6 +34,15 @@
     return world
 
 
+def play_case(name, seed):
+    """Plays a directed case with a seed; returns the world and its faults."""
+    case = CASES[name]
+    faults = case.draw(random.Random(f"{seed}/{name}"))
+    world = World(seed, case.size)
+    world.run(faults)
+    return world, faults
+
+
 def shrink(seed, faults, rule):
     """Drops faults one by one while the same rule is still broken."""
     faults = tuple(faults)
@@ -103,6 +113,7 @@
     parser.add_argument("--processes", type=int, default=1)
     parser.add_argument("--shrink", action="store_true")
     parser.add_argument("--brief", action="store_true")
+    parser.add_argument("--case", default="", choices=("", *CASES))
     options = parser.parse_args()
     if "PYTHONHASHSEED" not in os.environ:
         # The order of sets of texts must be the same in each run of a seed.
@@ -110,6 +121,8 @@
         module = "features.support.virtual.commands"
         os.execv(sys.executable, [sys.executable, "-m", module, *sys.argv[1:]])
     seeds = range(options.first, options.first + options.seeds)
+    if options.case:
+        sys.exit(_run_case(options, seeds))
     failing, totals, spent_s = [], {}, 0.0
     for result in run_seeds(seeds, options.processes):
         spent_s += result["spent_s"]
@@ -125,6 +138,23 @@
     sys.exit(1 if failing else 0)
 
 
+def _run_case(options, seeds):
+    """Plays a case with each seed; prints the first report; returns the exit code."""
+    failing = {}
+    for seed in seeds:
+        world, faults = play_case(options.case, seed)
+        for error in world.errors[:2]:
+            print(f"seed {seed}: error {error}")
+        found = world.checker.violations
+        if found and not failing and not options.brief:
+            print("\n".join([f"  {fault}" for fault in faults]))
+            print("\n".join(describe(world, found[0])), flush=True)
+        if found:
+            failing[seed] = sorted({violation.rule for violation in found})
+    print(f"{options.case}: {len(failing)} of {len(seeds)} seeds failed: {failing}")
+    return 1 if failing else 0
+
+
 def _print_failure(result, options):
     seed, first = result["seed"], result["violations"][0]
     print(f"seed {seed}: {len(result['violations'])} broken, first {first.rule}")
--- a/features/support/virtual/faults.py
+++ b/features/support/virtual/faults.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from features.support.virtual.networks import ANYONE, LATE_RANGE_S, Cut, Lateness
 
 # Time after which a fault that waits for a takeover strikes all the same.
@@ -112,6 +114,7 @@
         "leader": [leader.name] if leader else [],
         "nodes": [node.name for node in world.nodes],
         "store": ["store"],
+        "followers": [node.name for node in world.nodes if node is not leader],
         "all": [ANYONE],
     }[fault.options.get("from", "nodes")]
     _cut(world, [name], whom, until, fault.options.get("how", "both"))
@@ -152,8 +155,10 @@
 
 
 def unhealthy(fault, world):
-    """A worker refuses all calls as unhealthy."""
-    fault.machine(world).worker.is_unhealthy_until = world.now + fault.lasts_s
+    """A worker refuses some or all calls as unhealthy."""
+    worker = fault.machine(world).worker
+    worker.unhealthy_until = world.now + fault.lasts_s
+    worker.unhealthy_share = fault.options.get("share", 1.0)
 
 
 def store_down(fault, world):
@@ -265,6 +270,24 @@
     world.at(world.now + fault.lasts_s + 1.0, world.configure, {queue: "pool-1"})
 
 
+def large_job(fault, world):
+    """A client submits a job of many short tasks."""
+    world.jobs.submit_large(
+        fault.options.get("count", 2000), fault.options.get("estimate_ms", 20)
+    )
+
+
+def odd_entry(fault, world):
+    """Another writer registers a worker on a machine, or another address of one."""
+    machine = fault.machine(world)
+    entry = machine.worker.entry() | {"address": "10.9.9.9:99"}
+    worker_id = machine.worker.worker_id
+    if not fault.options.get("same_id"):
+        worker_id = f"odd-{machine.name}"
+        entry |= {"born": entry["born"] + 1_000_000, "service": "unnamed"}
+    world.store.put(f"servers/{worker_id}", msgspec.json.encode(entry))
+
+
 KINDS = {
     function.__name__: function
     for function in (
@@ -288,5 +311,7 @@
         lost_handover,
         slow_links,
         queue_moves,
+        large_job,
+        odd_entry,
     )
 }
--- a/features/support/virtual/jobs.py
+++ b/features/support/virtual/jobs.py
@@ -58,9 +58,16 @@
         if now >= self._until:
             return
         self._world.at(now + self._random.expovariate(1 / self._period_s), self._submit)
+        self._submit_one(self._create_request())
+
+    def submit_large(self, count, estimate_ms):
+        """Submits a job with one step of many short tasks."""
+        step = Step(count=count, cpu_millis=100, memory_mb=8, estimate_ms=estimate_ms)
+        self._submit_one(JobRequest(spec="s", steps=(step,)))
+
+    def _submit_one(self, request):
         self._next_id += 1
         job_id = f"{self._next_id:016x}"
-        request = self._create_request()
         self._requests_by_id[job_id] = request
         self.submitted += 1
         self._send(job_id, request, 0)
--- a/features/support/virtual/workers.py
+++ b/features/support/virtual/workers.py
@@ -64,7 +64,8 @@
         self.born_ms = int((world.unix_s + world.now) * MS_PER_S)
         self._clock_rate = clock_rate
         self.is_up = True
-        self.is_unhealthy_until = 0.0
+        self.unhealthy_until = 0.0
+        self.unhealthy_share = 1.0
         self._token = 0
         self._deadline_ms = 0.0
         self.lapses = 0
@@ -120,7 +121,10 @@
             arrival.respond(HTTP_WRONG_INSTANCE, self._reply())
             return
         body = arrival.body
-        if self._world.now < self.is_unhealthy_until:
+        if (
+            self._world.now < self.unhealthy_until
+            and self._random.random() < self.unhealthy_share
+        ):
             arrival.respond(self._random.choice((503, 429)), self._reply())
             return
         if body.get("fencingToken", 0) < self._token:
