Acknowledge ends until one answer confirms it, and not again

Cause: every poll carried the number of the last stored end. One that reaches the next incarnation of the worker discards its ends up to that number, which nobody has seen; their runs look absent and start again. Change: an end is acknowledged until a poll with it was answered; later polls acknowledge nothing. A poll that is under way while the worker restarts may still do so.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -153,3 +153,13 @@
       | it is known to have stopped                 | 0.0  |
       | nothing is known                            | 6.1  |
       | its successor's record says that it may act | 5.0  |
+
+  Scenario Outline: polls with the last stored ends <ends> acknowledge <acknowledged>
+    Then polls with the last stored ends "<ends>" acknowledge "<acknowledged>"
+
+    Examples: a question mark stands for a poll without an answer
+      | ends     | acknowledged |
+      | 5, 5     | 5, 0         |
+      | 5?, 5, 5 | 5, 5, 0      |
+      | 5, 6, 6  | 5, 6, 0      |
+      | 0, 0     | 0, 0         |
--- a/features/steps/run_end_steps.py
+++ b/features/steps/run_end_steps.py
@@ -157,3 +157,10 @@
 def check_earlier_leader(context, state, left_s):
     found = asyncio.run(missed_leaderships.succeed_twice(state))
     assert abs(max(0.0, found) - left_s) < 0.05, found
+
+
+@then('polls with the last stored ends "{ends}" acknowledge "{acknowledged}"')
+def check_acknowledged(context, ends, acknowledged):
+    polls = [(int(end.rstrip("?")), "?" not in end) for end in ends.split(", ")]
+    found = asyncio.run(order_cases.acknowledge_ends(polls))
+    assert found == [int(end) for end in acknowledged.split(", ")], found
--- a/features/support/order_cases.py
+++ b/features/support/order_cases.py
@@ -198,3 +198,30 @@
     session._client = SimpleNamespace(poll_runs=poll)
     await session._poll_once()
     return worker.clock_offset_ms is not None
+
+
+async def acknowledge_ends(polls):
+    """Returns the ends that polls acknowledge.
+
+    Args:
+        polls: (number of the last stored end, whether the poll is answered) of each.
+    """
+    tables = create_tables(workers=1)
+    worker = tables.workers_by_id["worker-0"]
+    dispatcher = RecordingDispatcher(tables)
+    dispatcher.apply_worker_view = lambda session, view, sent_at: True
+    dispatcher.record_unresponsive = lambda worker, detail: None
+    session = WorkerSession(worker, None, dispatcher)
+    acknowledged = []
+    for stored_end, is_answered in polls:
+        worker.stored_end = stored_end
+
+        async def poll(token, discards, *arguments):
+            acknowledged.append(discards)
+            if not is_answered:
+                return WorkerReply(OrderOutcome.UNKNOWN)
+            return WorkerReply(OrderOutcome.DONE, 1.0, WorkerView(clock_ms=1.0))
+
+        session._client = SimpleNamespace(poll_runs=poll)
+        await session._poll_once()
+    return acknowledged
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -489,7 +489,7 @@
             commands.append(StopRun(run, "worker restarted before a start's answer"))
         run.stop_answered_at = 0.0
     worker.born_ms = born_ms
-    worker.seen_end = worker.stored_end = 0
+    worker.seen_end = worker.stored_end = worker.discarded_end = 0
     worker.unclaimed_runs, worker.unclaimed_ends = {}, {}
     worker.view_clock_ms = 0.0
     worker.clock_offset_ms = None
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -295,6 +295,7 @@
         runs_by_key: Runs by (task name, number).
         seen_end: Number of the last run end applied to the tables.
         stored_end: Number of the last run end that the worker may discard.
+        discarded_end: Number of the last run end that the worker surely discarded.
         unclaimed_runs: ``UnclaimedRow`` of listed runs, by (task name, number).
         unclaimed_ends: ``UnclaimedRow`` of listed ends, by number of the end.
         lease_until: Clock at which all its runs have lapsed if not renewed.
@@ -337,6 +338,7 @@
     runs_by_key: dict[tuple[str, int], Run] = field(default_factory=dict)
     seen_end: int = 0
     stored_end: int = 0
+    discarded_end: int = 0
     unclaimed_runs: dict[tuple[str, int], UnclaimedRow] = field(default_factory=dict)
     unclaimed_ends: dict[int, UnclaimedRow] = field(default_factory=dict)
     lease_until: float = 0.0
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -100,7 +100,11 @@
             logger.debug("ended runs not stored yet; polling the worker again")
 
     async def _poll_once(self, renews=True):
-        """Makes one call; without ``renews`` it neither renews leases nor waits."""
+        """Makes one call; without ``renews`` it neither renews leases nor waits.
+
+        Ends are acknowledged until one answer confirms it, and not again: numbers of
+        an earlier incarnation would discard ends of the next one that nobody has seen.
+        """
         worker, now = self.worker, self._timers.now()
         deadline_ms = None
         lease_s = self._dispatcher.lease_s()
@@ -116,9 +120,11 @@
             renews and worker.has_seen_token and worker.unresponsive_since == 0
         )
         wait_s = LONG_POLL_WAIT_S if may_long_poll else 0
+        discards = worker.stored_end if worker.stored_end > worker.discarded_end else 0
+        born_ms = worker.born_ms
         reply = await self._client.poll_runs(
             self._dispatcher.token,
-            worker.stored_end,
+            discards,
             deadline_ms,
             wait_s,
             wait_s + ANSWER_TIMEOUT_S,
@@ -129,6 +135,8 @@
             answered_at = self._timers.now()
             if self._dispatcher.apply_worker_view(self, reply.view, now):
                 self._record_clock_offset(reply.view, answered_at)
+            if worker.born_ms == born_ms:
+                worker.discarded_end = max(worker.discarded_end, discards)
             return True
         if reply.outcome is OrderOutcome.FENCED:
             self._dispatcher.handle_fenced(worker)
