Add failing tests on what the review of the mends found

Cause: one who had not seen the work read the trace and the mends and found the same class in further places. Change: a row for each that shows in the tables. Measured: 9 rows fail on this code.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -50,6 +50,19 @@
       | a job found after a worker listed its end                    | no     |
       | an occurrence whose run was handed over                      | no     |
 
+    @known_red
+    Examples: found by the review of the first mends
+      | what                                                                      | starts |
+      | a job, an unreported worker aside: another answers at its address         | no     |
+      | a job, an unreported worker aside: it registers with another address      | no     |
+      | a job, an unreported worker aside: it had registered with another address | no     |
+      | a job of a run listed by a worker, at whose address another answers       | no     |
+      | a job on a worker with a run of an unknown job                            | no     |
+      | a job of an unclaimed run, after a handover                               | no     |
+      | a job of an unclaimed end, after a handover                               | no     |
+      | a next step, after a gang                                                 | no     |
+      | a next step, after copies                                                 | no     |
+
   Scenario Outline: a task starts again after <event>: <starts>
     Then a task starts again after "<event>": "<starts>"
 
--- a/features/support/takeover_cases.py
+++ b/features/support/takeover_cases.py
@@ -6,9 +6,11 @@
 from features.support.takeovers import (
     EPOCH,
     OTHER_POOL,
+    TOKEN,
     Takeover,
     create_configuration,
     job_item,
+    registration,
 )
 from features.support.work_tables import POOL
 from sassafrasgrade.node_messages import HandedOverRun, HandOver
@@ -151,6 +153,75 @@
     return leader.started()
 
 
+def unreported_worker_removed(event):
+    """The row of an unreported worker is removed without a proof about its runs."""
+    leader = Takeover()
+    leader.load([job_item(JOB)], WORKERS)
+    worker = leader.tables.workers_by_id["worker-0"]
+    other = registration("worker-0", "127.0.0.1:9")
+    if event == "another answers at its address":
+        leader.report("worker-1")
+        leader.dispatcher.handle_replaced_worker(worker)
+    elif event == "it registers with another address":
+        leader.report("worker-1")
+        worker.unresponsive_since = leader.timers.now()
+        leader.loader._apply_worker_changes([other])
+    elif event == "it had registered with another address":
+        leader.loader._apply_worker_changes([other])
+        worker.unresponsive_since = leader.timers.now()
+        leader.report("worker-1")
+    leader.wait(0.1)
+    leader.report("worker-1")
+    return leader.started()
+
+
+def unclaimed_run_at_silent_worker():
+    """Another answers at the address of a worker with a run of an unknown job."""
+    leader = Takeover()
+    leader.load([], WORKERS)
+    leader.report("worker-0", running=[(TASK, EARLIER_RUN)])
+    leader.report("worker-1")
+    worker = leader.tables.workers_by_id["worker-0"]
+    leader.dispatcher.handle_replaced_worker(worker)
+    leader.find_job(job_item(JOB))
+    leader.wait(0.1)
+    leader.report("worker-1")
+    return leader.started()
+
+
+def start_beside_unclaimed_run():
+    """The only worker lists a run of a job that is not known; another job is found."""
+    leader = Takeover()
+    leader.load([], WORKERS[:1])
+    leader.report("worker-0", running=[(TASK, EARLIER_RUN)])
+    leader.find_job(job_item("c" * 16))
+    return leader.started()
+
+
+def hand_over_unclaimed(running=(), ended=()):
+    """A leader hands over before the job of a row is known to it."""
+    first = Takeover()
+    first.load([], WORKERS)
+    first.report("worker-0", running, ended)
+    first.report("worker-1")
+    handover = first.dispatcher.export_handover(TOKEN)
+    leader = Takeover(handover, is_predecessor_gone=True)
+    leader.load([job_item(JOB)], WORKERS)
+    leader.report("worker-1")
+    return leader.started()
+
+
+def next_step_of_shared_work(**step):
+    """A step ends by one of its runs; the previous leader may poll another's worker."""
+    leader = Takeover()
+    leader.load([job_item(JOB, steps=2, **step)], WORKERS)
+    for _ in range(3):
+        leader.report("worker-0", running=[(TASK, EARLIER_RUN)])
+        leader.wait(1.1)
+    leader.report("worker-0", ended=[(1, TASK, EARLIER_RUN, "done")])
+    return [name for name in leader.started() if name == NEXT_TASK]
+
+
 def wait_for_leases(earlier_left_s):
     """A job waits 7 s after the takeover from a stopped leader; a worker is silent."""
     leader = Takeover(is_predecessor_gone=True, earlier_left_s=earlier_left_s)
@@ -161,7 +232,24 @@
     return leader.started()
 
 
+REMOVALS = (
+    "another answers at its address",
+    "it registers with another address",
+    "it had registered with another address",
+)
 CASES_BY_NAME = {
+    "a job of a run listed by a worker, at whose address another answers": (
+        unclaimed_run_at_silent_worker
+    ),
+    "a job on a worker with a run of an unknown job": start_beside_unclaimed_run,
+    "a job of an unclaimed run, after a handover": (
+        lambda: hand_over_unclaimed(running=[(TASK, EARLIER_RUN)])
+    ),
+    "a job of an unclaimed end, after a handover": (
+        lambda: hand_over_unclaimed(ended=[(1, TASK, EARLIER_RUN, "done")])
+    ),
+    "a next step, after a gang": lambda: next_step_of_shared_work(is_gang=True),
+    "a next step, after copies": lambda: next_step_of_shared_work(is_speculative=True),
     "a job 7 s after a stopped leader, the one before had stopped": (
         lambda: wait_for_leases(0.0)
     ),
@@ -185,3 +273,9 @@
         unlisted_run_of_partial_handover
     ),
 }
+CASES_BY_NAME |= {
+    f"a job, an unreported worker aside: {event}": (
+        lambda event=event: unreported_worker_removed(event)
+    )
+    for event in REMOVALS
+}
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -242,7 +242,7 @@
     return Item(names.WORKERS_PREFIX + worker_id, msgspec.json.encode(entry), 1)
 
 
-def job_item(job_id, steps=1, repeats=0, interval_ms=500.0):
+def job_item(job_id, steps=1, repeats=0, interval_ms=500.0, **first_step):
     """Returns the ``Item`` of a stored job whose steps follow each other."""
     request = JobRequest(
         spec="s",
@@ -253,6 +253,7 @@
                 memory_mb=100,
                 estimate_ms=500,
                 after=(number - 1,) if number else (),
+                **({} if number else first_step),
             )
             for number in range(steps)
         ),
