Call no handover complete while a listed run or end has no known job

Callers saw: possibly two runs of one task after a graceful handover soon after a takeover. Cause: rows of jobs that were not known yet were left out of a handover that claimed to hold all runs. Change: such a handover is not complete, so that the successor asks all workers first.

--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -266,7 +266,11 @@
             job_id: encode(progress_of(self._tables.jobs_by_id[job_id]))
             for job_id in self._tables.dirty_job_ids
         }
-        is_complete = self.is_loaded and not self.barrier_until
+        has_unclaimed = any(
+            worker.unclaimed_runs or worker.unclaimed_ends
+            for worker in self._tables.workers_by_id.values()
+        )
+        is_complete = self.is_loaded and not self.barrier_until and not has_unclaimed
         return HandOver(
             revision, is_complete, runs, progress_by_job, order_age_s_by_host
         )
