Assume the longest lease at a worker's first answer to a new leader

Cause: a lease applies to all that runs on a worker, also to later runs; an idle worker may still hold the 6 s of the previous leader, and a handover names only leases of runs. Change: the first answer to a leader that is not the first of all counts as the beginning of the longest lease. Measured: the row on 6 s of silence failed before and passes; after 6.3 s the task starts.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -78,6 +78,8 @@
       | a restart of its worker that it had started on                  | yes    |
       | a restart of its worker, which then confirmed a stop            | yes    |
       | silence of an adopted run's worker for 6.3 s                    | yes    |
+      | silence of a worker after a takeover for 6 s                    | no     |
+      | silence of a worker after a takeover for 6.3 s                  | yes    |
       | a list without it that has 499 ends                             | yes    |
       | silence of an adopted run's worker for 1 s                      | no     |
       | silence of an adopted run's worker for 6 s                      | no     |
--- a/features/support/silent_workers.py
+++ b/features/support/silent_workers.py
@@ -144,6 +144,20 @@
     return leader.started()
 
 
+def lapse_of_own_run(wait_s):
+    """A run is started on a worker that may hold a lease of the previous leader."""
+    leader = Takeover()
+    leader.load([job_item(JOB)], ["worker-0", "worker-1"])
+    leader.report("worker-0")
+    leader.report("worker-1")
+    worker = leader.tables.workers_by_id["worker-0"]
+    start_run(leader.tables.tasks_by_name[TASK], worker)
+    worker.unresponsive_since = leader.timers.now()
+    leader.wait(wait_s)
+    leader.report("worker-1")
+    return leader.started()
+
+
 def full_list_of_ends(ends):
     """A list without the run that contains as many ends as a list may."""
     leader, run = lead(is_silent=False)
@@ -238,6 +252,8 @@
         lambda: lapse_of_adopted_run(6.121)
     ),
     "silence of an adopted run's worker for 6.3 s": lambda: lapse_of_adopted_run(6.3),
+    "silence of a worker after a takeover for 6 s": lambda: lapse_of_own_run(6.0),
+    "silence of a worker after a takeover for 6.3 s": lambda: lapse_of_own_run(6.3),
     "a list without it that has 499 ends": lambda: full_list_of_ends(ENDS_PER_LIST - 1),
     "a list without it that has 500 ends": lambda: full_list_of_ends(ENDS_PER_LIST),
 }
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -67,6 +67,8 @@
     is_first_view, worker.has_shown_runs = not worker.has_shown_runs, True
     if is_first_view:
         worker.first_view_clock_ms = previous_clock_ms = view.clock_ms
+        if tables.epoch > 1:
+            _extend_lease(tables, worker, now)
     shown_ms = previous_clock_ms - worker.first_view_clock_ms
     for row in view.ended:
         if row.number > worker.seen_end:
@@ -240,7 +242,10 @@
 
 
 def _extend_lease(tables, worker, now):
-    """Records that a worker may hold the longest lease, from a leader unknown here."""
+    """Records that a worker may hold the longest lease, given by an earlier leader.
+
+    It applies to all that runs there, also to what this leader starts.
+    """
     lapses_at = now + tables.longest_lease_s * CLOCK_DRIFT
     worker.lease_until = max(worker.lease_until, lapses_at)
 
