Acknowledge stored ends only to the incarnation that listed them

Callers saw: possibly a start after an acknowledged end, if a worker restarts under its id while its ends are being stored. Cause: what a commit had covered was kept as a number alone, and each incarnation counts anew. Change: the number goes with the start of its incarnation. Measured: the row on the next incarnation failed before (end 1 was acknowledged to it) and passes.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -176,3 +176,6 @@
       | 5?, 5, 5 | 5, 5, 0      |
       | 5, 6, 6  | 5, 6, 0      |
       | 0, 0     | 0, 0         |
+
+  Scenario: what is stored of one incarnation acknowledges no end of the next
+    Then no end of an incarnation is acknowledged by what was stored of the one before
--- a/features/steps/progress_steps.py
+++ b/features/steps/progress_steps.py
@@ -87,7 +87,7 @@
         while store.held:
             store.release()
             await run_callbacks()
-            context.reports.append([r["worker-0"] for r in context.stored])
+            context.reports.append([r["worker-0"][1] for r in context.stored])
 
     asyncio.run(run())
 
--- a/features/steps/run_end_steps.py
+++ b/features/steps/run_end_steps.py
@@ -164,3 +164,8 @@
     polls = [(int(end.rstrip("?")), "?" not in end) for end in ends.split(", ")]
     found = asyncio.run(order_cases.acknowledge_ends(polls))
     assert found == [int(end) for end in acknowledged.split(", ")], found
+
+
+@then("no end of an incarnation is acknowledged by what was stored of the one before")
+def check_next_incarnation(context):
+    assert run_in_loop(silent_workers.acknowledge_for_next_incarnation) == 0
--- a/features/support/silent_workers.py
+++ b/features/support/silent_workers.py
@@ -10,6 +10,7 @@
 from sassafrasgrade.fleet_hosts import STATE_UP, HostRow
 from sassafrasgrade.platform.clouds import HostOrderOutcome
 from sassafrasgrade.platform.messages import Capacity
+from sassafrasgrade.progress_writers import EndsCheckpoint
 from sassafrasgrade.work_commands import MoveHost
 from sassafrasgrade.work_tables import RunState
 
@@ -203,6 +204,21 @@
     return started(leader)
 
 
+def acknowledge_for_next_incarnation():
+    """Returns the end acknowledged to an incarnation by a commit begun for another."""
+    leader, _ = lead(is_silent=False)
+    other = "b" * 16
+    leader.find_job(job_item(other))
+    ended = [(1, TASK, 1, "done")]
+    leader.report("worker-0", ended=ended, born_ms=BORN_MS)
+    checkpoint = EndsCheckpoint(leader.tables)
+    leader.report("worker-0", clock_ms=10.0, born_ms=BORN_MS + 9)
+    ended = [(1, f"{other}.0.0.0", 1, "done")]
+    leader.report("worker-0", ended=ended, clock_ms=20.0, born_ms=BORN_MS + 9)
+    leader.dispatcher._apply_stored_ends(checkpoint.ends_by_worker)
+    return leader.tables.workers_by_id["worker-0"].stored_end
+
+
 CASES_BY_NAME = {
     "a move of another worker's host": lambda: order_done_already(False),
     "a move of its host that was ordered before it started": (
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -574,10 +574,12 @@
                     self._send_stop(run)
 
     def _apply_stored_ends(self, ends_by_worker):
-        for worker_id, seen_end in ends_by_worker.items():
+        for worker_id, (born_ms, end) in ends_by_worker.items():
             worker = self.tables.workers_by_id.get(worker_id)
-            if worker is not None and seen_end <= worker.seen_end:
-                worker.stored_end = max(worker.stored_end, seen_end)
+            if worker is None or worker.born_ms != born_ms:
+                continue
+            if end <= worker.seen_end:
+                worker.stored_end = max(worker.stored_end, end)
                 session = self._sessions_by_id.get(worker_id)
                 if session is not None:
                     session.notify_stored()
--- a/sassafrasgrade/progress_writers.py
+++ b/sassafrasgrade/progress_writers.py
@@ -32,13 +32,18 @@
 class EndsCheckpoint:
     """Run ends that workers may forget once all changes known with them are stored.
 
+    Each incarnation of a worker numbers its ends anew.
+
+    Attributes:
+        ends_by_worker: (start of the incarnation, number of the last end) by worker id.
+
     Args:
         tables: ``WorkTables``.
     """
 
     def __init__(self, tables):
         self.ends_by_worker = {
-            worker.worker_id: worker.settled_end
+            worker.worker_id: (worker.born_ms, worker.settled_end)
             for worker in tables.workers_by_id.values()
         }
         self._versions_by_job = {
@@ -63,7 +68,7 @@
         store: ``StoreClient``.
         tables: ``WorkTables``.
         token: Fencing token; commits fail once another node is leader.
-        on_stored: Called with the number of the last run end, by worker id, whose
+        on_stored: Called with ``EndsCheckpoint.ends_by_worker`` of ends whose
             effects are all stored.
         on_fenced: Called when another node is leader.
     """
