Tell incarnations apart by the order of calls, and bound what a restart holds

Change: an answer to a call that was sent after the last answer is of the present incarnation or a later one, whatever its 'born'; an unanswered start is waited for at most 20 s after a restart; stops count for one incarnation; a worker stays on its host. Measured: the rows on a clock set back, a wrong birth, 22 s without a confirmed stop and an entry that names a host failed before and pass; the stop of an earlier incarnation has no row of its own.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -80,6 +80,11 @@
       | silence of an adopted run's worker for 6.3 s                    | yes    |
       | silence of a worker after a takeover for 6 s                    | no     |
       | silence of a worker after a takeover for 6.3 s                  | yes    |
+      | a restart of its worker with its clock set back                 | yes    |
+      | a registration of a worker with a wrong birth                   | yes    |
+      | a restart of its worker that confirms no stop for 5 s           | no     |
+      | a restart of its worker that confirms no stop for 22 s          | yes    |
+      | an entry of another worker that names its host                  | no     |
       | a list without it that has 499 ends                             | yes    |
       | silence of an adopted run's worker for 1 s                      | no     |
       | silence of an adopted run's worker for 6 s                      | no     |
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -25,6 +25,7 @@
     progress_of,
 )
 from sassafrasgrade.platform import names
+from sassafrasgrade.platform.messages import WorkerView
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.crash_records import (
     clear_outlived,
@@ -156,7 +157,7 @@
     worker.born_ms = 1
     # As the dispatcher does on an answer of a later incarnation.
     record_crash(context.tables, worker)
-    restart_worker(context.tables, worker, 2, NOW)
+    restart_worker(context.tables, worker, WorkerView(clock_ms=1.0, born_ms=2), NOW)
     apply_worker_view(context.tables, worker, NOW + 0.1)
     settle_crashes(context.tables)
 
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -23,7 +23,7 @@
 from sassafrasgrade.leader_monitors import is_leader_lost, should_hand_over
 from sassafrasgrade.node_messages import HandedOverRun
 from sassafrasgrade.node_settings import check_node_settings
-from sassafrasgrade.platform.messages import Wave
+from sassafrasgrade.platform.messages import Wave, WorkerView
 from sassafrasgrade.systems.host_planning import plan_hosts
 from sassafrasgrade.systems.run_updates import (
     adopt_handed_over_runs,
@@ -94,7 +94,9 @@
 
 def restart_running_worker(context):
     start_run(context.task, context.worker)
-    restart_worker(context.tables, context.worker, 7, NOW + 1)
+    restart_worker(
+        context.tables, context.worker, WorkerView(clock_ms=1.0, born_ms=7), NOW + 1
+    )
     apply_worker_view(context.tables, context.worker, NOW + 1, sent_at=NOW + 0.9)
 
 
--- a/features/steps/virtual_time_steps.py
+++ b/features/steps/virtual_time_steps.py
@@ -18,6 +18,7 @@
 )
 from sassafrasgrade.dispatchers import Dispatcher
 from sassafrasgrade.platform import names
+from sassafrasgrade.platform.messages import WorkerView
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.platform.workers import OrderOutcome, WorkerReply
 from sassafrasgrade.systems.run_updates import restart_worker
@@ -143,7 +144,9 @@
             await session._orders.acquire()
         waiting = asyncio.ensure_future(session.send_start(context.run))
         await asyncio.sleep(0)
-        restart_worker(context.tables, worker, BORN_MS, NOW)
+        restart_worker(
+            context.tables, worker, WorkerView(clock_ms=1.0, born_ms=BORN_MS), NOW
+        )
         worker.has_seen_token, worker.clock_offset_ms = True, 0.0
         session._orders.release()
         await waiting
--- a/features/support/silent_workers.py
+++ b/features/support/silent_workers.py
@@ -204,6 +204,47 @@
     return started(leader)
 
 
+def restart_with_earlier_clock():
+    """The worker restarts with its time of day set back, and does not list the run."""
+    leader, run = lead(is_silent=False)
+    leader.wait(0.1)
+    leader.report("worker-0", clock_ms=10.0, born_ms=BORN_MS - 9)
+    fill_worker(leader)
+    return started(leader)
+
+
+def register_with_wrong_birth():
+    """The only worker with room is registered with a later birth than its own."""
+    leader = Takeover(epoch=1)
+    leader.load([job_item(JOB)])
+    apply_entry(leader, registration("worker-1", born=BORN_MS + 9))
+    leader.report("worker-1", born_ms=BORN_MS)
+    return started(leader)
+
+
+def refuse_stops(wait_s):
+    """The worker restarts before a start's answer, and confirms no stop."""
+    leader, run = lead(RunState.UNCERTAIN, is_silent=False)
+    for elapsed in range(1, wait_s + 1):
+        leader.wait(1.0)
+        leader.report("worker-0", clock_ms=elapsed * 1000.0, born_ms=BORN_MS + 9)
+    fill_worker(leader)
+    return started(leader)
+
+
+def name_silent_host():
+    """An entry of an answering worker names the host of the silent one."""
+    leader, _ = lead()
+    leader.report("worker-1", born_ms=BORN_MS + 9)
+    entry = registration("worker-1", "127.0.0.1:2", born=BORN_MS + 9, machine="host-0")
+    apply_entry(leader, entry)
+    # A task that may have crashed its worker avoids that host for 2 s.
+    leader.wait(2.5)
+    leader.report("worker-1", born_ms=BORN_MS + 9)
+    leader.store_changes()
+    return leader.started()
+
+
 def acknowledge_for_next_incarnation():
     """Returns the end acknowledged to an incarnation by a commit begun for another."""
     leader, _ = lead(is_silent=False)
@@ -220,6 +261,11 @@
 
 
 CASES_BY_NAME = {
+    "a restart of its worker with its clock set back": restart_with_earlier_clock,
+    "a registration of a worker with a wrong birth": register_with_wrong_birth,
+    "a restart of its worker that confirms no stop for 5 s": lambda: refuse_stops(5),
+    "a restart of its worker that confirms no stop for 22 s": lambda: refuse_stops(22),
+    "an entry of another worker that names its host": name_silent_host,
     "a move of another worker's host": lambda: order_done_already(False),
     "a move of its host that was ordered before it started": (
         lambda: order_done_already(True)
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -31,6 +31,7 @@
     expire_leases,
     forget_run,
     has_incarnation_ended,
+    is_later,
     remove_worker,
     restart_worker,
 )
@@ -256,15 +257,13 @@
             of an earlier one is ignored.
         """
         worker, now = session.worker, self.timers.now()
-        if view.born_ms is not None and worker.born_ms is not None:
-            if view.born_ms < worker.born_ms:
-                self._log_earlier_incarnation(worker, view)
-                return False
-            if view.born_ms > worker.born_ms:
+        if _is_of_earlier_incarnation(worker, view, sent_at):
+            self._log_earlier_incarnation(worker, view)
+            return False
+        if None not in (view.born_ms, worker.born_ms, worker.last_answer_at or None):
+            if view.born_ms != worker.born_ms:
                 record_crash(self.tables, worker)
-                self._carry_out_all(
-                    restart_worker(self.tables, worker, view.born_ms, now)
-                )
+                self._carry_out_all(restart_worker(self.tables, worker, view, now))
         if view.born_ms is not None:
             worker.born_ms = view.born_ms
         worker.last_answer_at = now
@@ -681,3 +680,15 @@
     @carry_out.register
     def _(self, command: LogEvent):
         logger.info(command.event, extra=command.fields)
+
+
+def _is_of_earlier_incarnation(worker, view, sent_at):
+    """Whether an answer is of an incarnation before the present one.
+
+    An answer to a call that was sent after the last answer is of the present one or a
+    later one. Only for earlier calls does the time of day of their starts decide, which
+    may have been set back.
+    """
+    if sent_at > worker.last_answer_at:
+        return False
+    return is_later(worker.born_ms, view.born_ms)
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -40,8 +40,9 @@
 MAX_LISTED_ENDS = 500
 # States of runs whose start got no answer, if it was sent.
 UNANSWERED_STATES = frozenset({RunState.STARTING, RunState.UNCERTAIN})
-# ``Run.deadline_ms`` of a start that no clock in use makes void.
-NEVER = float("inf")
+# Time after which an order without an answer is not carried out any more, in
+# milliseconds; the platform speaks of seconds.
+LATEST_ORDER_MS = 20_000.0
 # Tolerance on clock readings that were sent over the network, in milliseconds.
 CLOCK_TOLERANCE_MS = 50.0
 
@@ -478,13 +479,20 @@
         tables.ended_by_worker[worker.worker_id] = incarnation
 
 
-def restart_worker(tables, worker, born_ms, now):
+def restart_worker(tables, worker, view, now):
     """Resets the state of a worker that came back under the same id.
 
     Its next lists decide on its runs: starts are not addressed to one incarnation, so
     that this one may have answered some of them. One without an answer may still be
     carried out: this incarnation has seen no token and no stop, and the order's
-    deadline is of another clock. It is stopped here, too.
+    deadline is of another clock. It is stopped here, too, or waited for until no order
+    can arrive any more.
+
+    Args:
+        tables: The tables.
+        worker: The worker.
+        view: ``WorkerView`` of the new incarnation.
+        now: Current clock in seconds.
 
     Returns:
         Commands.
@@ -493,10 +501,10 @@
     for run in worker.runs_by_key.values():
         if run.deadline_ms and run.state in UNANSWERED_STATES:
             run.state = RunState.UNCERTAIN
-            run.deadline_ms = NEVER
+            run.deadline_ms = view.clock_ms + LATEST_ORDER_MS
             commands.append(StopRun(run, "worker restarted before a start's answer"))
         run.stop_answered_at = 0.0
-    worker.born_ms = born_ms
+    worker.born_ms = view.born_ms
     worker.seen_end = worker.stored_end = worker.discarded_end = 0
     worker.unclaimed_runs, worker.unclaimed_ends = {}, {}
     worker.view_clock_ms = 0.0
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -201,6 +201,9 @@
             self._dispatcher.schedule_placement()
 
     def _claim_rows(self, job):
+        if not self.is_loaded:
+            # No list has been applied yet.
+            return
         self._carry_out_all(claim_rows(self._tables, job, self._timers.now()))
 
     def _carry_out_all(self, commands):
--- a/sassafrasgrade/worker_registrations.py
+++ b/sassafrasgrade/worker_registrations.py
@@ -124,8 +124,9 @@
 
     A worker is one incarnation of its host, so that the earlier one has ended.
     """
-    for other in list(tables.workers_by_id.values()):
-        if other.unresponsive_since and has_later_worker(tables, other):
+    silent = [w for w in tables.workers_by_id.values() if w.unresponsive_since]
+    for other in silent:
+        if has_later_worker(tables, other):
             record_crash(tables, other)
             proof = EndProof(ProofKind.HOST_RUNS_ANOTHER, now)
             remove_worker(tables, other, proof, now)
@@ -169,7 +170,10 @@
     worker.pool = entry.pool
     worker.capacity = entry.capacity
     worker.labels = entry.labels
-    worker.host = entry.host
+    worker.other_address = ""
+    if not worker.has_seen_token:
+        # A worker stays on its host; another writer's entry must not move it.
+        worker.host = entry.host
     is_draining = entry.state == names.WORKER_DRAINING
     if is_draining != worker.is_draining:
         worker.is_draining = is_draining
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -212,10 +212,12 @@
         async with self._orders:
             if self._is_closed:
                 return
+            born_ms = self.worker.born_ms
             reply = await self._client.stop(
                 task_name, number, self._dispatcher.token, ANSWER_TIMEOUT_S
             )
-        if self._is_closed or run is None:
+        if self._is_closed or run is None or self.worker.born_ms != born_ms:
+            # A stop that an earlier incarnation confirmed says nothing of this one.
             return
         if reply.outcome in (OrderOutcome.DONE, OrderOutcome.OUTDATED):
             run.stop_answered_at = self._timers.now()
