Give a leader no authority without its key, and end its predecessor's lease surely

Callers saw: possibly two leaders that act for longer than successors count. Cause (review): authority rested on renewals of the node's lease. After a lost lease the node got a new one, and authority, though writing its key again had no answer; and a predecessor whose lease could not be ended at the first try went on renewing it while its watch reported nothing. Change: only a lease with which the key was written gives authority; the call that ends the previous lease is repeated until it is answered or the lease is gone.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -184,3 +184,19 @@
 
   Scenario: what is stored of one incarnation acknowledges no end of the next
     Then no end of an incarnation is acknowledged by what was stored of the one before
+
+  Scenario Outline: a leader that lost its lease and whose key <state> has authority: <has>
+    Then a leader that lost its lease and whose key "<state>" has authority: "<has>"
+
+    Examples:
+      | state              | has |
+      | is written again   | yes |
+      | cannot be written  | no  |
+
+  Scenario Outline: a leader whose <unanswered> first calls get no answer ends its predecessor's lease with <calls>
+    Then a leader whose <unanswered> first calls get no answer ends its predecessor's lease with <calls>
+
+    Examples:
+      | unanswered | calls |
+      | 0          | 1     |
+      | 2          | 3     |
--- a/features/steps/run_end_steps.py
+++ b/features/steps/run_end_steps.py
@@ -169,3 +169,18 @@
 @then("no end of an incarnation is acknowledged by what was stored of the one before")
 def check_next_incarnation(context):
     assert run_in_loop(silent_workers.acknowledge_for_next_incarnation) == 0
+
+
+@then('a leader that lost its lease and whose key "{state}" has authority: "{has}"')
+def check_authority(context, state, has):
+    found = asyncio.run(missed_leaderships.lose_lease(state == "is written again"))
+    assert found == (has == "yes")
+
+
+@then(
+    "a leader whose {unanswered:d} first calls get no answer "
+    "ends its predecessor's lease with {calls:d}"
+)
+def check_ended_lease(context, unanswered, calls):
+    found = asyncio.run(missed_leaderships.end_previous_lease(unanswered))
+    assert found == calls, found
--- a/features/support/memory_stores.py
+++ b/features/support/memory_stores.py
@@ -4,7 +4,8 @@
 
 from returns.result import Failure, Success
 
-from sassafrasgrade.errors import RevisionConflict
+from sassafrasgrade.errors import LeaseGone, PlatformUnavailable, RevisionConflict
+from sassafrasgrade.member_records import LEADER_KEY
 from sassafrasgrade.platform.stores import Changes, Item
 
 
@@ -14,12 +15,20 @@
     Attributes:
         items_by_key: Present items.
         registered: Set once a node's own key has been written.
+        ended_leases: Leases that were to be ended, also without an answer.
+        unanswered_ends: How many calls that end a lease get no answer.
+        lost_lease: Lease that has ended; 0 if none has.
+        loses_leader_writes: Whether writes of the leader's key are lost.
     """
 
     def __init__(self):
         self.items_by_key = {}
         self.registered = asyncio.Event()
         self.revision = 0
+        self.ended_leases = []
+        self.unanswered_ends = 0
+        self.lost_lease = 0
+        self.loses_leader_writes = False
         self._is_reported = asyncio.Event()
         self._leases = 0
 
@@ -54,14 +63,21 @@
 
     async def renew_lease(self, lease, timeout_s):
         """Renews a lease."""
+        if lease == self.lost_lease:
+            return Failure(LeaseGone("the lease has ended", ""))
         return Success(None)
 
     async def end_lease(self, lease):
         """Ends a lease."""
+        self.ended_leases.append(lease)
+        if len(self.ended_leases) <= self.unanswered_ends:
+            return Failure(PlatformUnavailable("no answer", ""))
         return Success(None)
 
     async def commit(self, conditions=(), puts=(), deletes=()):
         """Applies a commit if its conditions hold."""
+        if self.loses_leader_writes and any(put.key == LEADER_KEY for put in puts):
+            return Failure(PlatformUnavailable("no answer", ""))
         revisions_by_key = {k: i.revision for k, i in self.items_by_key.items()}
         if any(
             revisions_by_key.get(key, 0) != revision for key, revision in conditions
--- a/features/support/missed_leaderships.py
+++ b/features/support/missed_leaderships.py
@@ -135,3 +135,44 @@
     await leadership._campaign()
     assert candidate.gained == [3], candidate.gained
     return leadership.earlier_leaders_until - candidate.timers.now()
+
+
+async def lose_lease(is_rewritten):
+    """A leader loses its lease, and its key with it, and gets a new lease.
+
+    Args:
+        is_rewritten: Whether its write of the key is carried out.
+
+    Returns:
+        Whether it has authority.
+    """
+    store = MemoryStore()
+    candidate = Candidate(store)
+    leadership = candidate.leadership
+    leadership.start()
+    await take_turns()
+    leadership._campaign_timeout = None
+    if not leadership.is_leader:
+        await leadership._campaign()
+    assert leadership.has_authority()
+    store.remove(LEADER_KEY)
+    store.lost_lease = leadership.lease
+    store.loses_leader_writes = not is_rewritten
+    await leadership._renew_lease()
+    assert not leadership.has_authority()
+    await leadership._register()
+    return leadership.has_authority()
+
+
+async def end_previous_lease(unanswered):
+    """Returns how often a new leader orders the end of its predecessor's lease."""
+    store = MemoryStore()
+    store.unanswered_ends = unanswered
+    candidate = Candidate(store)
+
+    async def pause():
+        await asyncio.sleep(0)
+
+    candidate.leadership.pause_before_retry = pause
+    await candidate.leadership._end_previous_lease(7)
+    return len(store.ended_leases)
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -57,6 +57,8 @@
 # Suspension of the host up to which a leader still has authority, in seconds;
 # after a longer one it has none until a renewal is answered.
 MAX_SUSPEND_S = 0.3
+# Pause before the previous leader's lease is ended again, in seconds.
+RETRY_PAUSE_S = 0.3
 # Longest time that one watch call waits for changes, in seconds.
 WATCH_WAIT_S = 1.3
 
@@ -131,6 +133,9 @@
         self._leader_lease = 0
         self._next_campaign_at = 0.0
         self._renewed_at = 0.0
+        # Lease with which this node wrote the leader's key.
+        self._key_lease = 0
+        self._led_at = 0.0
         self._suspended_at_renewal_s = 0.0
 
     @property
@@ -140,7 +145,7 @@
 
     def has_authority(self):
         """Whether the lease is certainly valid, so that orders may be given."""
-        if not self.is_leader or self._timers.now() >= self._lease_until:
+        if not self._holds_key() or self._timers.now() >= self._lease_until:
             return False
         return _suspended_s() - self._suspended_at_renewal_s < MAX_SUSPEND_S
 
@@ -149,10 +154,14 @@
         is_fresh = self._timers.now() - self._renewed_at < MAX_HOST_ORDER_RENEWAL_AGE_S
         return is_fresh and self.has_authority()
 
+    def _holds_key(self):
+        """Whether the leader's key was written with the present lease."""
+        return self.is_leader and self._key_lease == self.lease
+
     @property
     def last_renewal_at(self):
-        """Clock when the last answered renewal was sent; a leader surely led then."""
-        return self._renewed_at
+        """Clock when the last answered renewal of the leader's key was sent."""
+        return self._led_at
 
     @property
     def other_records(self):
@@ -272,6 +281,8 @@
         self._record_store_answer()
         self._lease_until = sent_at + LEASE_TTL_S - LEASE_MARGIN_S
         self._renewed_at = sent_at
+        if self._holds_key():
+            self._led_at = sent_at
         self._suspended_at_renewal_s = _suspended_s()
 
     def _record_store_answer(self):
@@ -333,6 +344,7 @@
             return
         if not isinstance(result, Failure):
             self.token = self._epoch_revision = result.unwrap()
+            self._key_lease = self.lease
             self._set_leader(record, self.token, self.lease)
             self._on_renew(self.token, record.epoch)
         elif isinstance(result.failure(), RevisionConflict):
@@ -574,13 +586,25 @@
         return wait_s > 0
 
     async def _end_previous_lease(self, lease):
-        """Ends the previous leader's lease, so that it learns of its loss."""
-        result = await self._store.end_lease(lease)
-        if isinstance(result, Failure) and not isinstance(result.failure(), LeaseGone):
+        """Ends the previous leader's lease, so that it learns of its loss.
+
+        Without that it would renew its lease for as long as its watch reports nothing.
+        """
+        while not self._is_closed:
+            result = await self._store.end_lease(lease)
+            if not isinstance(result, Failure):
+                return
+            if isinstance(result.failure(), LeaseGone):
+                return
             logger.info(
-                "could not end the previous leader's lease",
+                "could not end the previous leader's lease; retrying",
                 extra={"error": result.failure().kind},
             )
+            await self.pause_before_retry()
+
+    async def pause_before_retry(self):
+        """Waits before a call is retried."""
+        await gen.sleep(RETRY_PAUSE_S)
 
     async def _resolve_campaign(self):
         """Reads whether a campaign whose answer was lost made this node leader."""
@@ -606,6 +630,8 @@
         if self.is_leader or self._is_withdrawn or revision < self.leader_revision:
             return
         self.token = revision
+        self._key_lease = self.lease
+        self._led_at = self._renewed_at
         self._epoch_revision = max(self._epoch_revision, revision)
         self.previous_leader_revision = self.last_leader_revision
         self._set_leader(record, revision, self.lease)
