Split the application of a worker's lists, and name what it does

Cause: a newcomer had to read five steps in one function, two functions shared a name with others, and three kinds of proof were reasons for removing a row. Change: a function for ends, running rows and absent runs; clearer names. No decision changes.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -287,7 +287,7 @@
         )
 
     def _apply_lists(self, worker, view, sent_at, now):
-        was_fenced, worker.has_seen_token = worker.has_seen_token, True
+        had_seen_token, worker.has_seen_token = worker.has_seen_token, True
         self._record_durations(worker, view, now)
         runs_before = len(worker.runs_by_key)
         self.tables.jobs_complete_at = self.loader.jobs_complete_at
@@ -295,9 +295,9 @@
         self._carry_out_all(commands)
         if worker.unclaimed_runs or worker.unclaimed_ends:
             self.loader.check_jobs()
-        if not was_fenced:
+        if not had_seen_token:
             self.loader.lift_barrier()
-        if commands or not was_fenced or len(worker.runs_by_key) < runs_before:
+        if commands or not had_seen_token or len(worker.runs_by_key) < runs_before:
             self.schedule_placement()
         self._schedule_store(worker)
 
@@ -423,7 +423,7 @@
         """Removes workers that were given up and have no runs left."""
         for worker in list(self.tables.workers_by_id.values()):
             if worker.is_superseded and not worker.has_runs:
-                proof = EndProof(ProofKind.ADDRESS_ANSWERS_FOR_OTHER, now)
+                proof = EndProof(ProofKind.ANOTHER_ANSWERS, now)
                 remove_worker(self.tables, worker, proof, now)
 
     def record_unresponsive(self, worker, detail):
--- a/sassafrasgrade/systems/end_proofs.py
+++ b/sassafrasgrade/systems/end_proofs.py
@@ -10,14 +10,18 @@
 
 
 class ProofKind(StrEnum):
-    """What shows that a run has ended or never began."""
+    """What shows that a run has ended or never began, or why its worker is removed.
+
+    Workers are removed for ``ANOTHER_ANSWERS``, ``ADDRESS_CHANGED`` and ``WORKER_GONE``
+    only once they have no runs.
+    """
 
     END_LISTED = "end listed"
     ABSENT = "absent from a later list"
     START_REFUSED = "start refused"
     START_NOT_SENT = "start not sent"
     LEASE_LAPSED = "lease lapsed"
-    ADDRESS_ANSWERS_FOR_OTHER = "another incarnation answers at the address"
+    ANOTHER_ANSWERS = "another incarnation answers at the address"
     ADDRESS_CHANGED = "worker registered with another address"
     HOST_RUNS_ANOTHER = "host runs a later worker"
     HOST_ORDERED = "host order carried out"
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -63,49 +63,67 @@
     if view.clock_ms < worker.view_clock_ms:
         # Answers on different connections may arrive out of order.
         return []
-    previous_clock_ms, worker.view_clock_ms = worker.view_clock_ms, view.clock_ms
-    commands = []
     is_first_view, worker.has_shown_runs = not worker.has_shown_runs, True
     if is_first_view:
-        worker.first_view_clock_ms = previous_clock_ms = view.clock_ms
+        worker.first_view_clock_ms = worker.view_clock_ms = view.clock_ms
         if tables.epoch > 1:
-            _extend_lease(tables, worker, now)
-    shown_ms = previous_clock_ms - worker.first_view_clock_ms
+            _assume_longest_lease(tables, worker, now)
+    commands = _apply_ends(tables, worker, view, now)
+    worker.view_clock_ms = view.clock_ms
+    commands += _apply_running_rows(tables, worker, view, now)
+    commands += _drop_unclaimed_ends(tables, worker)
+    _forget_absent(tables, worker, view, sent_at, now)
+    if is_first_view:
+        commands.append(_describe_first_view(worker, view))
+    return commands
+
+
+def _apply_ends(tables, worker, view, now):
+    """Applies the ends that are listed for the first time."""
+    commands = []
+    # How long before the previous list the worker had first listed its runs.
+    shown_ms = worker.view_clock_ms - worker.first_view_clock_ms
     for row in view.ended:
-        if row.number > worker.seen_end:
-            worker.seen_end = row.number
-            if _is_unclaimed(tables, row, now):
-                worker.unclaimed_ends[row.number] = UnclaimedRow(row, now)
-                continue
-            task = find_task(tables, row.task)
-            was_open = task is not None and not task.is_done
-            commands += _apply_end(tables, worker, row, now)
-            if was_open and task.is_done and shown_ms >= LONGEST_WAIT_MS:
-                _release_following(task)
-    listed = set()
+        if row.number <= worker.seen_end:
+            continue
+        worker.seen_end = row.number
+        if _may_be_of_new_job(tables, row, now):
+            worker.unclaimed_ends[row.number] = UnclaimedRow(row, now)
+            continue
+        task = find_task(tables, row.task)
+        was_open = task is not None and not task.is_done
+        commands += _apply_end(tables, worker, row, now)
+        if was_open and task.is_done and shown_ms >= LONGEST_WAIT_MS:
+            _release_following(task)
+    return commands
+
+
+def _apply_running_rows(tables, worker, view, now):
+    """Applies the list of running tasks; keeps rows of jobs that are not known yet."""
+    commands = []
     unclaimed, worker.unclaimed_runs = worker.unclaimed_runs, {}
     for row in view.running:
         key = (row.task, row.run)
-        listed.add(key)
         seen_at = unclaimed[key].seen_at if key in unclaimed else now
-        if _is_unclaimed(tables, row, seen_at):
+        if _may_be_of_new_job(tables, row, seen_at):
             worker.unclaimed_runs[key] = UnclaimedRow(row, seen_at)
-            _extend_lease(tables, worker, now)
+            _assume_longest_lease(tables, worker, now)
         else:
             commands += _apply_running(tables, worker, row, now)
-    commands += _drop_unclaimed_ends(tables, worker)
-    shows_all_ends = len(view.ended) < MAX_LISTED_ENDS
+    return commands
+
+
+def _forget_absent(tables, worker, view, sent_at, now):
+    """Forgets runs that are surely over, since a list does not contain them."""
+    if len(view.ended) >= MAX_LISTED_ENDS:
+        return
+    listed = {(row.task, row.run) for row in view.running}
     for key, run in list(worker.runs_by_key.items()):
-        if key in listed or not shows_all_ends:
-            continue
-        if _is_surely_absent(run, view.clock_ms, sent_at):
+        if key not in listed and _is_surely_absent(run, view.clock_ms, sent_at):
             forget_run(tables, run, EndProof(ProofKind.ABSENT, sent_at), now)
-    if is_first_view:
-        commands.append(_describe_first_view(worker, view))
-    return commands
 
 
-def _is_unclaimed(tables, row, seen_at):
+def _may_be_of_new_job(tables, row, seen_at):
     """Whether the job of a row may be stored but not be in the tables yet.
 
     A job is stored before its tasks start: a read of the jobs that began after the
@@ -119,7 +137,7 @@
     """Drops ends of jobs that do not exist any more, so that they are discarded."""
     commands = []
     for number, unclaimed in list(worker.unclaimed_ends.items()):
-        if not _is_unclaimed(tables, unclaimed.row, unclaimed.seen_at):
+        if not _may_be_of_new_job(tables, unclaimed.row, unclaimed.seen_at):
             del worker.unclaimed_ends[number]
             row = unclaimed.row
             fields = {"task": row.task, "run": row.run, "worker": worker.worker_id}
@@ -218,7 +236,7 @@
     task.runs_by_number[row.run] = run
     task.last_number = max(task.last_number, row.run)
     worker.runs_by_key[(row.task, row.run)] = run
-    _extend_lease(tables, worker, now)
+    _assume_longest_lease(tables, worker, now)
     record_start(tables, task.job)
     _record_progress(run, row, now)
     if others and not task.step.is_speculative:
@@ -242,7 +260,7 @@
     return [StopRun(run, "second run of the task") for run in runs if run is not kept]
 
 
-def _extend_lease(tables, worker, now):
+def _assume_longest_lease(tables, worker, now):
     """Records that a worker may hold the longest lease, given by an earlier leader.
 
     It applies to all that runs there, also to what this leader starts.
@@ -512,7 +530,7 @@
     worker.has_seen_token = worker.has_shown_runs = False
     worker.failures = worker.successes = 0.0
     # A renewal by the clock of the earlier incarnation may have reached this one.
-    _extend_lease(tables, worker, now)
+    _assume_longest_lease(tables, worker, now)
     worker.is_crash_recorded = False
     return commands
 
