--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,84 +1,56 @@
-"""Workers crash, one at a time, soon after they began a task that lasts."""
+"""Workers go dark one after another, before the task that is sent there begins."""
 
 import asyncio
 from pathlib import Path
 
-from common.rig import BOUNDS, FINISH_S, Rig, route, run_case
+from common.rig import FINISH_S, Rig, route, run_case
 
 JOB = "5c0e7a21d94b36f8"
-TASKS = 5
-CRASHED = f"{JOB}.0.0.0"
-CRASHES = 4
-MAY_MISS = 1
-# The task has run for this long when its worker crashes.
-RUNNING_S = 2.0
-# The worker of the machine is back this long after.
+TASK = f"{JOB}.0.0.0"
+# srv_crash of the sites: a share of 0.14 for 4.5 s; one of twelve workers at a time.
 DOWN_S = 2.0
+OUTAGES = 5
+# The next worker goes dark this long before the one before it is back.
+OVERLAP_S = 0.15
 
 
 def create():
     rig = Rig(Path(__file__).parent, [("bookings", 12, True)])
-    rig.routes = [route("puxa400", "bookings", targetDurationMs=2500, stretch=2.2)]
+    rig.routes = [route("puxa400", "bookings")]
     return rig
 
 
 async def scenario(rig):
     await rig.start()
-    step = {"cpu": 5300, "memMb": 9700, "perpetual": True, "count": TASKS}
-    step |= {"maxPerServer": 1, "mayMiss": MAY_MISS}
+    workers = list(rig.workers.values())
+    step = {"cpu": 4600, "memMb": 3600, "estimateMs": 1000, "count": 1}
+    if rig.trouble:
+        asyncio.ensure_future(outage(rig, workers[0]))
+        await asyncio.sleep(0.1)
     await rig.submit("/puxa400/", JOB, [step])
-    await rig.until(lambda: len(rig.runs) == TASKS, 5, "all tasks run")
-    await asyncio.sleep(RUNNING_S)
-    crashes = 0
-    while rig.trouble and crashes < CRASHES:
-        run = await next_run(rig)
-        if run is None:
-            break
-        await asyncio.sleep(RUNNING_S)
-        crashes += 1
-        await run.worker.crash()
-        asyncio.ensure_future(rig.return_after(run.worker, DOWN_S))
-        await asyncio.sleep(0.5)
-    # From 6 s after its last run, a task that lasts must not be away for 3 s.
+    if rig.trouble:
+        await asyncio.sleep(DOWN_S - OVERLAP_S - 0.1)
+        for worker in workers[1:OUTAGES]:
+            asyncio.ensure_future(outage(rig, worker))
+            await asyncio.sleep(DOWN_S - OVERLAP_S)
     await asyncio.sleep(FINISH_S)
     state = await rig.state("/puxa400/", JOB)
-    live = {run.task for run in rig.runs if not run.is_over}
-    failed = [run for run in rig.runs if run.how == "failed"]
-    stopped = [run for run in rig.runs if run.how == "stopped" and run.worker.is_up]
+    ends = [run.how for run in rig.runs_of(TASK)]
     seen = (
-        f"{crashes} crashes, {len(failed)} ends failed: {len(stopped)} tasks at work "
-        f"on sound workers were stopped, {len(live)} of {TASKS} run, "
-        f"the job is shown as {state}"
+        f"the job is shown as {state}; its task began {len(ends)} times, ended {ends}"
     )
-    return most_away(stopped) > MAY_MISS, seen
+    return state == "failed" and "failed" not in ends, seen
 
 
-def most_away(stopped):
-    """Returns how many tasks stops kept from work at the same time.
-
-    A task counts as away by a stop for noticeMs after it, whether it runs again or not.
-    """
-    notice_s = BOUNDS["noticeMs"] / 1000
-    return max(
-        (
-            sum(
-                run.ended_at - notice_s < other.ended_at <= run.ended_at
-                for other in stopped
-            )
-            for run in stopped
-        ),
-        default=0,
+async def outage(rig, worker):
+    """A worker crashes and is dark; its machine has another one later."""
+    worker.go_dark()
+    await asyncio.sleep(DOWN_S)
+    worker.server.stop()
+    await worker.server.close_all_connections()
+    rig.add_worker(
+        worker.machine, worker.service, worker.port, worker.labels, worker.guards
     )
 
 
-async def next_run(rig):
-    """Waits for the next run of the task; None if there is none."""
-    for _ in range(600):
-        for run in rig.runs_of(CRASHED):
-            if not run.is_over:
-                return run
-        await asyncio.sleep(0.02)
-    return None
-
-
 run_case(create, scenario)
