--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -332,6 +332,7 @@
             self.finish({})
             return
         body = json.loads(self.request.body)
+        self.worker.rig.calls_at.append(time.monotonic())
         if self.request.path == "/-/hold" and self.worker.rig.holds_up(
             self.worker, body
         ):
@@ -512,6 +513,8 @@
         self.needs_ticket = False
         # Which polls are held up, for how long, and those that were.
         self.hold_late, self.late_s, self.held = (lambda worker, body: False), 0.0, []
+        # When calls reached workers.
+        self.calls_at = []
         self.loses_answer = lambda commit: False
         self.is_allowed = lambda step, worker: True
         self.http = SimpleAsyncHTTPClient(force_instance=True, max_clients=100)
@@ -602,6 +605,10 @@
         self._register(worker)
         return worker
 
+    def calls_within(self, seconds):
+        """Counts the calls that reached workers in the last seconds."""
+        return sum(at > time.monotonic() - seconds for at in self.calls_at)
+
     def holds_up(self, worker, body):
         """Whether a poll is to be held up."""
         if not self.hold_late(worker, body):
