--- a/review/common/rig.py
+++ b/review/1/rig.py
@@ -15,7 +15,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -797,20 +796,22 @@
             broken, what was seen).
     """
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
-    status, text = NOT_RUN, ""
 
     async def run():
         rig = create()
         try:
             is_broken, seen = await asyncio.wait_for(scenario(rig), MOST_S)
-            return (BROKEN if is_broken else HELD), seen, rig
+            status = BROKEN if is_broken else HELD
         except Exception as error:
-            return NOT_RUN, f"could not run: {error!r}", rig
+            status, seen = NOT_RUN, f"could not run: {error!r}"
         finally:
             rig.close()
+        rig.record("ends", status=status, seen=seen)
+        return status, seen
 
-    status, text, rig = asyncio.run(run())
-    rig.record("ends", status=status, seen=text)
+    try:
+        status, text = asyncio.run(run())
+    except Exception as error:
+        status, text = NOT_RUN, f"could not run: {error!r}"
     print(f"status {status}: {text}", flush=True)
-    sys.stdout.flush()
     os._exit(status)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,7 +3,7 @@
 import asyncio
 from pathlib import Path
 
-from common.rig import FINISH_S, Rig, route, run_case
+from rig import FINISH_S, Rig, route, run_case
 
 JOB, OTHER_JOB = "5c0e7a21d94b36f8", "5c0e7a21d94b36f9"
 LABEL = "b"
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,7 @@
 import time
 from pathlib import Path
 
-from common.rig import Rig, route, run_case
+from rig import Rig, route, run_case
 
 JOB = "5c0e7a21d94b36f8"
 TASK = f"{JOB}.0.0.1"
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 build="$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/system.toml", "rb"))["build"])')"
 sh -c "$build"
-export PYTHONPATH="$PWD/target/deps:$PWD:$PWD/review" PYTHONDONTWRITEBYTECODE=1
-python3 -c 'import common.rig, sassafrasgrade.nodes'
+export PYTHONPATH="$PWD/target/deps:$PWD:$PWD/review/1" PYTHONDONTWRITEBYTECODE=1
+python3 -c 'import rig, sassafrasgrade.nodes'
