Log which incarnation a start was sent to and which one runs it

Cause: the logs could not tell a late order at a worker's next incarnation from other ways to a second run: a forgotten run named the incarnation of the moment only, a restart under the same id had no line, nor had a run without an answered start.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -15,6 +15,23 @@
       | worker silence while the lease is valid                |                          |
       | a report that it is done                               |                          |
 
+  Scenario Outline: a listed run whose start was <state> is logged as found: <found>
+    Given a job of one task that may fail 2 times
+    When the worker's incarnation 7 lists a run whose start was "<state>"
+    Then the list is logged as showing a run sent to incarnation <sent_to>: "<found>"
+
+    Examples:
+      | state                        | sent_to | found |
+      | answered by incarnation 7    | 7       | no    |
+      | sent to incarnation 7        | 7       | yes   |
+      | sent to incarnation 3        | 3       | yes   |
+      | sent by an earlier leader    | unknown | yes   |
+
+  Scenario: a restart of a worker is logged with the starts that were not answered
+    Given a job of one task that may fail 2 times
+    When the worker restarts with an unanswered start
+    Then the restart and the unanswered start are logged
+
   Scenario Outline: of two runs of a task, the first at <first> and <answering>, the second at 10 percent, run <stopped> is stopped
     Given a job of one task that may fail 2 times
     When a second worker lists a run of the task at 10 percent, the first is at <first> percent on a worker that is <answering>
--- a/features/steps/run_end_steps.py
+++ b/features/steps/run_end_steps.py
@@ -11,8 +11,11 @@
 from features.support.work_tables import NOW, apply_worker_view, start_run
 from sassafrasgrade.errors import StoreRefused
 from sassafrasgrade.platform.clouds import HostOrderOutcome
+from sassafrasgrade.platform.messages import WorkerView
 from sassafrasgrade.platform.workers import NO_EFFECT_OUTCOMES
-from sassafrasgrade.work_commands import ReportSecondRun, StopRun
+from sassafrasgrade.systems.run_updates import restart_worker
+from sassafrasgrade.work_commands import LogEvent, ReportSecondRun, StopRun
+from sassafrasgrade.work_tables import RunState
 
 
 class RecordingHandler(logging.Handler):
@@ -48,6 +51,52 @@
         assert record.proof_age_ms >= 0, record.proof_age_ms
 
 
+@when('the worker\'s incarnation {born_ms:d} lists a run whose start was "{state}"')
+def list_run(context, born_ms, state):
+    context.worker.born_ms = born_ms
+    if state != "sent by an earlier leader":
+        is_answered = state.startswith("answered")
+        run_state = RunState.RUNNING if is_answered else RunState.UNCERTAIN
+        run = start_run(context.task, context.worker, run_state)
+        run.sent_at, run.sent_to_born_ms = NOW, int(state.rpartition(" ")[2])
+    running = [(context.task.name, 1, "", 10, 0)]
+    context.commands = apply_worker_view(
+        context.tables, context.worker, NOW + 1, running=running
+    )
+
+
+@then("the list is logged as showing a run sent to incarnation {sent_to}: " '"{found}"')
+def check_found(context, sent_to, found):
+    events = _events(context, "run-found")
+    assert len(events) == (found == "yes"), events
+    expected = None if sent_to == "unknown" else int(sent_to)
+    for fields in events:
+        assert fields["born"] == 7 and fields.get("sent_to_born") == expected, fields
+
+
+@when("the worker restarts with an unanswered start")
+def restart_with_unanswered_start(context):
+    context.worker.born_ms = 3
+    start_run(context.task, context.worker, RunState.UNCERTAIN)
+    view = WorkerView(clock_ms=1.0, born_ms=7)
+    context.commands = restart_worker(context.tables, context.worker, view, NOW + 1)
+
+
+@then("the restart and the unanswered start are logged")
+def check_restart(context):
+    (fields,) = _events(context, "worker-restarted")
+    assert (fields["earlier_born"], fields["born"]) == (3, 7), fields
+    assert fields["unanswered"] == [f"{context.task.name}#1"], fields
+
+
+def _events(context, name):
+    return [
+        command.fields
+        for command in context.commands
+        if isinstance(command, LogEvent) and command.event == name
+    ]
+
+
 @when(
     "a second worker lists a run of the task at 10 percent, "
     "the first is at {percent:d} percent on a worker that is {answering}"
--- a/sassafrasgrade/systems/end_proofs.py
+++ b/sassafrasgrade/systems/end_proofs.py
@@ -61,6 +61,10 @@
         "proof": str(proof.kind),
         "proof_age_ms": round((now - proof.known_at) * MS_PER_S),
     }
+    if run.sent_at:
+        fields["sent_to_born"] = run.sent_to_born_ms
+        fields["order_age_ms"] = round((now - run.sent_at) * MS_PER_S)
+        fields["is_answered"] = run.answered_at > 0
     if worker is not None:
         fields["born"] = worker.born_ms
         fields["lease_left_ms"] = round((worker.lease_until - now) * MS_PER_S)
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -207,11 +207,28 @@
     run = worker.runs_by_key.get((row.task, row.run))
     if run is None:
         return _adopt_run(tables, worker, row, now)
-    if run.state in (RunState.STARTING, RunState.UNCERTAIN):
+    commands = []
+    if run.state in UNANSWERED_STATES:
+        commands.append(_describe_found(worker, run, now))
         run.state = RunState.RUNNING
         run.answered_at = now
     _record_progress(run, row, now)
-    return []
+    return commands
+
+
+def _describe_found(worker, run, now):
+    """Logs that a worker runs what no answer to a start has said."""
+    fields = {
+        "job": run.task.job.job_id,
+        "task": run.task.name,
+        "run": run.number,
+        "worker": worker.worker_id,
+        "born": worker.born_ms,
+    }
+    if run.sent_at:
+        fields["sent_to_born"] = run.sent_to_born_ms
+        fields["order_age_ms"] = round((now - run.sent_at) * MS_PER_S)
+    return LogEvent("run-found", fields)
 
 
 def _record_progress(run, row, now):
@@ -237,6 +254,7 @@
     task.last_number = max(task.last_number, row.run)
     worker.runs_by_key[(row.task, row.run)] = run
     _assume_longest_lease(tables, worker, now)
+    commands.append(_describe_found(worker, run, now))
     record_start(tables, task.job)
     _record_progress(run, row, now)
     if others and not task.step.is_speculative:
@@ -515,9 +533,10 @@
     Returns:
         Commands.
     """
-    commands = []
+    unanswered = [r for r in worker.runs_by_key.values() if is_unanswered(r)]
+    commands = [_describe_restart(worker, view, unanswered)]
     for run in worker.runs_by_key.values():
-        if run.deadline_ms and run.state in UNANSWERED_STATES:
+        if run in unanswered:
             run.state = RunState.UNCERTAIN
             run.deadline_ms = view.clock_ms + LATEST_ORDER_MS
             commands.append(StopRun(run, "worker restarted before a start's answer"))
@@ -535,6 +554,22 @@
     return commands
 
 
+def is_unanswered(run):
+    """Whether the start of a run was sent and got no answer."""
+    return bool(run.deadline_ms) and run.state in UNANSWERED_STATES
+
+
+def _describe_restart(worker, view, unanswered):
+    fields = {
+        "worker": worker.worker_id,
+        "born": view.born_ms,
+        "earlier_born": worker.born_ms,
+        "runs": len(worker.runs_by_key),
+        "unanswered": [f"{run.task.name}#{run.number}" for run in unanswered],
+    }
+    return LogEvent("worker-restarted", fields)
+
+
 def has_incarnation_ended(worker, fleet):
     """Whether the list of hosts shows that a worker's incarnation has ended.
 
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -86,7 +86,9 @@
         number: Number of the start; increases with each start of a task.
         worker_id: Worker it was sent to.
         state: Its known state.
-        started_at: Clock of the node when the start was sent, in seconds.
+        started_at: Clock of the node when the run was placed, in seconds.
+        sent_at: Clock when its start was sent; 0 if this leader sent none.
+        sent_to_born_ms: Incarnation of the worker that its start was sent to.
         answered_at: When the start was confirmed; 0 before.
         deadline_ms: Time on the worker's clock after which the order is void.
         percent: Progress of the run; 100 means at work for perpetual tasks.
@@ -107,6 +109,8 @@
     worker_id: str
     state: RunState
     started_at: float
+    sent_at: float = 0.0
+    sent_to_born_ms: int | None = None
     answered_at: float = 0.0
     deadline_ms: float = 0.0
     percent: float = 0.0
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -181,6 +181,7 @@
                 return
             now = self._timers.now()
             run.deadline_ms = self._worker_clock(now) + START_VALID_MS
+            run.sent_at, run.sent_to_born_ms = now, self.worker.born_ms
             self._extend_lease(now, START_VALID_MS / MS_PER_S)
             task = run.task
             order = StartOrder(
