Show that late calls act on a worker's next incarnation

Change: the cases "late-wide" and "late-busy": calls carried out 2 to 12 s late beside four restarts of workers under their ids.

--- a/features/support/virtual/cases.py
+++ b/features/support/virtual/cases.py
@@ -94,6 +94,25 @@
     return (late, _reborn(source, (0.1, 3.0)), _reborn(source, (0.1, 3.0)))
 
 
+def _crash(source, at_s, gap_s):
+    return Fault(
+        "worker_crash",
+        BEGIN_S + source.uniform(*at_s),
+        source.uniform(*gap_s),
+        source.choice("012"),
+        None,
+        {"returns": "reborn", "dark": source.random() < 0.5},
+    )
+
+
+def late_wide(source):
+    """h. Calls are carried out up to 12 s late, beside workers that are reborn."""
+    share = source.choice((0.2, 0.5))
+    options = {"share": share, "reaches_next": True, "range": (2.0, 12.0)}
+    late = Fault("late_orders", BEGIN_S, 5.0, "all", None, options)
+    return (late,) + tuple(_crash(source, (1.0, 8.0), (0.05, 1.5)) for _ in range(4))
+
+
 def second_copy(source):
     """i. curl sends a start again, and the second copy is refused."""
     worker = source.choice("012")
@@ -171,6 +190,8 @@
     "leader-came-and-went": Case(leader_came_and_went),
     "earlier-answer": Case(earlier_answer, BUSY),
     "late-to-next": Case(late_to_next, BUSY),
+    "late-wide": Case(late_wide),
+    "late-busy": Case(late_wide, BUSY),
     "second-copy": Case(second_copy, BUSY),
     "moved-queue": Case(moved_queue, WIDE),
     "unlisted-worker": Case(unlisted_worker),
--- a/features/support/virtual/commands.py
+++ b/features/support/virtual/commands.py
@@ -1,6 +1,7 @@
 """Plays many seeds: ``python -m features.support.virtual.commands --first 1``."""
 
 import argparse
+import functools
 import multiprocessing
 import os
 import random
@@ -96,13 +97,25 @@
     }
 
 
-def run_seeds(seeds, processes):
-    """Yields the results of seeds, in any order."""
+def _play_case_counted(name, seed):
+    world, faults = play_case(name, seed)
+    violations = list(world.checker.violations)
+    return {
+        "seed": seed,
+        "faults": faults,
+        "violations": violations,
+        "errors": world.errors[:2],
+        "report": describe(world, violations[0]) if violations else [],
+    }
+
+
+def run_seeds(play_counted, seeds, processes):
+    """Yields the results of ``play_counted`` for seeds, in the order of the seeds."""
     if processes == 1:
-        yield from map(_play_counted, seeds)
+        yield from map(play_counted, seeds)
         return
     with multiprocessing.Pool(processes, maxtasksperchild=100) as pool:
-        yield from pool.imap_unordered(_play_counted, seeds)
+        yield from pool.imap(play_counted, seeds)
 
 
 def main():
@@ -124,7 +137,7 @@
     if options.case:
         sys.exit(_run_case(options, seeds))
     failing, totals, spent_s = [], {}, 0.0
-    for result in run_seeds(seeds, options.processes):
+    for result in run_seeds(_play_counted, seeds, options.processes):
         spent_s += result["spent_s"]
         for name in ("starts", "acknowledged", "accepted", "completed", "takeovers"):
             totals[name] = totals.get(name, 0) + result[name]
@@ -141,16 +154,16 @@
 def _run_case(options, seeds):
     """Plays a case with each seed; prints the first report; returns the exit code."""
     failing = {}
-    for seed in seeds:
-        world, faults = play_case(options.case, seed)
-        for error in world.errors[:2]:
-            print(f"seed {seed}: error {error}")
-        found = world.checker.violations
-        if found and not failing and not options.brief:
-            print("\n".join([f"  {fault}" for fault in faults]))
-            print("\n".join(describe(world, found[0])), flush=True)
-        if found:
-            failing[seed] = sorted({violation.rule for violation in found})
+    play_counted = functools.partial(_play_case_counted, options.case)
+    for result in run_seeds(play_counted, seeds, options.processes):
+        for error in result["errors"]:
+            print(f"seed {result['seed']}: error {error}")
+        if result["violations"] and not failing and not options.brief:
+            print("\n".join([f"  {fault}" for fault in result["faults"]]))
+            print("\n".join(result["report"]), flush=True)
+        if result["violations"]:
+            rules = {violation.rule for violation in result["violations"]}
+            failing[result["seed"]] = sorted(rules)
     print(f"{options.case}: {len(failing)} of {len(seeds)} seeds failed: {failing}")
     return 1 if failing else 0
 
--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -45,6 +45,14 @@
       | case         | first | seeds |
       | late-to-next | 28    | 1     |
 
+    @known_red
+    Examples: a late start or poll acts on the next incarnation of its worker
+      | case      | first | seeds |
+      | late-wide | 3     | 1     |
+      | late-wide | 22    | 1     |
+      | late-wide | 34    | 1     |
+      | late-wide | 1     | 10    |
+
   Scenario Outline: a run that may be at work stays in the tables: <event>
     Given a worker with a run that was answered 0.1 s ago
     When the tables learn of it: "<event>"
