Raise the token of calls to workers with the leader's commits

Callers saw: a task ran twice. A worker that starts again under its id has seen no token, and calls name its id only: a start or poll that the platform carried out late acted on the next incarnation. The start began a run whose task had been freed by what the earlier incarnation said; the poll discarded ends that nobody had seen. Cause: all calls of a leader carried one token. Class: a statement about one incarnation taken for one about another. Change: calls carry the revision of the leader's last conditional commit, which is above its key's and below a successor's. A restarted worker gets no new runs before it has answered a call with a token above all that were sent to its id, for which one write is made if no commit comes. A worker that refuses an earlier token of the same leader is no sign of another one.

--- /dev/null
+++ b/features/late_calls.feature
@@ -0,0 +1,39 @@
+Feature: A call that is carried out late acts on no later incarnation of its worker
+
+  Scenario Outline: after a restart under the same id, <event>: usable <usable>
+    Then a worker that restarted under its id is usable after "<event>": "<usable>"
+
+    Examples:
+      | event                                                        | usable |
+      | its first answer                                             | no     |
+      | its first answer and a commit                                | no     |
+      | a commit, and an answer to a call that was sent before       | no     |
+      | a commit, and an answer to a call that was sent later        | yes    |
+      | an answer to a later call, while the store is away           | no     |
+      | a new key of its leader, and an answer to a later call       | yes    |
+      | a second restart, and an answer to a call in between         | no     |
+      | a second restart, a commit, and an answer to a later call    | yes    |
+      | a new row for its id, and its first answer                   | no     |
+      | a new row for its id, a commit, and an answer to a later call | yes    |
+
+  Scenario Outline: a leader with token <present> whose call with token <refused> is refused as outdated steps down: <steps>
+    Then a leader whose calls carry token <present> and one with token <refused> is refused steps down: "<steps>"
+
+    Examples: tokens rise with the leader's commits, so that calls may overtake each other
+      | present | refused | steps |
+      | 30      | 30      | yes   |
+      | 39      | 39      | yes   |
+      | 39      | 30      | no    |
+      | 39      | 38      | no    |
+
+  Scenario Outline: a write that raises the tokens of workers is <answered>: the leader writes <writes> times, steps down: <steps>
+    Then tokens are raised by <writes> writes when the first is "<answered>", the leader steps down: "<steps>"
+
+    Examples:
+      | answered                        | writes | steps |
+      | stored                          | 1      | no    |
+      | not answered                    | 2      | no    |
+      | refused, another node leads     | 2      | yes   |
+
+  Scenario: a poll that a later call has overtaken is repeated at once
+    Then a poll that is refused with an earlier token counts as answered
--- /dev/null
+++ b/features/steps/late_call_steps.py
@@ -0,0 +1,37 @@
+"""Steps on calls that are carried out late, by a later incarnation of a worker."""
+
+import asyncio
+
+from behave import then
+
+from features.support import late_calls
+from features.support.takeovers import run_in_loop
+
+
+@then('a worker that restarted under its id is usable after "{event}": "{usable}"')
+def check_usable(context, event, usable):
+    found = run_in_loop(lambda: late_calls.is_usable_after(event))
+    assert found == (usable == "yes"), found
+
+
+@then(
+    "a leader whose calls carry token {present:d} and one with token {refused:d} is "
+    'refused steps down: "{steps}"'
+)
+def check_steps_down(context, present, refused, steps):
+    found = run_in_loop(lambda: late_calls.steps_down(present, refused))
+    assert found == (steps == "yes"), found
+
+
+@then(
+    'tokens are raised by {writes:d} writes when the first is "{answered}", the leader '
+    'steps down: "{steps}"'
+)
+def check_raised(context, writes, answered, steps):
+    found = asyncio.run(late_calls.raise_token(answered))
+    assert found == (writes, steps == "yes"), found
+
+
+@then("a poll that is refused with an earlier token counts as answered")
+def check_overtaken_poll(context):
+    assert asyncio.run(late_calls.poll_with_earlier_token())
--- /dev/null
+++ b/features/support/late_calls.py
@@ -0,0 +1,198 @@
+"""Workers that restart under their ids, and tokens that keep late calls from them."""
+
+import asyncio
+from types import SimpleNamespace
+
+from returns.result import Failure, Success
+
+from features.support.order_cases import RecordingDispatcher
+from features.support.takeovers import TOKEN, Takeover, registration
+from features.support.work_tables import create_tables
+from sassafrasgrade.errors import PlatformUnavailable, RevisionConflict
+from sassafrasgrade.leaderships import LEADER_KEY
+from sassafrasgrade.platform.stores import Item
+from sassafrasgrade.platform.workers import OrderOutcome, WorkerReply
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
+from sassafrasgrade.systems.run_updates import remove_worker
+from sassafrasgrade.systems.task_placement import is_usable
+from sassafrasgrade.worker_fences import WorkerFences
+from sassafrasgrade.worker_sessions import WorkerSession
+
+WORKER = "worker-0"
+BORN_MS = 1_000_000
+
+
+class RestartedWorker:
+    """A leader whose worker has answered, restarted and answered again.
+
+    Attributes:
+        leader: ``Takeover``.
+        revision: Revision of the leader's last commit.
+    """
+
+    def __init__(self):
+        self.leader = Takeover(epoch=1)
+        self.leader.load()
+        self.leader.loader._apply_worker_changes([registration(WORKER, born=BORN_MS)])
+        self.leader.report(WORKER, born_ms=BORN_MS)
+        self.revision = TOKEN
+        self.commit()
+        self.leader.wait(0.1)
+        self.restart()
+
+    def restart(self):
+        """The worker starts again under its id, and answers."""
+        self.leader.wait(0.1)
+        self.born_ms = getattr(self, "born_ms", BORN_MS) + 1
+        self.leader.report(WORKER, born_ms=self.born_ms)
+
+    def answer(self):
+        """The worker answers a call that was sent just before."""
+        self.leader.report(WORKER, born_ms=self.born_ms)
+
+    def answer_later(self):
+        """The worker answers a call that is sent from now on."""
+        self.leader.wait(0.1)
+        self.answer()
+
+    def commit(self):
+        """A write of this leader is stored."""
+        self.revision += 1
+        self.leader.dispatcher._fences.record_write(self.revision)
+
+    def renew_key(self):
+        """The leader writes its vanished key again."""
+        self.revision += 1
+        self.leader.dispatcher.renew(self.revision, 2)
+
+    def replace_row(self):
+        """The worker's row is removed while it is silent, and added again."""
+        tables, now = self.leader.tables, self.leader.timers.now()
+        proof = EndProof(ProofKind.WORKER_GONE, now)
+        worker = tables.workers_by_id[WORKER]
+        remove_worker(tables, worker, proof, now, has_ended=False)
+        self.leader.dispatcher._sessions_by_id.clear()
+        self.born_ms += 1
+        self.leader.loader._apply_worker_changes(
+            [registration(WORKER, born=self.born_ms)]
+        )
+
+    @property
+    def is_usable(self):
+        """Whether the worker may get new runs."""
+        worker = self.leader.tables.workers_by_id[WORKER]
+        return is_usable(worker, self.leader.timers.now())
+
+
+RestartedWorker.STEPS = {
+    "its first answer": (),
+    "its first answer and a commit": ("commit",),
+    "a commit, and an answer to a call that was sent before": ("commit", "answer"),
+    "a commit, and an answer to a call that was sent later": (
+        "commit",
+        "answer_later",
+    ),
+    "an answer to a later call, while the store is away": ("answer_later",),
+    "a new key of its leader, and an answer to a later call": (
+        "renew_key",
+        "answer_later",
+    ),
+    "a second restart, and an answer to a call in between": (
+        "commit",
+        "answer_later",
+        "restart",
+        "answer",
+    ),
+    "a second restart, a commit, and an answer to a later call": (
+        "commit",
+        "answer_later",
+        "restart",
+        "commit",
+        "answer_later",
+    ),
+    "a new row for its id, and its first answer": (
+        "commit",
+        "answer_later",
+        "replace_row",
+        "answer",
+    ),
+    "a new row for its id, a commit, and an answer to a later call": (
+        "commit",
+        "answer_later",
+        "replace_row",
+        "answer",
+        "commit",
+        "answer_later",
+    ),
+}
+
+
+def is_usable_after(event):
+    """Returns whether a restarted worker may get new runs after an event."""
+    restarted = RestartedWorker()
+    for step in RestartedWorker.STEPS[event]:
+        getattr(restarted, step)()
+    return restarted.is_usable
+
+
+def steps_down(present, refused):
+    """Returns whether a leader steps down when a worker refuses a token.
+
+    Args:
+        present: Token of the leader's present calls.
+        refused: Token that the worker refuses.
+    """
+    leader = Takeover(epoch=1)
+    reasons = []
+    leader.dispatcher._leadership.step_down = reasons.append
+    leader.dispatcher._fences.record_write(present)
+    leader.dispatcher.handle_fenced(WORKER, refused)
+    return bool(reasons)
+
+
+RESULTS_BY_NAME = {
+    "stored": Success(TOKEN + 1),
+    "not answered": Failure(PlatformUnavailable("no answer", "Try again.")),
+    "refused, another node leads": Failure(
+        RevisionConflict("conflict", "Try again.", (Item(LEADER_KEY, b"", TOKEN + 9),))
+    ),
+}
+
+
+async def raise_token(first_result):
+    """Returns (number of writes, whether the leader steps down, raised workers)."""
+    results = [RESULTS_BY_NAME[first_result], RESULTS_BY_NAME["stored"]]
+    writes, fenced, raised = [], [], []
+    done = asyncio.Event()
+
+    async def commit(conditions, puts):
+        assert conditions == [(LEADER_KEY, TOKEN)], conditions
+        writes.append(puts)
+        return results[len(writes) - 1]
+
+    def note_raised(worker_id):
+        raised.append(worker_id)
+        done.set()
+
+    fences = WorkerFences(
+        SimpleNamespace(commit=commit), TOKEN, note_raised, lambda: fenced.append(1)
+    )
+    fences.pause_before_retry = lambda: asyncio.sleep(0)
+    fences.raise_token(WORKER)
+    await done.wait()
+    assert raised == [WORKER] and fences.token == TOKEN + 1
+    return len(writes), bool(fenced)
+
+
+async def poll_with_earlier_token():
+    """Returns whether a poll counts as answered that a later call has overtaken."""
+    tables = create_tables(workers=1)
+    dispatcher = RecordingDispatcher(tables)
+    dispatcher.handle_fenced = lambda worker_id, token: False
+
+    async def poll(*arguments):
+        return WorkerReply(OrderOutcome.FENCED)
+
+    session = WorkerSession(tables.workers_by_id[WORKER], None, dispatcher)
+    session._client = SimpleNamespace(poll_runs=poll)
+    return await session._poll_once()
--- a/features/support/order_cases.py
+++ b/features/support/order_cases.py
@@ -59,7 +59,7 @@
     def __init__(self, tables):
         self.tables = tables
         self.timers = FakeTimerService()
-        self.token = 1
+        self.worker_token = 1
         self.dropped = []
         self.stopped = []
 
--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -40,18 +40,19 @@
       | changed-address | 1     | 1     |
       | late-to-next    | 14    | 1     |
 
-    @known_red
-    Examples: a late poll of the earlier incarnation discards an end of the next one
+    Examples: a late start or poll acted on the next incarnation of its worker
       | case         | first | seeds |
       | late-to-next | 28    | 1     |
+      | late-wide    | 1     | 10    |
+      | late-wide    | 22    | 1     |
+      | late-busy    | 3     | 1     |
 
     @known_red
-    Examples: a late start or poll acts on the next incarnation of its worker
+    Examples: a late start reaches an incarnation that no call has reached yet
       | case      | first | seeds |
-      | late-wide | 3     | 1     |
-      | late-wide | 22    | 1     |
+      | late-wide | 17    | 1     |
+      | late-wide | 21    | 1     |
       | late-wide | 34    | 1     |
-      | late-wide | 1     | 10    |
 
   Scenario Outline: a run that may be at work stays in the tables: <event>
     Given a worker with a run that was answered 0.1 s ago
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -1,6 +1,7 @@
 """The leader's dispatcher: runs the scheduling systems and executes their commands."""
 
 import logging
+import math
 import time
 from functools import singledispatchmethod
 
@@ -29,6 +30,7 @@
     cancel_job,
     decay_outcome_counts,
     expire_leases,
+    forget_removed,
     forget_run,
     has_incarnation_ended,
     is_later,
@@ -55,6 +57,7 @@
     StopUnknownRun,
 )
 from sassafrasgrade.work_tables import MS_PER_S, RunState, WorkState, WorkTables
+from sassafrasgrade.worker_fences import WorkerFences
 from sassafrasgrade.worker_registrations import remove_replaced_workers
 from sassafrasgrade.worker_sessions import WorkerSession
 
@@ -131,8 +134,16 @@
         self._began_at = self.timers.now()
         self._pools_logged_at = 0.0
         self._is_releasing = False
+        self._fences = WorkerFences(
+            services.store, token, self._note_raised_token, self._step_down
+        )
         self._writer = ProgressWriter(
-            services.store, self.tables, token, self._apply_stored_ends, self._step_down
+            services.store,
+            self.tables,
+            token,
+            self._apply_stored_ends,
+            self._step_down,
+            self._fences.record_write,
         )
         self.loader = TableLoader(
             services, self, leadership, handover, is_predecessor_gone
@@ -194,11 +205,13 @@
         self.token = token
         self.tables.epoch = epoch
         self._writer.renew(token)
+        self._fences.renew(token)
 
     def close(self):
         """Stops giving orders at once."""
         self._is_closed = True
         self._writer.close()
+        self._fences.close()
         self.loader.close()
         self._hosts.close()
         if self._periodic is not None:
@@ -230,6 +243,11 @@
 
     # Called by worker sessions.
 
+    @property
+    def worker_token(self):
+        """Fencing token of calls to workers."""
+        return self._fences.token
+
     def lease_s(self):
         """Returns the current lease of runs in seconds; 0 if none may be given."""
         if not self._leadership.has_authority():
@@ -260,10 +278,13 @@
         if _is_of_earlier_incarnation(worker, view, sent_at):
             self._log_earlier_incarnation(worker, view)
             return False
-        if None not in (view.born_ms, worker.born_ms, worker.last_answer_at or None):
-            if view.born_ms != worker.born_ms:
-                record_crash(self.tables, worker)
-                self._carry_out_all(restart_worker(self.tables, worker, view, now))
+        if _has_restarted(worker, view):
+            record_crash(self.tables, worker)
+            self._fence(worker)
+            self._carry_out_all(restart_worker(self.tables, worker, view, now))
+        elif not worker.last_answer_at and self._was_removed(worker):
+            # This may be a later incarnation than that of the removed row.
+            self._fence(worker)
         if view.born_ms is not None:
             worker.born_ms = view.born_ms
         worker.last_answer_at = now
@@ -275,6 +296,29 @@
             self._apply_lists(worker, view, sent_at, now)
         return True
 
+    def _was_removed(self, worker):
+        return worker.worker_id in self.tables.removed_at_by_worker
+
+    def _fence(self, worker):
+        """Raises the token of a worker whose earlier incarnation was sent calls."""
+        worker.fenced_at = math.inf
+        worker.has_seen_token = False
+        self._fences.raise_token(worker.worker_id)
+
+    def _note_raised_token(self, worker_id):
+        worker = self.tables.workers_by_id.get(worker_id)
+        if worker is None:
+            return
+        worker.fenced_at = self.timers.now()
+        logger.info(
+            "worker token raised",
+            extra={
+                "worker": worker_id,
+                "born": worker.born_ms,
+                "token": self.worker_token,
+            },
+        )
+
     @staticmethod
     def _log_earlier_incarnation(worker, view):
         logger.info(
@@ -287,7 +331,8 @@
         )
 
     def _apply_lists(self, worker, view, sent_at, now):
-        had_seen_token, worker.has_seen_token = worker.has_seen_token, True
+        had_seen_token = worker.has_seen_token
+        worker.has_seen_token = had_seen_token or sent_at >= worker.fenced_at
         self._record_durations(worker, view, now)
         runs_before = len(worker.runs_by_key)
         self.tables.jobs_complete_at = self.loader.jobs_complete_at
@@ -295,9 +340,10 @@
         self._carry_out_all(commands)
         if worker.unclaimed_runs or worker.unclaimed_ends:
             self.loader.check_jobs()
-        if not had_seen_token:
+        has_now_seen_token = worker.has_seen_token and not had_seen_token
+        if has_now_seen_token:
             self.loader.lift_barrier()
-        if commands or not had_seen_token or len(worker.runs_by_key) < runs_before:
+        if commands or has_now_seen_token or len(worker.runs_by_key) < runs_before:
             self.schedule_placement()
         self._schedule_store(worker)
 
@@ -355,7 +401,7 @@
             return
         forget_run(self.tables, run, EndProof(ProofKind.START_REFUSED, now), now)
         if reply.outcome is OrderOutcome.FENCED:
-            self.handle_fenced(worker)
+            self.handle_fenced(run.worker_id, run.token)
         elif reply.outcome is OrderOutcome.WRONG_INSTANCE and worker is not None:
             self.handle_replaced_worker(worker)
         elif reply.outcome is OrderOutcome.BAD_TICKET:
@@ -383,13 +429,27 @@
         logger.info("start not sent", extra={"task": run.task.name, "reason": reason})
         self.schedule_placement()
 
-    def handle_fenced(self, worker):
-        """Steps down: a worker has seen a higher token, so another node is leader."""
+    def handle_fenced(self, worker_id, token):
+        """Steps down if a worker has seen a higher token than any of this leader's.
+
+        Args:
+            worker_id: The worker.
+            token: Token that it refused; a call may have been overtaken by the first
+                one with a raised token.
+
+        Returns:
+            Whether another node leads.
+        """
+        present_token = self.worker_token
+        fields = {"worker": worker_id, "token": token, "present_token": present_token}
+        if token < present_token:
+            logger.info("call with an earlier token refused", extra=fields)
+            return False
         logger.warning(
-            "worker has seen a higher fencing token; stepping down",
-            extra={"worker": worker.worker_id if worker else None},
+            "worker has seen a higher fencing token; stepping down", extra=fields
         )
         self._step_down()
+        return True
 
     def _step_down(self):
         if not self._is_closed:
@@ -526,6 +586,7 @@
         )
         remove_replaced_workers(self.tables, now)
         self._remove_superseded(now)
+        forget_removed(self.tables, now)
         self.sync_sessions()
         self._repeat_stops(now)
         self._sweeper.sweep(now)
@@ -682,6 +743,13 @@
         logger.info(command.event, extra=command.fields)
 
 
+def _has_restarted(worker, view):
+    """Whether an answer is of another incarnation than the worker's last one."""
+    if None in (view.born_ms, worker.born_ms) or not worker.last_answer_at:
+        return False
+    return view.born_ms != worker.born_ms
+
+
 def _is_of_earlier_incarnation(worker, view, sent_at):
     """Whether an answer is of an incarnation before the present one.
 
--- a/sassafrasgrade/member_records.py
+++ b/sassafrasgrade/member_records.py
@@ -16,6 +16,8 @@
 NODES_PREFIX = "own/nodes/"
 # Number of the last leadership; remains after the leader's key is deleted.
 EPOCH_KEY = "own/epoch"
+# Written when a leader needs a revision above that of its own key.
+FENCE_KEY = "own/fence"
 
 # Address of a node's streams: what its settings name it, and a port.
 StreamAddress = Annotated[str, Meta(pattern=rf"\A\S+:{PORT_PATTERN}\Z")]
--- a/sassafrasgrade/progress_writers.py
+++ b/sassafrasgrade/progress_writers.py
@@ -71,14 +71,24 @@
         on_stored: Called with ``EndsCheckpoint.ends_by_worker`` of ends whose
             effects are all stored.
         on_fenced: Called when another node is leader.
+        on_written: Called with the revision of each commit.
     """
 
-    def __init__(self, store, tables, token, on_stored, on_fenced):
+    def __init__(
+        self,
+        store,
+        tables,
+        token,
+        on_stored,
+        on_fenced,
+        on_written=lambda revision: None,
+    ):
         self._store = store
         self._tables = tables
         self._token = token
         self._on_stored = on_stored
         self._on_fenced = on_fenced
+        self._on_written = on_written
         self._scheduled = None
         self._writing_ids = set()
         self._commits = 0
@@ -181,6 +191,7 @@
         if isinstance(result, Failure):
             self._handle_failure(result.failure(), jobs)
             return False
+        self._on_written(result.unwrap())
         for job, version, state in zip(jobs, versions, pending_states, strict=True):
             job.progress_revision = result.unwrap()
             self._mark_stored(job, version, state)
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -510,11 +510,19 @@
     for run in list(worker.runs_by_key.values()):
         forget_run(tables, run, proof, now)
     tables.workers_by_id.pop(worker.worker_id, None)
+    tables.removed_at_by_worker[worker.worker_id] = now
     if has_ended:
         incarnation = EndedIncarnation(worker.born_ms, now + STALE_REGISTRATION_S)
         tables.ended_by_worker[worker.worker_id] = incarnation
 
 
+def forget_removed(tables, now):
+    """Forgets removed workers that no late call can reach any more."""
+    for worker_id, removed_at in list(tables.removed_at_by_worker.items()):
+        if now - removed_at > LATEST_ORDER_MS / MS_PER_S:
+            del tables.removed_at_by_worker[worker_id]
+
+
 def restart_worker(tables, worker, view, now):
     """Resets the state of a worker that came back under the same id.
 
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -89,6 +89,7 @@
         started_at: Clock of the node when the run was placed, in seconds.
         sent_at: Clock when its start was sent; 0 if this leader sent none.
         sent_to_born_ms: Incarnation of the worker that its start was sent to.
+        token: Fencing token that its start carried.
         answered_at: When the start was confirmed; 0 before.
         deadline_ms: Time on the worker's clock after which the order is void.
         percent: Progress of the run; 100 means at work for perpetual tasks.
@@ -111,6 +112,7 @@
     started_at: float
     sent_at: float = 0.0
     sent_to_born_ms: int | None = None
+    token: int = 0
     answered_at: float = 0.0
     deadline_ms: float = 0.0
     percent: float = 0.0
@@ -293,8 +295,10 @@
         host: Name of its host; empty while unknown.
         other_address: Another address under which its id was registered; empty if none.
         clock_offset_ms: Its clock minus the node's, in milliseconds.
-        has_seen_token: Whether it has answered this leader, and so has seen its
-            fencing token.
+        has_seen_token: Whether it has answered a call with its present fencing token,
+            so that it refuses earlier ones.
+        fenced_at: Clock since when calls carry a token that earlier incarnations have
+            not seen; infinity before there is one.
         has_shown_runs: Whether a list of its runs has been applied by this leader.
         runs_by_key: Runs by (task name, number).
         seen_end: Number of the last run end applied to the tables.
@@ -338,6 +342,7 @@
     other_address: str = ""
     clock_offset_ms: float | None = None
     has_seen_token: bool = False
+    fenced_at: float = float("-inf")
     has_shown_runs: bool = False
     runs_by_key: dict[tuple[str, int], Run] = field(default_factory=dict)
     seen_end: int = 0
@@ -416,6 +421,8 @@
         pools_by_queue: Pools that each queue has had in any known configuration.
         jobs_complete_at: Clock as of which every stored job is in the tables.
         refused_entries: Entries of workers that name no worker to use.
+        removed_at_by_worker: Clock at which a worker's row was last removed, by id,
+            while late calls to it may still be carried out.
     """
 
     epoch: int = 0
@@ -438,6 +445,7 @@
     pools_by_queue: dict[str, set[str]] = field(default_factory=dict)
     jobs_complete_at: float = float("-inf")
     refused_entries: RefusedValues = field(default_factory=RefusedValues)
+    removed_at_by_worker: dict[str, float] = field(default_factory=dict)
 
     def adopt_configuration(self, configuration):
         """Applies a newer configuration; removed queues stay in the tables.
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -122,8 +122,9 @@
         wait_s = LONG_POLL_WAIT_S if may_long_poll else 0
         discards = worker.stored_end if worker.stored_end > worker.discarded_end else 0
         born_ms = worker.born_ms
+        token = self._dispatcher.worker_token
         reply = await self._client.poll_runs(
-            self._dispatcher.token,
+            token,
             discards,
             deadline_ms,
             wait_s,
@@ -139,8 +140,7 @@
                 worker.discarded_end = max(worker.discarded_end, discards)
             return True
         if reply.outcome is OrderOutcome.FENCED:
-            self._dispatcher.handle_fenced(worker)
-            return False
+            return not self._dispatcher.handle_fenced(worker.worker_id, token)
         if reply.outcome is OrderOutcome.WRONG_INSTANCE:
             self._dispatcher.handle_replaced_worker(worker)
             return False
@@ -185,6 +185,7 @@
             now = self._timers.now()
             run.deadline_ms = self._worker_clock(now) + START_VALID_MS
             run.sent_at, run.sent_to_born_ms = now, self.worker.born_ms
+            run.token = self._dispatcher.worker_token
             self._extend_lease(now, START_VALID_MS / MS_PER_S)
             task = run.task
             order = StartOrder(
@@ -192,7 +193,7 @@
                 run.number,
                 task.job.request.spec,
                 run.deadline_ms,
-                self._dispatcher.token,
+                run.token,
                 task.saved,
                 run.ticket,
             )
@@ -217,16 +218,15 @@
             if self._is_closed:
                 return
             born_ms = self.worker.born_ms
-            reply = await self._client.stop(
-                task_name, number, self._dispatcher.token, ANSWER_TIMEOUT_S
-            )
+            token = self._dispatcher.worker_token
+            reply = await self._client.stop(task_name, number, token, ANSWER_TIMEOUT_S)
         if self._is_closed or run is None or self.worker.born_ms != born_ms:
             # A stop that an earlier incarnation confirmed says nothing of this one.
             return
         if reply.outcome in (OrderOutcome.DONE, OrderOutcome.OUTDATED):
             run.stop_answered_at = self._timers.now()
         elif reply.outcome is OrderOutcome.FENCED:
-            self._dispatcher.handle_fenced(self.worker)
+            self._dispatcher.handle_fenced(self.worker.worker_id, token)
 
     async def send_pace(self, run, percent):
         """Limits a run's speed to ``percent``; returns whether the worker accepted."""
@@ -237,7 +237,7 @@
                 run.task.name,
                 run.number,
                 percent,
-                self._dispatcher.token,
+                self._dispatcher.worker_token,
                 ANSWER_TIMEOUT_S,
             )
         return reply.outcome is OrderOutcome.DONE
