Acknowledge no ends to a worker that may have restarted

Callers saw: a task ran again after `done`. After a call without an answer the next poll still acknowledged the ends of before; if a new incarnation under the same id was the one that answered it, its first end, which nobody had seen, was discarded. The poll is the first that reaches that incarnation, so that no token keeps it out. Cause: numbers of one incarnation's ends sent to another. Change: after a call without an answer polls acknowledge nothing until one is answered. The row "5?, 5, 5 acknowledge 5, 5, 0" of run_ends.feature asked for the fault; it is replaced by two stricter ones.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -194,11 +194,12 @@
     Then polls with the last stored ends "<ends>" acknowledge "<acknowledged>"
 
     Examples: a question mark stands for a poll without an answer
-      | ends     | acknowledged |
-      | 5, 5     | 5, 0         |
-      | 5?, 5, 5 | 5, 5, 0      |
-      | 5, 6, 6  | 5, 6, 0      |
-      | 0, 0     | 0, 0         |
+      | ends            | acknowledged  |
+      | 5, 5            | 5, 0          |
+      | 5?, 5, 5, 5     | 5, 0, 5, 0    |
+      | 5?, 5?, 6, 6, 6 | 5, 0, 0, 6, 0 |
+      | 5, 6, 6         | 5, 6, 0       |
+      | 0, 0            | 0, 0          |
 
   Scenario: what is stored of one incarnation acknowledges no end of the next
     Then no end of an incarnation is acknowledged by what was stored of the one before
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -48,6 +48,9 @@
         self._orders = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._is_closed = False
         self._stored = asyncio.Event()
+        # Whether a call has had no answer since the last answered poll, so that the
+        # next one may reach a later incarnation.
+        self._may_have_restarted = False
 
     def start(self):
         """Starts polling the worker."""
@@ -102,8 +105,9 @@
     async def _poll_once(self, renews=True):
         """Makes one call; without ``renews`` it neither renews leases nor waits.
 
-        Ends are acknowledged until one answer confirms it, and not again: numbers of
-        an earlier incarnation would discard ends of the next one that nobody has seen.
+        Numbers of an earlier incarnation would discard ends of the next one that nobody
+        has seen. So ends are acknowledged until one answer confirms it, and not while
+        the worker may have restarted.
         """
         worker, now = self.worker, self._timers.now()
         deadline_ms = None
@@ -120,7 +124,7 @@
             renews and worker.has_seen_token and worker.unresponsive_since == 0
         )
         wait_s = LONG_POLL_WAIT_S if may_long_poll else 0
-        discards = worker.stored_end if worker.stored_end > worker.discarded_end else 0
+        discards = self._end_to_discard()
         born_ms = worker.born_ms
         token = self._dispatcher.worker_token
         reply = await self._client.poll_runs(
@@ -138,15 +142,24 @@
                 self._record_clock_offset(reply.view, answered_at)
             if worker.born_ms == born_ms:
                 worker.discarded_end = max(worker.discarded_end, discards)
+            self._may_have_restarted = False
             return True
         if reply.outcome is OrderOutcome.FENCED:
             return not self._dispatcher.handle_fenced(worker.worker_id, token)
         if reply.outcome is OrderOutcome.WRONG_INSTANCE:
             self._dispatcher.handle_replaced_worker(worker)
             return False
+        self._may_have_restarted = True
         self._dispatcher.record_unresponsive(worker, reply.detail)
         return False
 
+    def _end_to_discard(self):
+        """Returns the number up to which the next poll acknowledges ends."""
+        worker = self.worker
+        if self._may_have_restarted or worker.stored_end <= worker.discarded_end:
+            return 0
+        return worker.stored_end
+
     def _extend_lease(self, now, lease_s):
         """Records a lease before it is sent: the call may arrive and still fail.
 
@@ -198,12 +211,17 @@
                 run.ticket,
             )
             reply = await self._client.start(order, ANSWER_TIMEOUT_S)
+            self._note_unanswered(reply)
         if self._is_closed:
             return
         self._dispatcher.handle_start_reply(
             run, reply, reply.outcome in NO_EFFECT_OUTCOMES
         )
 
+    def _note_unanswered(self, reply):
+        if reply.outcome is OrderOutcome.UNKNOWN:
+            self._may_have_restarted = True
+
     def _is_start_due(self, run):
         """Whether a start is still to be sent.
 
@@ -220,6 +238,7 @@
             born_ms = self.worker.born_ms
             token = self._dispatcher.worker_token
             reply = await self._client.stop(task_name, number, token, ANSWER_TIMEOUT_S)
+            self._note_unanswered(reply)
         if self._is_closed or run is None or self.worker.born_ms != born_ms:
             # A stop that an earlier incarnation confirmed says nothing of this one.
             return
