--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -54,6 +54,21 @@
       | late-wide | 21    | 1     |
       | late-wide | 34    | 1     |
 
+  Scenario Outline: wide schedules of late calls, <seeds> seeds from <first>
+    When <seeds> seeds from <first> of the wide schedules are played in virtual time
+    Then no task had two runs at a time, nor a start after its noted end
+
+    Examples: late starts and polls acted on the next incarnation of their worker
+      | first | seeds |
+      | 43    | 1     |
+      | 1     | 10    |
+
+    @known_red
+    Examples: a late start reaches an incarnation that no call has reached yet
+      | first | seeds |
+      | 21    | 1     |
+      | 35    | 1     |
+
   Scenario Outline: a run that may be at work stays in the tables: <event>
     Given a worker with a run that was answered 0.1 s ago
     When the tables learn of it: "<event>"
