Show that a start refused as overtaken may be at work by an earlier copy

Cause: curl sends a start again when a reused connection is reset. The first copy was carried out, a call with a raised token came next, and the second copy was refused: "fence". Since tokens rise with commits that says nothing of the first copy, and this node leads on; OUTCOMES_OF_ALL_COPIES still takes it for the end of its leadership. The run is forgotten as "start refused", and the task starts again beside it. Class: a statement about one copy of a call taken for its state. Change: the row "2 copies, fence" expected a proof, which held only while the leader stepped down at any such refusal. It now expects none; "1 copy, fence" keeps the other half. The case "overtaken-copy" plays it with whole nodes in virtual time.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -133,7 +133,8 @@
       | 1      | unhealthy    | yes    |
       | 1      | late         | yes    |
       | 1      | old          | yes    |
-      | 2      | fence        | yes    |
+      | 1      | fence        | yes    |
+      | 2      | fence        | no     |
       | 1      | other worker | yes    |
       | 2      | other worker | no     |
       | 2      | unhealthy    | no     |
--- a/features/support/virtual/cases.py
+++ b/features/support/virtual/cases.py
@@ -122,6 +122,14 @@
     return (resets, refusals)
 
 
+def overtaken_copy(source):
+    """i. curl sends starts again, and calls with a raised token come in between."""
+    options = {"times": 300}
+    return tuple(
+        Fault("resets", BEGIN_S, 0.1, worker, None, options) for worker in "012"
+    )
+
+
 def moved_queue(source):
     """j. A queue moves while a worker of its former pool has not reported."""
     kill = Fault("node_kill", BEGIN_S, 5.0)
@@ -193,6 +201,7 @@
     "late-wide": Case(late_wide),
     "late-busy": Case(late_wide, BUSY),
     "second-copy": Case(second_copy, BUSY),
+    "overtaken-copy": Case(overtaken_copy, BUSY),
     "moved-queue": Case(moved_queue, WIDE),
     "unlisted-worker": Case(unlisted_worker),
     "many-ends": Case(many_ends, BUSY),
--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -47,6 +47,10 @@
       | late-wide    | 22    | 1     |
       | late-busy    | 3     | 1     |
 
+    Examples: a call with a raised token came between two copies of a start
+      | case           | first | seeds |
+      | overtaken-copy | 7     | 1     |
+
     @known_red
     Examples: a late start reaches an incarnation that no call has reached yet
       | case      | first | seeds |
