Show that a restarted worker without a raised token is polled without a pause

Cause: a worker that has not seen its raised token gets polls that wait for nothing, and an answered poll is followed by the next at once. While the store takes no write, that goes on. Also, a renewal for the earlier incarnation may be carried out late until the raised token is seen, with a deadline of the earlier clock: the worker then holds the longest lease from that moment, but the leader counts it from its first answer. Change: a row on the polls and two on the lease; no logic is changed.

--- a/features/late_calls.feature
+++ b/features/late_calls.feature
@@ -37,3 +37,14 @@
 
   Scenario: a poll that a later call has overtaken is repeated at once
     Then a poll that is refused with an earlier token counts as answered
+
+  Scenario: a restarted worker is not polled without a pause while its token cannot be raised
+    Then a restarted worker gets at most 3 polls in a row that wait for nothing, while the store is away
+
+  Scenario Outline: a worker whose token was raised <delay> s after its restart may hold a lease from just before its answer
+    Then a worker whose token was raised <delay> s after its restart may hold the longest lease from its answer on
+
+    Examples: a late call of the earlier incarnation may have renewed it until then
+      | delay |
+      | 0     |
+      | 3     |
--- a/features/steps/late_call_steps.py
+++ b/features/steps/late_call_steps.py
@@ -35,3 +35,21 @@
 @then("a poll that is refused with an earlier token counts as answered")
 def check_overtaken_poll(context):
     assert asyncio.run(late_calls.poll_with_earlier_token())
+
+
+@then(
+    "a restarted worker gets at most {polls:d} polls in a row that wait for nothing, "
+    "while the store is away"
+)
+def check_polls_while_store_is_away(context, polls):
+    found = asyncio.run(late_calls.count_polls_without_store())
+    assert found <= polls, found
+
+
+@then(
+    "a worker whose token was raised {delay:d} s after its restart may hold the "
+    "longest lease from its answer on"
+)
+def check_lease(context, delay):
+    left_s, longest_s = run_in_loop(lambda: late_calls.lease_after(delay))
+    assert left_s >= longest_s, (left_s, longest_s)
--- a/features/support/late_calls.py
+++ b/features/support/late_calls.py
@@ -5,16 +5,18 @@
 
 from returns.result import Failure, Success
 
-from features.support.order_cases import RecordingDispatcher
+from features.support.order_cases import RecordingDispatcher, settle
 from features.support.takeovers import TOKEN, Takeover, registration
 from features.support.work_tables import create_tables
 from sassafrasgrade.errors import PlatformUnavailable, RevisionConflict
 from sassafrasgrade.leaderships import LEADER_KEY
+from sassafrasgrade.platform.messages import WorkerView
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.platform.workers import OrderOutcome, WorkerReply
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.run_updates import remove_worker
 from sassafrasgrade.systems.task_placement import is_usable
+from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.worker_fences import WorkerFences
 from sassafrasgrade.worker_sessions import WorkerSession
 
@@ -196,3 +198,54 @@
     session = WorkerSession(tables.workers_by_id[WORKER], None, dispatcher)
     session._client = SimpleNamespace(poll_runs=poll)
     return await session._poll_once()
+
+
+async def count_polls_without_store():
+    """Returns how many polls a restarted worker answers at once, without a pause.
+
+    The store answers no write, so that the worker's token is not raised.
+    """
+    restarted = RestartedWorker()
+    dispatcher = restarted.leader.dispatcher
+
+    async def commit(conditions, puts):
+        await asyncio.Event().wait()
+
+    dispatcher._fences._store = SimpleNamespace(commit=commit)
+    polls = []
+
+    async def poll(token, observed, deadline_ms, wait_s, timeout_s):
+        if wait_s:
+            await asyncio.Event().wait()
+        polls.append(token)
+        restarted.leader.timers.advance(0.001)
+        clock_ms = restarted.leader.timers.now() * 1000
+        view = WorkerView(clock_ms=clock_ms, born_ms=restarted.born_ms)
+        await asyncio.sleep(0)
+        return WorkerReply(OrderOutcome.DONE, clock_ms, view)
+
+    worker = restarted.leader.tables.workers_by_id[WORKER]
+    session = WorkerSession(worker, None, dispatcher)
+    session._client = SimpleNamespace(poll_runs=poll)
+    loop = asyncio.ensure_future(session._poll_loop())
+    for _ in range(10):
+        await settle()
+    session.close()
+    loop.cancel()
+    return len(polls)
+
+
+def lease_after(delay_s):
+    """Returns (lease that a restarted worker may hold, longest lease), in seconds.
+
+    Args:
+        delay_s: Time until its token is raised; it then answers a call with it.
+    """
+    restarted = RestartedWorker()
+    restarted.leader.wait(delay_s)
+    restarted.commit()
+    restarted.answer_later()
+    assert restarted.is_usable
+    tables = restarted.leader.tables
+    left_s = tables.workers_by_id[WORKER].lease_until - restarted.leader.timers.now()
+    return left_s, tables.longest_lease_s * CLOCK_DRIFT
