Show that ends are acknowledged to an incarnation that is not known yet

Cause: a poll carries the number of the last stored end also when the worker did not answer the last call, and when the leader asks because a registration shows a later birth. If the worker has restarted, the number of its earlier incarnation discards ends of the next one that nobody has seen; no call needs to be late. Ends wait longest for that in a store outage. Change: the case "early-acknowledgement" (a store outage beside three restarts, nothing late) and three rows on polls; no logic is changed.

--- a/features/late_calls.feature
+++ b/features/late_calls.feature
@@ -48,3 +48,12 @@
       | delay |
       | 0     |
       | 3     |
+
+  Scenario Outline: stored ends are acknowledged by <poll>: <acknowledged>
+    Then stored ends are acknowledged by "<poll>": "<acknowledged>"
+
+    Examples: where a worker may have restarted unnoticed, its numbers may mean other ends
+      | poll                                                        | acknowledged |
+      | a poll of a worker that answers                             | yes          |
+      | a poll of a worker that did not answer the last one         | no           |
+      | a question about its registration, which may be a later one | no           |
--- a/features/steps/late_call_steps.py
+++ b/features/steps/late_call_steps.py
@@ -53,3 +53,9 @@
 def check_lease(context, delay):
     left_s, longest_s = run_in_loop(lambda: late_calls.lease_after(delay))
     assert left_s >= longest_s, (left_s, longest_s)
+
+
+@then('stored ends are acknowledged by "{poll}": "{acknowledged}"')
+def check_acknowledged(context, poll, acknowledged):
+    found = asyncio.run(late_calls.acknowledges(poll))
+    assert found == (acknowledged == "yes"), found
--- a/features/support/late_calls.py
+++ b/features/support/late_calls.py
@@ -7,7 +7,7 @@
 
 from features.support.order_cases import RecordingDispatcher, settle
 from features.support.takeovers import TOKEN, Takeover, registration
-from features.support.work_tables import create_tables
+from features.support.work_tables import NOW, create_tables
 from sassafrasgrade.errors import PlatformUnavailable, RevisionConflict
 from sassafrasgrade.leaderships import LEADER_KEY
 from sassafrasgrade.platform.messages import WorkerView
@@ -249,3 +249,28 @@
     tables = restarted.leader.tables
     left_s = tables.workers_by_id[WORKER].lease_until - restarted.leader.timers.now()
     return left_s, tables.longest_lease_s * CLOCK_DRIFT
+
+
+async def acknowledges(kind):
+    """Returns whether a call of a kind lets the worker forget stored ends."""
+    tables = create_tables(workers=1)
+    worker = tables.workers_by_id[WORKER]
+    worker.has_seen_token = True
+    worker.seen_end = worker.stored_end = 7
+    if "did not answer" in kind:
+        worker.unresponsive_since = NOW - 0.3
+    dispatcher = RecordingDispatcher(tables)
+    dispatcher.record_unresponsive = lambda worker, detail: None
+    acknowledged = []
+
+    async def poll(token, observed, *arguments):
+        acknowledged.append(observed)
+        return WorkerReply(OrderOutcome.UNKNOWN)
+
+    session = WorkerSession(worker, None, dispatcher)
+    session._client = SimpleNamespace(poll_runs=poll)
+    if kind.startswith("a question"):
+        await session.ask()
+    else:
+        await session._poll_once()
+    return acknowledged == [7]
--- a/features/support/virtual/cases.py
+++ b/features/support/virtual/cases.py
@@ -113,6 +113,18 @@
     return (late,) + tuple(_crash(source, (1.0, 8.0), (0.05, 1.5)) for _ in range(4))
 
 
+def early_acknowledgement(source):
+    """h. Ends are stored late, and acknowledged to the next incarnation of a worker."""
+    lasts_s = source.uniform(3.0, 5.0)
+    faults = [Fault("store_down", BEGIN_S, lasts_s)]
+    options = {"returns": "reborn", "dark": True}
+    for worker in "012":
+        at = BEGIN_S + lasts_s - source.uniform(0.0, 1.2)
+        gap_s = source.uniform(0.05, 0.6)
+        faults.append(Fault("worker_crash", at, gap_s, worker, None, options))
+    return tuple(faults)
+
+
 def second_copy(source):
     """i. curl sends a start again, and the second copy is refused."""
     worker = source.choice("012")
@@ -200,6 +212,7 @@
     "late-to-next": Case(late_to_next, BUSY),
     "late-wide": Case(late_wide),
     "late-busy": Case(late_wide, BUSY),
+    "early-acknowledgement": Case(early_acknowledgement),
     "second-copy": Case(second_copy, BUSY),
     "overtaken-copy": Case(overtaken_copy, BUSY),
     "moved-queue": Case(moved_queue, WIDE),
--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -51,6 +51,10 @@
       | case           | first | seeds |
       | overtaken-copy | 7     | 1     |
 
+    Examples: a poll acknowledges ends of an incarnation that the leader does not know of
+      | case                  | first | seeds |
+      | early-acknowledgement | 9     | 1     |
+
     @known_red
     Examples: a late start reaches an incarnation that no call has reached yet
       | case      | first | seeds |
