Do not take a start refused as overtaken for one without effect

Cause: such a refusal used to mean that this node leads no more, and was acted on for all copies. Class: a statement about one copy taken for one about another. Change: it is no answer to a start that was sent more than once.

--- a/sassafrasgrade/platform/workers.py
+++ b/sassafrasgrade/platform/workers.py
@@ -37,9 +37,9 @@
 
 # Outcomes that prove that the order had no effect.
 NO_EFFECT_OUTCOMES = frozenset(OrderOutcome) - {OrderOutcome.DONE, OrderOutcome.UNKNOWN}
-# Outcomes that are acted on whatever became of earlier copies of the order: it is
-# carried out, or this node leads no more.
-OUTCOMES_OF_ALL_COPIES = frozenset({OrderOutcome.DONE, OrderOutcome.FENCED})
+# Outcomes that are acted on whatever became of earlier copies of the order. A fence is
+# none of them: a later call of the same leader may have come between two copies.
+OUTCOMES_OF_ALL_COPIES = frozenset({OrderOutcome.DONE})
 
 
 @dataclass(frozen=True)
