Poll a worker that waits for its token with pauses, and count late renewals

Callers may have seen a run that outlived its lease as the leader counts it, not shown beyond the tables. Cause: a worker that has not seen its raised token gets polls that wait for nothing, without a pause while there is no such token; until it has seen one, a late renewal by the clock of its earlier incarnation may be carried out, after its lease was counted. Change: it is polled after a pause, which a raised token ends; the longest lease counts from its first answer with that token. Measured: three rows of late_calls.feature failed before and pass now.

--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -227,6 +227,9 @@
     def notify_stored(self):
         """Does nothing."""
 
+    def notify_token_raised(self):
+        """Does nothing."""
+
 
 def registration(worker_id, address="127.0.0.1:1", pool=POOL, **fields):
     """Returns the ``Item`` of a worker's registration."""
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -27,6 +27,7 @@
 from sassafrasgrade.systems.pool_moves import describe_pools
 from sassafrasgrade.systems.run_updates import (
     apply_view,
+    assume_longest_lease,
     cancel_job,
     decay_outcome_counts,
     expire_leases,
@@ -310,6 +311,8 @@
         if worker is None:
             return
         worker.fenced_at = self.timers.now()
+        if worker_id in self._sessions_by_id:
+            self._sessions_by_id[worker_id].notify_token_raised()
         logger.info(
             "worker token raised",
             extra={
@@ -342,6 +345,9 @@
             self.loader.check_jobs()
         has_now_seen_token = worker.has_seen_token and not had_seen_token
         if has_now_seen_token:
+            if worker.fenced_at > -math.inf:
+                # A late call may have renewed a lease by an earlier clock.
+                assume_longest_lease(self.tables, worker, now)
             self.loader.lift_barrier()
         if commands or has_now_seen_token or len(worker.runs_by_key) < runs_before:
             self.schedule_placement()
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -67,7 +67,7 @@
     if is_first_view:
         worker.first_view_clock_ms = worker.view_clock_ms = view.clock_ms
         if tables.epoch > 1:
-            _assume_longest_lease(tables, worker, now)
+            assume_longest_lease(tables, worker, now)
     commands = _apply_ends(tables, worker, view, now)
     worker.view_clock_ms = view.clock_ms
     commands += _apply_running_rows(tables, worker, view, now)
@@ -107,7 +107,7 @@
         seen_at = unclaimed[key].seen_at if key in unclaimed else now
         if _may_be_of_new_job(tables, row, seen_at):
             worker.unclaimed_runs[key] = UnclaimedRow(row, seen_at)
-            _assume_longest_lease(tables, worker, now)
+            assume_longest_lease(tables, worker, now)
         else:
             commands += _apply_running(tables, worker, row, now)
     return commands
@@ -253,7 +253,7 @@
     task.runs_by_number[row.run] = run
     task.last_number = max(task.last_number, row.run)
     worker.runs_by_key[(row.task, row.run)] = run
-    _assume_longest_lease(tables, worker, now)
+    assume_longest_lease(tables, worker, now)
     commands.append(_describe_found(worker, run, now))
     record_start(tables, task.job)
     _record_progress(run, row, now)
@@ -278,7 +278,7 @@
     return [StopRun(run, "second run of the task") for run in runs if run is not kept]
 
 
-def _assume_longest_lease(tables, worker, now):
+def assume_longest_lease(tables, worker, now):
     """Records that a worker may hold the longest lease, given by an earlier leader.
 
     It applies to all that runs there, also to what this leader starts.
@@ -557,7 +557,7 @@
     worker.has_seen_token = worker.has_shown_runs = False
     worker.failures = worker.successes = 0.0
     # A renewal by the clock of the earlier incarnation may have reached this one.
-    _assume_longest_lease(tables, worker, now)
+    assume_longest_lease(tables, worker, now)
     worker.is_crash_recorded = False
     return commands
 
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -1,5 +1,6 @@
 """Tables of jobs, their tasks and runs, and of the workers that run them."""
 
+import math
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
@@ -342,7 +343,7 @@
     other_address: str = ""
     clock_offset_ms: float | None = None
     has_seen_token: bool = False
-    fenced_at: float = float("-inf")
+    fenced_at: float = -math.inf
     has_shown_runs: bool = False
     runs_by_key: dict[tuple[str, int], Run] = field(default_factory=dict)
     seen_end: int = 0
@@ -367,6 +368,11 @@
     is_crash_recorded: bool = False
     is_superseded: bool = False
 
+    @property
+    def awaits_token(self):
+        """Whether calls to it carry a token that earlier incarnations have seen."""
+        return self.fenced_at == math.inf
+
     @property
     def has_runs(self):
         """Whether it may run anything, also of jobs that are not known yet."""
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -23,7 +23,8 @@
 LONG_POLL_WAIT_S = 1.2
 # Timeout of an order, and of a long poll beyond its wait, in seconds.
 ANSWER_TIMEOUT_S = 0.7
-# Pause between calls to a worker that does not answer, in seconds.
+# Pause between calls to a worker that does not answer or waits for its token, in
+# seconds.
 UNRESPONSIVE_PAUSE_S = 0.25
 # Maximum number of concurrent orders to one worker; each needs a connection.
 MAX_CONCURRENT_ORDERS = 2
@@ -48,6 +49,7 @@
         self._orders = asyncio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._is_closed = False
         self._stored = asyncio.Event()
+        self._token_raised = asyncio.Event()
         # Whether a call has had no answer since the last answered poll, so that the
         # next one may reach a later incarnation.
         self._may_have_restarted = False
@@ -60,11 +62,16 @@
         """Stops polling; the reply to a call under way is ignored."""
         self._is_closed = True
         self._stored.set()
+        self._token_raised.set()
 
     def notify_stored(self):
         """Signals that ends are stored, so that the worker may forget them."""
         self._stored.set()
 
+    def notify_token_raised(self):
+        """Signals that calls carry a token that no earlier incarnation has seen."""
+        self._token_raised.set()
+
     # Long polls.
 
     async def _poll_loop(self):
@@ -74,6 +81,8 @@
                 return
             if not answered:
                 await gen.sleep(UNRESPONSIVE_PAUSE_S)
+            elif self.worker.awaits_token:
+                await self._wait_for_token()
             elif self.worker.stored_end < self.worker.seen_end:
                 await self._wait_until_stored()
 
@@ -102,6 +111,13 @@
         except TimeoutError:
             logger.debug("ended runs not stored yet; polling the worker again")
 
+    async def _wait_for_token(self):
+        self._token_raised.clear()
+        try:
+            await asyncio.wait_for(self._token_raised.wait(), UNRESPONSIVE_PAUSE_S)
+        except TimeoutError:
+            logger.debug("worker's token not raised yet; polling it again")
+
     async def _poll_once(self, renews=True):
         """Makes one call; without ``renews`` it neither renews leases nor waits.
 
@@ -156,9 +172,9 @@
     def _end_to_discard(self):
         """Returns the number up to which the next poll acknowledges ends."""
         worker = self.worker
-        if self._may_have_restarted or worker.stored_end <= worker.discarded_end:
+        if self._may_have_restarted:
             return 0
-        return worker.stored_end
+        return worker.stored_end if worker.stored_end > worker.discarded_end else 0
 
     def _extend_lease(self, now, lease_s):
         """Records a lease before it is sent: the call may arrive and still fail.
