Acknowledge no ends in questions and to workers that are silent

The leader asks a worker when a registration shows a later birth; that call acknowledged the ends of the earlier incarnation, as did the first poll of a new session with a silent worker. Change: questions acknowledge nothing, nor do polls of a worker that counts as silent.

--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -119,7 +119,7 @@
             logger.debug("worker's token not raised yet; polling it again")
 
     async def _poll_once(self, renews=True):
-        """Makes one call; without ``renews`` it neither renews leases nor waits.
+        """Makes one call; without ``renews`` it only asks for both lists, at once.
 
         Numbers of an earlier incarnation would discard ends of the next one that nobody
         has seen. So ends are acknowledged until one answer confirms it, and not while
@@ -140,7 +140,7 @@
             renews and worker.has_seen_token and worker.unresponsive_since == 0
         )
         wait_s = LONG_POLL_WAIT_S if may_long_poll else 0
-        discards = self._end_to_discard()
+        discards = self._end_to_discard() if renews else 0
         born_ms = worker.born_ms
         token = self._dispatcher.worker_token
         reply = await self._client.poll_runs(
@@ -172,7 +172,7 @@
     def _end_to_discard(self):
         """Returns the number up to which the next poll acknowledges ends."""
         worker = self.worker
-        if self._may_have_restarted:
+        if self._may_have_restarted or worker.unresponsive_since:
             return 0
         return worker.stored_end if worker.stored_end > worker.discarded_end else 0
 
