Convict a task only if two crashes are under runs that had begun

Cause: a start that got no answer counted as a crash under its task as one that ran; three workers that were down when the starts were sent convicted it. Change: a crash is recorded with whether its run had certainly begun, as the start was answered or a list of the worker showed it. Only proven crashes count as of a worker that ran nothing else. Copies of a run on a silent worker are judged by the same function, which also leaves out starts that were never sent. Records of earlier builds hold no proof. The steps give stored crashes the field that says so; no row was changed.

A task that crashes its workers is convicted as before as long as its starts are answered.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -49,6 +49,18 @@
       | crashes after the task was done                     | done      |
       | is silent as an earlier one's registration is read  | running   |
 
+    # A start sent to a worker that was down counted as a crash under its task: jobs
+    # failed of which no run had ever begun.
+    Examples: crashes of workers that had not answered the start
+      | history                                              | outcome  |
+      | crashes three times before it answered the start     | isolated |
+      | crashes four times before it answered the start      | isolated |
+      | crashes six times before it answered the start       | isolated |
+      | lapses four times before it answered the start       | isolated |
+      | crashes four times, once after it answered the start | isolated |
+      | crashes three times, twice after it answered the start | given up |
+      | crashes four times beside others, twice after it answered | given up |
+
   Scenario Outline: a suspect task starts <where>: <started>
     Given a suspect task and workers that are "<where>"
     Then after <waited> s it starts on "<started>"
@@ -75,6 +87,17 @@
     When the next leader loads the job and a third worker crashes under the task
     Then the verdict on it is "given up"
 
+  Scenario Outline: crashes stored <evidence> are <outcome> by the next one
+    Given a task with 3 crashes stored <evidence>
+    When the next leader loads the job and another worker crashes under the task
+    Then the verdict on it is "<outcome>"
+
+    Examples:
+      | evidence                                | outcome  |
+      | of workers that had answered its start  | given up |
+      | of workers that never answered a start  | isolated |
+      | by a build that noted no answers        | isolated |
+
   Scenario Outline: a run whose worker is silent is copied with <crashes> crashes to <room>: <copied>
     Given a task with copies allowed, <crashes> crashes and a silent worker
     Then it is copied to "<room>": <copied>
@@ -86,6 +109,15 @@
       | 1       | an empty worker     | yes    |
       | 2       | an empty worker     | no     |
 
+  Scenario Outline: crashes without an answer to a start hold no copy back
+    Given a task with copies allowed, <crashes> crashes <evidence> and a silent worker
+    Then it is copied to "an empty worker": <copied>
+
+    Examples:
+      | crashes | evidence                               | copied |
+      | 2       | of workers that had answered its start | no     |
+      | 2       | of workers that never answered a start | yes    |
+
   Scenario Outline: two tasks that crash their workers, <others> that do not: <given_up> jobs are given up
     Given 8 workers and 2 tasks that crash each worker that starts them
     When <others> other tasks are placed with them until all have ended
@@ -128,6 +160,29 @@
       | 3     | 20      | 1.5    | 60     |
       | 2     | 12      | 1      | 24     |
 
+  # Starts to workers that had gone dark counted as crashes under their tasks.
+  Scenario Outline: no job of <others> is given up for starts to <count> workers that go dark
+    When <count> of <workers> workers go dark for <dark> s each <period> s before they crash
+    And <others> tasks are placed on them, with the seeds 1 to 20
+    Then each job that is given up has had 2 workers crash under it
+
+    Examples:
+      | count | workers | period | dark | others |
+      | 6     | 12      | 1.0    | 1.2  | 12     |
+      | 12    | 12      | 1.0    | 1.2  | 1      |
+      | 12    | 12      | 3.0    | 1.0  | 24     |
+      | 6     | 20      | 0.7    | 0.6  | 60     |
+
+  Scenario Outline: a task that crashes its workers is given up if <lost> of its starts get no answer
+    When 2 tasks crash 12 workers, and <lost> of their starts get no answer, with the seeds 1 to 20
+    Then both jobs fail, after at most <most> starts, and all others are done
+
+    Examples:
+      | lost | most |
+      | 0    | 3    |
+      | 0.05 | 4    |
+      | 0.1  | 5    |
+
   Scenario Outline: on a worker whose capacity <change>, <started> tasks of 4 cores start
     Given a worker of 16 cores that runs 2 tasks of 4 cores
     When its capacity <change>
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -2,7 +2,9 @@
 
 import json
 from collections import Counter
+from dataclasses import replace
 
+import msgspec
 from behave import given, then, when
 
 from features.support.crash_simulations import CrashPlan, CrashSimulation
@@ -123,6 +125,30 @@
         finish_crash(context, worker)
 
 
+def crash_dark(context, count, others=0):
+    """Crashes workers that had not answered the task's start, ``count`` times."""
+    workers = list(context.tables.workers_by_id.values())
+    for number, worker in enumerate(workers[:count], start=20):
+        run_unanswered(context, worker, number, others)
+        finish_crash(context, worker)
+
+
+def lapse_dark(context, count):
+    """Lets workers that had not answered lapse, and replaces them."""
+    workers = list(context.tables.workers_by_id.values())
+    for number, worker in enumerate(workers[:count], start=20):
+        run_unanswered(context, worker, number)
+        worker.unresponsive_since = NOW + 0.1
+        worker.lease_until = NOW + 5
+        expire_leases(context.tables, NOW + 6, note_lapse)
+        finish_crash(context, worker)
+
+
+def run_unanswered(context, worker, number, others=0):
+    """Sends a start, which is not answered, after the worker's last answer."""
+    run_on(context, worker, number, others, -0.1, RunState.UNCERTAIN)
+
+
 def run_on(context, worker, number=1, others=0, age_s=0.1, state=RunState.RUNNING):
     """Starts the task, and others, ``age_s`` before the worker's last answer."""
     for other in range(others):
@@ -235,6 +261,22 @@
     ),
     "crashes once, 2 s into a run beside others": lambda c, w: crash_under(c, 1, 2, 2),
     "crashes twice, 2 s into a run beside others": lambda c, w: crash_under(c, 2, 2, 2),
+    "crashes three times before it answered the start": lambda c, w: crash_dark(c, 3),
+    "crashes four times before it answered the start": lambda c, w: crash_dark(c, 4),
+    "crashes six times before it answered the start": lambda c, w: crash_dark(c, 6),
+    "lapses four times before it answered the start": lambda c, w: lapse_dark(c, 4),
+    "crashes four times, once after it answered the start": lambda c, w: [
+        crash_under(c, 1),
+        crash_dark(c, 3),
+    ],
+    "crashes three times, twice after it answered the start": lambda c, w: [
+        crash_dark(c, 1),
+        crash_under(c, 2, first=4),
+    ],
+    "crashes four times beside others, twice after it answered": lambda c, w: [
+        crash_dark(c, 2, 2),
+        crash_under(c, 2, 2, first=4),
+    ],
     "lapses, then another answers there": crash_after_lapse,
     "restarts under its own id": crash_and_restart,
     "is replaced on its host while it is silent": replace_silent,
@@ -358,14 +400,44 @@
     finish_crash(context, worker)
 
 
+ANSWERED = "of workers that had answered its start"
+# Fields of ``Crash`` after the host; earlier builds stored two of them.
+CRASH_FIELDS = {
+    ANSWERED: (True, True, True),
+    "of workers that never answered a start": (True, True, False),
+    "by a build that noted no answers": (True, True),
+}
+
+
+def stored_crashes(count, evidence):
+    """Returns crashes as the store holds them."""
+    fields = CRASH_FIELDS[evidence]
+    rows = [(f"host-gone-{number}", *fields) for number in range(count)]
+    return msgspec.convert(rows, tuple[Crash, ...])
+
+
+@given("a task with {count:d} crashes stored {evidence}")
+def make_stored(context, count, evidence):
+    make_task(context, 8)
+    context.task.crashes = stored_crashes(count, evidence)
+
+
+@when("the next leader loads the job and another worker crashes under the task")
+def load_and_crash_again(context):
+    load_and_crash(context)
+
+
 @given("a task with copies allowed, {crashes:d} crashes and a silent worker")
 def make_silent(context, crashes):
+    make_silent_after(context, crashes, ANSWERED)
+
+
+@given("a task with copies allowed, {crashes:d} crashes {evidence} and a silent worker")
+def make_silent_after(context, crashes, evidence):
     context.tables = create_tables(workers=2)
     context.job = add_simple_job(context.tables, is_speculative=True)
     context.task = first_task(context.job)
-    context.task.crashes = tuple(
-        Crash(f"host-gone-{number}", True, True) for number in range(crashes)
-    )
+    context.task.crashes = stored_crashes(crashes, evidence)
     worker = context.tables.workers_by_id["worker-0"]
     run_on(context, worker)
     worker.unresponsive_since = NOW + 0.1
@@ -408,6 +480,46 @@
             context.failed_by_seed[seed] = len(failed)
 
 
+@when(
+    "{count:d} of {workers:d} workers go dark for {dark:g} s each {period:g} s "
+    "before they crash"
+)
+def plan_dark(context, count, workers, dark, period):
+    context.plan = CrashPlan(workers, flapping=count, flap_period_s=period, dark_s=dark)
+
+
+@when("{others:d} tasks are placed on them, with the seeds {first:d} to {last:d}")
+def simulate_dark(context, others, first, last):
+    context.simulations = []
+    for seed in range(first, last + 1):
+        simulation = CrashSimulation(replace(context.plan, seed=seed))
+        simulation.run(others)
+        assert simulation.all_ended(), seed
+        context.simulations.append(simulation)
+
+
+@then("each job that is given up has had {least:d} workers crash under it")
+def check_causes(context, least):
+    found = [simulation.crashes_of_failed_jobs() for simulation in context.simulations]
+    for crashes_by_job in found:
+        assert all(count >= least for count in crashes_by_job.values()), found
+
+
+@when(
+    "{bad:d} tasks crash {workers:d} workers, and {lost:g} of their starts get no "
+    "answer, with the seeds {first:d} to {last:d}"
+)
+def simulate_lost_answers(context, bad, workers, lost, first, last):
+    context.plan = CrashPlan(workers, bad, lost_answers=lost)
+    simulate_dark(context, 6, first, last)
+
+
+@then("both jobs fail, after at most {most:d} starts, and all others are done")
+def check_all(context, most):
+    for context.simulation in context.simulations:
+        check_simulation(context, 2, most)
+
+
 @then("no job is given up")
 def check_none_failed(context):
     assert not context.failed_by_seed, context.failed_by_seed
--- a/features/support/crash_simulations.py
+++ b/features/support/crash_simulations.py
@@ -22,7 +22,7 @@
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.run_updates import remove_worker
 from sassafrasgrade.systems.task_placement import place_tasks
-from sassafrasgrade.work_tables import RunState, WorkState
+from sassafrasgrade.work_tables import MS_PER_S, RunState, WorkState
 
 TICK_S = 0.1
 TASK_S = 1.0
@@ -45,6 +45,9 @@
         flapping: Number of workers that crash at random times.
         flap_period_s: Mean time between two crashes of such a worker.
         seed: Seed of these times.
+        dark_s: Time for which a flapping worker answers no start before its crash is
+            noticed.
+        lost_answers: Share of the starts of crashing tasks that get no answer.
         rack_lost_at_s: When every other worker crashes.
         outage_until_s: Time until which no progress is stored.
     """
@@ -56,6 +59,8 @@
     flapping: int = 0
     flap_period_s: float = 1.0
     seed: int = 0
+    dark_s: float = 0.0
+    lost_answers: float = 0.0
     rack_lost_at_s: float = NEVER
     outage_until_s: float = 0.0
 
@@ -71,6 +76,8 @@
         self.tables = create_tables(workers=plan.workers)
         self.starts_by_task = Counter()
         self.bad_ids = {f"bad{number:013x}" for number in range(plan.bad)}
+        # Crashes of workers on which a run of the task had begun.
+        self.crashes_by_task = Counter()
         # Starts of tasks whose crashes were not stored yet.
         self.unsaved_starts = []
         self._plan = plan
@@ -80,6 +87,8 @@
             f"host-worker-{number}" for number in range(plan.flapping)
         }
         self._due_at_by_host = {}
+        self._noticed_at_by_host = {}
+        self._begun_by_worker = {}
         self._incarnation = 0
 
     def run(self, others):
@@ -104,6 +113,13 @@
         jobs = self.tables.jobs_by_id.values()
         return [job for job in jobs if job.pending_state is WorkState.FAILED]
 
+    def crashes_of_failed_jobs(self):
+        """Returns by job that was given up how often workers crashed under its task."""
+        return {
+            job.job_id: self.crashes_by_task[f"{job.job_id}.0.0.0"]
+            for job in self.failed_jobs()
+        }
+
     def all_ended(self):
         """Whether every job has ended."""
         return not self.tables.open_jobs_by_id
@@ -127,8 +143,11 @@
     def _tick(self, now):
         self._lose_rack(now)
         for worker in list(self.tables.workers_by_id.values()):
-            if self._has_crashed(worker, now):
-                self._crash(worker, now)
+            if worker.host in self._noticed_at_by_host:
+                self._notice(worker, now)
+            elif self._has_crashed(worker, now):
+                self._noticed_at_by_host[worker.host] = now + self._dark_s_of(worker)
+                self._notice(worker, now)
             else:
                 self._answer(worker, now)
         self._return_workers(now)
@@ -152,10 +171,32 @@
             run = command.run
             if run.task.name in unsaved:
                 self.unsaved_starts.append(run.task.name)
+            run.deadline_ms = now * MS_PER_S
+            run.state = RunState.UNCERTAIN
+            worker = self.tables.workers_by_id[run.worker_id]
+            if worker.host not in self._noticed_at_by_host:
+                self._begin(run, worker, now)
+
+    def _begin(self, run, worker, now):
+        self.starts_by_task[run.task.name] += 1
+        self._begun_by_worker.setdefault(worker.worker_id, []).append(run)
+        is_bad = run.task.job.job_id in self.bad_ids
+        if not is_bad or self._random.random() >= self._plan.lost_answers:
             run.state, run.answered_at = RunState.RUNNING, now
-            self.starts_by_task[run.task.name] += 1
+
+    def _dark_s_of(self, worker):
+        is_flapping = worker.host in self._flapping_hosts
+        return self._plan.dark_s if is_flapping else 0.0
+
+    def _notice(self, worker, now):
+        if now >= self._noticed_at_by_host[worker.host]:
+            del self._noticed_at_by_host[worker.host]
+            self._crash(worker, now)
 
     def _crash(self, worker, now):
+        for run in self._begun_by_worker.pop(worker.worker_id, ()):
+            if run in worker.runs_by_key.values():
+                self.crashes_by_task[run.task.name] += 1
         record_crash(self.tables, worker)
         remove_worker(self.tables, worker, EndProof(ProofKind.WORKER_GONE, now), now)
         self._due_at_by_host[worker.host] = now + RETURN_S
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -2,7 +2,9 @@
 
 A worker that crashes has usually several tasks. Those that had just started are
 suspects: each starts again on a worker of its own. A task that crashed several
-workers, one of which ran nothing else, ends its job as failed.
+workers, one of which ran nothing else, ends its job as failed. A start without an
+answer makes its task a suspect, but convicts it of nothing: the worker may have
+crashed before.
 
 Load pattern: one task in some dozens crashes every worker that starts it, while the
 other tasks of these workers are innocent.
@@ -24,15 +26,22 @@
 # starts after the third crash; one is kept for a crash that a lost leader had not
 # stored.
 MAX_CRASHES = 4
+# Crashes under runs that had certainly begun, without which no others convict: by the
+# published limit two crashed workers are cause to give a task up.
+MIN_PROVEN_CRASHES = 2
 # Time that a suspect waits for a worker of its own, in seconds; after that it shares
 # the one with the fewest runs.
 MAX_ISOLATION_WAIT_S = 2.0
 
 
-def suspects_of(worker):
+def suspects_of(worker, max_age_s=RESPONSIBLE_S):
     """Returns the ``CrashedTask`` values if a worker crashed after its last answer.
 
     Runs count whose start was sent and whose stop the worker has not confirmed.
+
+    Args:
+        worker: The worker.
+        max_age_s: Longest time from a run's start to the worker's last answer.
     """
     runs = [
         run
@@ -43,9 +52,13 @@
     suspects = []
     for run in runs:
         age_s = worker.last_answer_at - run.started_at
-        if age_s <= RESPONSIBLE_S:
-            was_likely = was_alone or age_s <= LIKELY_S
-            crash = Crash(worker.host or worker.address, was_alone, was_likely)
+        if age_s <= max_age_s:
+            crash = Crash(
+                worker.host or worker.address,
+                was_alone,
+                was_alone or age_s <= LIKELY_S,
+                is_proven=run.answered_at > 0,
+            )
             suspects.append(CrashedTask(run.task, worker.worker_id, crash))
     return tuple(suspects)
 
@@ -89,6 +102,7 @@
             "crashes": len(task.crashes),
             "alone": crash.was_alone,
             "likely": crash.was_likely,
+            "proven": crash.is_proven,
         }
         commands.append(LogEvent("worker-crashed-under-task", fields))
         if is_convicted(task) and task.job.is_open:
@@ -126,40 +140,46 @@
 
 def is_convicted(task):
     """Whether a task has crashed so many workers that it is given up."""
+    if not has_proof(task.crashes):
+        return False
     if len(task.crashes) >= MAX_CRASHES:
         return True
     hosts = {crash.host for crash in task.crashes}
-    alone = sum(crash.was_alone for crash in task.crashes)
+    alone = sum(crash.was_alone and crash.is_proven for crash in task.crashes)
     if len(task.crashes) < CONVICTING_CRASHES or len(hosts) < 2:
         return False
     return alone > 1 or (alone == 1 and len(hosts) >= CONVICTING_CRASHES)
 
 
-def count_silent_runs(tables, task, max_age_s):
-    """Counts a task's runs on workers that may have crashed under it.
+def has_proof(crashes):
+    """Whether enough crashes are of workers on which the task had certainly begun."""
+    return sum(crash.is_proven for crash in crashes) >= MIN_PROVEN_CRASHES
+
+
+def silent_crashes(tables, task, max_age_s):
+    """Returns the ``Crash`` values of a task if all its silent workers crashed.
 
     Args:
         tables: The tables.
         task: The task.
         max_age_s: Longest time from a run's start to the worker's last answer.
     """
-    workers = [
-        (tables.workers_by_id.get(run.worker_id), run)
-        for run in task.runs_by_number.values()
+    worker_ids = {run.worker_id for run in task.runs_by_number.values()}
+    workers = [tables.workers_by_id.get(worker_id) for worker_id in worker_ids]
+    return [
+        suspect.crash
+        for worker in workers
+        if worker is not None and worker.unresponsive_since
+        for suspect in suspects_of(worker, max_age_s)
+        if suspect.task is task
     ]
-    return sum(
-        worker is not None
-        and worker.unresponsive_since > 0
-        and worker.last_answer_at - run.started_at <= max_age_s
-        for worker, run in workers
-    )
 
 
 def needs_isolation(tables, task):
     """Whether a task is suspect, so that it starts on a worker of its own."""
     if len(task.crashes) > 1 or any(crash.was_likely for crash in task.crashes):
         return True
-    return bool(task.runs_by_number) and count_silent_runs(tables, task, LIKELY_S) > 0
+    return bool(task.runs_by_number) and bool(silent_crashes(tables, task, LIKELY_S))
 
 
 def is_start_held(tables, task):
@@ -172,8 +192,9 @@
         return True
     if not task.runs_by_number:
         return False
-    silent = count_silent_runs(tables, task, RESPONSIBLE_S)
-    return silent > 0 and len(task.crashes) + silent >= CONVICTING_CRASHES
+    silent = silent_crashes(tables, task, RESPONSIBLE_S)
+    crashes = (*task.crashes, *silent)
+    return bool(silent) and len(crashes) >= CONVICTING_CRASHES and has_proof(crashes)
 
 
 def isolated_candidates(task, candidates, waited_s):
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -70,11 +70,14 @@
         host: Name of the worker's host, or its address.
         was_alone: Whether the worker ran nothing else.
         was_likely: Whether the task had just started there.
+        is_proven: Whether the task had certainly begun there: its start was answered,
+            or a list of the worker showed it.
     """
 
     host: str
     was_alone: bool
     was_likely: bool
+    is_proven: bool = False
 
 
 @dataclass(slots=True, eq=False)
