Suspect no inherited run of having just started

Cause: a leader took the runs that it inherited as started at the takeover; if the worker crashed before it had answered the new leader, their age was even negative. A handed-over start without an answer counted as answered. Change: a handover says for how long each run had lasted at its worker's last answer, and nothing of a start without an answer; the time that a listed run of an earlier leader had lasted is unknown, so that it is no suspect. A task that crashes its worker within a second is still convicted: such a crash does not let a run live until the next leader's list, and a handover carries it. A crash of an unanswered start around a handover counts for nothing; the limit of four keeps one start for it.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -61,6 +61,18 @@
       | crashes three times, twice after it answered the start | given up |
       | crashes four times beside others, twice after it answered | given up |
 
+    # A leader took the runs that it inherited for new ones: after each takeover every
+    # lasting task on a worker that crashed was a suspect.
+    Examples: crashes under runs that an earlier leader started
+      | history                                                | outcome  |
+      | crashes 60 s into a run that was handed over           | free     |
+      | crashes 60 s into a run handed over, before an answer  | free     |
+      | crashes 60 s into a run that was handed over twice     | free     |
+      | crashes 60 s into a run that a list showed             | free     |
+      | crashes as a start handed over has no answer           | free     |
+      | crashes 0.1 s into a run that was handed over          | isolated |
+      | crashes 0.1 s into a run handed over, before an answer | isolated |
+
   Scenario Outline: a suspect task starts <where>: <started>
     Given a suspect task and workers that are "<where>"
     Then after <waited> s it starts on "<started>"
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -39,9 +39,11 @@
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.run_updates import (
+    adopt_handed_over_runs,
     expire_leases,
     remove_worker,
     restart_worker,
+    runs_to_hand_over,
 )
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
 from sassafrasgrade.systems.task_placement import place_tasks
@@ -159,6 +161,27 @@
     return run
 
 
+def crash_handed_over(context, age_s, state=RunState.RUNNING, answers=True, times=1):
+    """Crashes a worker 0.2 s after its run was handed over to the last leader."""
+    worker = context.tables.workers_by_id["worker-0"]
+    run_on(context, worker, age_s=age_s, state=state)
+    for _ in range(times):
+        runs = runs_to_hand_over(context.tables, NOW)
+        make_task(context, 8)
+        adopt_handed_over_runs(context.tables, runs, NOW)
+    worker = context.tables.workers_by_id["worker-0"]
+    worker.last_answer_at = NOW + 0.1 if answers else 0.0
+    finish_crash(context, worker)
+
+
+def crash_listed(context, worker):
+    """Crashes a worker after its list had shown an earlier leader's run."""
+    row = (context.task.name, 1)
+    apply_worker_view(context.tables, worker, NOW, running=[row])
+    worker.last_answer_at = NOW + 0.1
+    finish_crash(context, worker)
+
+
 def lapse(context, worker):
     run_on(context, worker)
     worker.unresponsive_since = NOW + 0.1
@@ -277,6 +300,25 @@
         crash_dark(c, 2, 2),
         crash_under(c, 2, 2, first=4),
     ],
+    "crashes 60 s into a run that was handed over": lambda c, w: crash_handed_over(
+        c, 60
+    ),
+    "crashes 60 s into a run handed over, before an answer": lambda c, w: (
+        crash_handed_over(c, 60, answers=False)
+    ),
+    "crashes 60 s into a run that was handed over twice": lambda c, w: (
+        crash_handed_over(c, 60, times=2)
+    ),
+    "crashes 60 s into a run that a list showed": crash_listed,
+    "crashes as a start handed over has no answer": lambda c, w: crash_handed_over(
+        c, -0.1, RunState.UNCERTAIN
+    ),
+    "crashes 0.1 s into a run that was handed over": lambda c, w: crash_handed_over(
+        c, 0.1
+    ),
+    "crashes 0.1 s into a run handed over, before an answer": lambda c, w: (
+        crash_handed_over(c, 0.1, answers=False)
+    ),
     "lapses, then another answers there": crash_after_lapse,
     "restarts under its own id": crash_and_restart,
     "is replaced on its host while it is silent": replace_silent,
--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -95,12 +95,22 @@
 
 
 class HandedOverRun(msgspec.Struct, frozen=True, array_like=True):
-    """A run that may be under way: task, number, worker, remaining lease."""
+    """A run that may be under way.
+
+    Attributes:
+        task: Name of its task.
+        number: Number of the run.
+        worker_id: Its worker; empty if that is not listed.
+        lease_left_s: Remaining lease in seconds.
+        lasted_s: How long it had lasted at its worker's last answer, in seconds; None
+            if that, or whether it began, is not known.
+    """
 
     task: str
     number: Whole
     worker_id: str
     lease_left_s: Quantity
+    lasted_s: Quantity | None = None
 
 
 class HandOver(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -10,7 +10,7 @@
 other tasks of these workers are innocent.
 """
 
-from sassafrasgrade.systems.run_updates import end_job, stop_job_runs
+from sassafrasgrade.systems.run_updates import end_job, lasted_s_of, stop_job_runs
 from sassafrasgrade.work_commands import LogEvent
 from sassafrasgrade.work_tables import Crash, CrashedTask, WorkState
 
@@ -51,7 +51,7 @@
     was_alone = len(runs) == 1
     suspects = []
     for run in runs:
-        age_s = worker.last_answer_at - run.started_at
+        age_s = lasted_s_of(worker, run)
         if age_s <= max_age_s:
             crash = Crash(
                 worker.host or worker.address,
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -1,5 +1,7 @@
 """Tracks runs: applies workers' reports of starts, progress and ends."""
 
+import math
+
 from sassafrasgrade.fleet_hosts import ENDING_STATES
 from sassafrasgrade.job_records import find_task, job_id_of
 from sassafrasgrade.node_messages import HandedOverRun
@@ -230,7 +232,15 @@
     task = find_task(tables, row.task)
     if task is None or task.is_done or not task.job.is_open:
         return [StopUnknownRun(worker.worker_id, row.task, row.run)]
-    run = Run(task, row.run, worker.worker_id, RunState.RUNNING, now, answered_at=now)
+    run = Run(
+        task,
+        row.run,
+        worker.worker_id,
+        RunState.RUNNING,
+        now,
+        answered_at=now,
+        lasted_before_s=math.inf,
+    )
     commands = []
     others = tuple(task.runs_by_number.values())
     task.runs_by_number[row.run] = run
@@ -298,6 +308,9 @@
             RunState.RUNNING,
             now,
             answered_at=now,
+            lasted_before_s=(
+                math.inf if handed_run.lasted_s is None else handed_run.lasted_s
+            ),
         )
         worker.lease_until = max(worker.lease_until, lapses_at)
         worker.runs_by_key[(task.name, run.number)] = run
@@ -322,6 +335,7 @@
             run.number,
             worker.worker_id,
             max(0.0, worker.lease_until - now),
+            _lasted_s_to_hand_over(worker, run),
         )
         for worker in tables.workers_by_id.values()
         for run in worker.runs_by_key.values()
@@ -334,6 +348,23 @@
     return tuple(runs + blocked)
 
 
+def _lasted_s_to_hand_over(worker, run):
+    """Returns for how long a run had lasted, or None if that is not known.
+
+    A successor is not told of starts without an answer, nor of confirmed stops: such
+    a run is cause for no suspicion if its worker crashes.
+    """
+    if not run.answered_at or run.stop_answered_at:
+        return None
+    lasted_s = lasted_s_of(worker, run)
+    return lasted_s if math.isfinite(lasted_s) else None
+
+
+def lasted_s_of(worker, run):
+    """Returns for how long a run had lasted at its worker's last answer, in seconds."""
+    return run.lasted_before_s + max(0.0, worker.last_answer_at - run.started_at)
+
+
 def record_start(tables, job):
     """Records that a task of a job was started."""
     if not job.has_started:
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -103,6 +103,8 @@
         ticket: Ticket of the advice service, if the queue needs one.
         is_isolated: Whether its worker gets no other runs, since its task may crash
             workers.
+        lasted_before_s: How long it had lasted when this leader took it over, in
+            seconds; infinite if an earlier leader started it at an unknown time.
     """
 
     task: "Task"
@@ -121,6 +123,7 @@
     stop_answered_at: float = 0.0
     ticket: str = ""
     is_isolated: bool = False
+    lasted_before_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
