Count no run of a worker's next life as crashed with the one before

Cause: a start names the worker, not its incarnation, so that the next one may answer it before it is polled; the restart then counted as a crash under a run that was at work, or had ended, on the new incarnation. Change: runs that the first list after a restart holds are no suspects, and a start that was answered after the call was sent which showed the restart proves nothing of the earlier incarnation. A run that crashes its worker is answered before that worker's next life is called, so that it convicts as before. The step that restarts a worker calls what the dispatcher calls now. Measured: of 4 new rows 3 failed with restarts recorded as before, by the code before this change behind the new call, and pass; the one that convicts passed before as well.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -61,6 +61,15 @@
       | crashes three times, twice after it answered the start | given up |
       | crashes four times beside others, twice after it answered | given up |
 
+    # A run on the next incarnation of a worker, under the same id, counted as crashed
+    # with the earlier one.
+    Examples: restarts under its own id
+      | history                                                    | outcome  |
+      | restarts four times, and lists the start sent between      | running  |
+      | restarts four times, and lists the end of the start        | free     |
+      | restarts four times, as the start and a poll are answered  | isolated |
+      | restarts three times after it answered the start           | given up |
+
     # A leader took the runs that it inherited for new ones: after each takeover every
     # lasting task on a worker that crashed was a suspect.
     Examples: crashes under runs that an earlier leader started
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -27,19 +27,26 @@
     progress_of,
 )
 from sassafrasgrade.platform import names
-from sassafrasgrade.platform.messages import WorkerView
+from sassafrasgrade.platform.messages import (
+    EndedRow,
+    RunEnd,
+    RunningRow,
+    WorkerView,
+)
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.crash_records import (
     clear_outlived,
     needs_isolation,
     note_lapse,
     record_crash,
+    record_restart,
     settle_crashes,
 )
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.run_updates import (
     adopt_handed_over_runs,
+    apply_view,
     expire_leases,
     remove_worker,
     restart_worker,
@@ -204,13 +211,39 @@
 def crash_and_restart(context, worker):
     run_on(context, worker)
     worker.born_ms = 1
+    view = WorkerView(clock_ms=1.0, born_ms=2)
     # As the dispatcher does on an answer of a later incarnation.
-    record_crash(context.tables, worker)
-    restart_worker(context.tables, worker, WorkerView(clock_ms=1.0, born_ms=2), NOW)
+    record_restart(context.tables, worker, view, NOW)
+    restart_worker(context.tables, worker, view, NOW)
     apply_worker_view(context.tables, worker, NOW + 0.1)
     settle_crashes(context.tables)
 
 
+def restart_times(context, count, lists="", called_before_s=0.0):
+    """Restarts workers after the task's start was answered.
+
+    Args:
+        context: Context of the scenario.
+        count: Number of workers that restart.
+        lists: List of the next incarnation that holds the run; empty if none does.
+        called_before_s: How long before ``NOW`` the next incarnation was called.
+    """
+    for number in range(1, count + 1):
+        worker = context.tables.workers_by_id[f"worker-{number}"]
+        worker.born_ms = 1
+        run_on(context, worker, number)
+        row = RunningRow(context.task.name, number)
+        if lists == "ended":
+            row = EndedRow(1, context.task.name, number, RunEnd.STOPPED)
+        view = WorkerView(clock_ms=1.0, born_ms=2, **({lists: (row,)} if lists else {}))
+        called_at = NOW - called_before_s
+        record_restart(context.tables, worker, view, called_at)
+        commands = restart_worker(context.tables, worker, view, NOW)
+        assert not commands, commands
+        apply_view(context.tables, worker, view, called_at, NOW)
+        settle_crashes(context.tables)
+
+
 def replace_silent(context, worker, born_ms=2):
     run_on(context, worker)
     worker.born_ms = 1
@@ -321,6 +354,18 @@
     ),
     "lapses, then another answers there": crash_after_lapse,
     "restarts under its own id": crash_and_restart,
+    "restarts four times, and lists the start sent between": lambda c, w: (
+        restart_times(c, 4, lists="running")
+    ),
+    "restarts four times, and lists the end of the start": lambda c, w: restart_times(
+        c, 4, lists="ended"
+    ),
+    "restarts four times, as the start and a poll are answered": lambda c, w: (
+        restart_times(c, 4, called_before_s=0.2)
+    ),
+    "restarts three times after it answered the start": lambda c, w: restart_times(
+        c, 3
+    ),
     "is replaced on its host while it is silent": replace_silent,
     "crashes before it answered the start": crash_unanswered,
     "is silent as an earlier one's registration is read": lambda c, w: replace_silent(
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -16,6 +16,7 @@
     clear_outlived,
     note_lapse,
     record_crash,
+    record_restart,
     settle_crashes,
 )
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
@@ -262,7 +263,7 @@
             return False
         if None not in (view.born_ms, worker.born_ms, worker.last_answer_at or None):
             if view.born_ms != worker.born_ms:
-                record_crash(self.tables, worker)
+                record_restart(self.tables, worker, view, sent_at)
                 self._carry_out_all(restart_worker(self.tables, worker, view, now))
         if view.born_ms is not None:
             worker.born_ms = view.born_ms
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -10,6 +10,9 @@
 other tasks of these workers are innocent.
 """
 
+import math
+from dataclasses import dataclass
+
 from sassafrasgrade.systems.run_updates import end_job, lasted_s_of, stop_job_runs
 from sassafrasgrade.work_commands import LogEvent
 from sassafrasgrade.work_tables import Crash, CrashedTask, WorkState
@@ -34,7 +37,26 @@
 MAX_ISOLATION_WAIT_S = 2.0
 
 
-def suspects_of(worker, max_age_s=RESPONSIBLE_S):
+@dataclass(frozen=True)
+class NextLife:
+    """What is known of the next incarnation of a worker that has crashed.
+
+    Starts are not addressed to one incarnation: what the next one lists began there,
+    and a start that was answered after the next one was called may be one of its own.
+
+    Attributes:
+        listed: Runs, by (task name, number), that it listed in its first answer.
+        called_at: Clock when the call was sent that it answered.
+    """
+
+    listed: frozenset[tuple[str, int]] = frozenset()
+    called_at: float = math.inf
+
+
+UNKNOWN_LIFE = NextLife()
+
+
+def suspects_of(worker, max_age_s=RESPONSIBLE_S, next_life=UNKNOWN_LIFE):
     """Returns the ``CrashedTask`` values if a worker crashed after its last answer.
 
     Runs count whose start was sent and whose stop the worker has not confirmed.
@@ -42,11 +64,14 @@
     Args:
         worker: The worker.
         max_age_s: Longest time from a run's start to the worker's last answer.
+        next_life: ``NextLife`` under the same id.
     """
     runs = [
         run
-        for run in worker.runs_by_key.values()
-        if (run.answered_at or run.deadline_ms) and not run.stop_answered_at
+        for key, run in worker.runs_by_key.items()
+        if (run.answered_at or run.deadline_ms)
+        and not run.stop_answered_at
+        and key not in next_life.listed
     ]
     was_alone = len(runs) == 1
     suspects = []
@@ -57,21 +82,27 @@
                 worker.host or worker.address,
                 was_alone,
                 was_alone or age_s <= LIKELY_S,
-                is_proven=run.answered_at > 0,
+                is_proven=0 < run.answered_at < next_life.called_at,
             )
             suspects.append(CrashedTask(run.task, worker.worker_id, crash))
     return tuple(suspects)
 
 
-def record_crash(tables, worker):
+def record_crash(tables, worker, next_life=UNKNOWN_LIFE):
     """Records that a worker has crashed, before its runs are forgotten.
 
     A worker that drains or whose host is about to be ordered ends as planned.
+
+    Args:
+        tables: The tables.
+        worker: The worker.
+        next_life: ``NextLife`` under the same id.
     """
     if worker.is_draining or worker.is_reserved or worker.is_crash_recorded:
         return
     worker.is_crash_recorded = True
-    for crashed in (*worker.lapsed_suspects, *suspects_of(worker)):
+    suspects = suspects_of(worker, next_life=next_life)
+    for crashed in (*worker.lapsed_suspects, *suspects):
         task = crashed.task
         if not task.is_done and task.job.is_open:
             task.crashes = (*task.crashes, crashed.crash)
@@ -80,6 +111,20 @@
     worker.lapsed_suspects = ()
 
 
+def record_restart(tables, worker, view, sent_at):
+    """Records the crash of an incarnation as the next one answers under its id.
+
+    Args:
+        tables: The tables.
+        worker: The worker.
+        view: ``WorkerView`` of the next incarnation.
+        sent_at: Clock when the call was sent that it answered, in seconds.
+    """
+    rows = (*view.running, *view.ended)
+    listed = frozenset((row.task, row.run) for row in rows)
+    record_crash(tables, worker, NextLife(listed, sent_at))
+
+
 def note_lapse(worker):
     """Keeps the suspects of a worker whose runs lapse, until its fate is known."""
     worker.lapsed_suspects = (*worker.lapsed_suspects, *suspects_of(worker))
