Clear the crashes of a task once any run of it has lasted

Cause: only a run that was started on a worker of its own cleared its task; the first crash beside others isolates nobody, and a run that a leader inherits is never isolated. A start that was carried out late cleared its task at once, as its age counted from the placement. Change: each run that lasted for 5 s from the time when it was known to have begun clears its task; a task that crashes its workers has no such run. Measured: of 6 new rows the 4 on runs beside others, inherited runs and a late start failed before and pass; the 2 on isolated and unanswered ones passed before as well.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -103,6 +103,22 @@
     When its worker answers after 6 s
     Then the verdict on it is "running"
 
+  # Only a run on a worker of its own cleared a task: the crashes under a lasting task
+  # added up over its whole life.
+  Scenario Outline: the crashes under a task are <kept> after 6 s of a run <how>
+    Given a suspect task that a worker has run for 6 s, <how>
+    When the leader clears tasks that have outlived the suspicion
+    Then the crashes under it are "<kept>"
+
+    Examples:
+      | how                              | kept    |
+      | on a worker of its own           | cleared |
+      | beside others                    | cleared |
+      | that was handed over             | cleared |
+      | that a list showed               | cleared |
+      | whose start was not answered     | kept    |
+      | whose start was carried out late | kept    |
+
   Scenario: the next leader knows the crashes under a task
     Given a task under which 2 workers crashed while they ran nothing else
     When the next leader loads the job and a third worker crashes under the task
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -26,6 +26,7 @@
     encode,
     progress_of,
 )
+from sassafrasgrade.node_messages import HandedOverRun
 from sassafrasgrade.platform import names
 from sassafrasgrade.platform.messages import (
     EndedRow,
@@ -471,6 +472,42 @@
     clear_outlived(context.tables)
 
 
+def run_for_6_s(context, worker, how):
+    """Lets a worker run the task ``how``; its last answer is 6 s later."""
+    row = (context.task.name, 1)
+    if how == "that a list showed":
+        apply_worker_view(context.tables, worker, NOW, running=[row])
+    elif how == "that was handed over":
+        handed = HandedOverRun(*row, worker.worker_id, 4.0, 0.2)
+        adopt_handed_over_runs(context.tables, (handed,), NOW)
+    elif how == "whose start was not answered":
+        start_run(context.task, worker, RunState.UNCERTAIN)
+    else:
+        run = start_run(context.task, worker)
+        run.is_isolated = how != "beside others"
+        if how == "whose start was carried out late":
+            run.answered_at = NOW + 5.9
+    worker.last_answer_at = NOW + 6
+
+
+@given("a suspect task that a worker has run for 6 s, {how}")
+def make_outliving(context, how):
+    make_task(context, 1)
+    context.task.crashes = (Crash("host-gone", True, True),)
+    run_for_6_s(context, context.tables.workers_by_id["worker-0"], how)
+
+
+@when("the leader clears tasks that have outlived the suspicion")
+def clear_tasks(context):
+    clear_outlived(context.tables)
+
+
+@then('the crashes under it are "{kept}"')
+def check_kept(context, kept):
+    found = "kept" if context.task.crashes else "cleared"
+    assert found == kept, context.task.crashes
+
+
 @given("a task under which {count:d} workers crashed while they ran nothing else")
 def make_crashed(context, count):
     make_task(context, 8)
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -164,7 +164,7 @@
 
 
 def clear_outlived(tables):
-    """Clears the suspicion of tasks whose isolated run has lasted long enough.
+    """Clears the suspicion of tasks of which a run has lasted long enough.
 
     Returns:
         Commands.
@@ -173,7 +173,7 @@
     for worker in tables.workers_by_id.values():
         for run in worker.runs_by_key.values():
             task = run.task
-            if not (run.is_isolated and run.answered_at and task.crashes):
+            if not (run.answered_at and task.crashes):
                 continue
             if has_outlived_suspicion(worker, run):
                 fields = {"task": task.name, "crashes": len(task.crashes)}
@@ -262,5 +262,9 @@
 
 
 def has_outlived_suspicion(worker, run):
-    """Whether a run has lasted for longer than a crashing one would."""
-    return worker.last_answer_at - run.started_at > RESPONSIBLE_S
+    """Whether a run has lasted for longer than a crashing one would.
+
+    A start may be carried out long after it was sent.
+    """
+    began_at = max(run.started_at, run.answered_at)
+    return worker.last_answer_at - began_at > RESPONSIBLE_S
