--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -2,7 +2,9 @@
 
 import json
 from collections import Counter
+from dataclasses import replace
 
+import msgspec
 from behave import given, then, when
 
 from features.support.crash_simulations import CrashPlan, CrashSimulation
@@ -24,22 +26,32 @@
     encode,
     progress_of,
 )
+from sassafrasgrade.node_messages import HandedOverRun
 from sassafrasgrade.platform import names
-from sassafrasgrade.platform.messages import WorkerView
+from sassafrasgrade.platform.messages import (
+    EndedRow,
+    RunEnd,
+    RunningRow,
+    WorkerView,
+)
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.crash_records import (
     clear_outlived,
     needs_isolation,
     note_lapse,
     record_crash,
+    record_restart,
     settle_crashes,
 )
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.run_updates import (
+    adopt_handed_over_runs,
+    apply_view,
     expire_leases,
     remove_worker,
     restart_worker,
+    runs_to_hand_over,
 )
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
 from sassafrasgrade.systems.task_placement import place_tasks
@@ -123,6 +135,30 @@
         finish_crash(context, worker)
 
 
+def crash_dark(context, count, others=0):
+    """Crashes workers that had not answered the task's start, ``count`` times."""
+    workers = list(context.tables.workers_by_id.values())
+    for number, worker in enumerate(workers[:count], start=20):
+        run_unanswered(context, worker, number, others)
+        finish_crash(context, worker)
+
+
+def lapse_dark(context, count):
+    """Lets workers that had not answered lapse, and replaces them."""
+    workers = list(context.tables.workers_by_id.values())
+    for number, worker in enumerate(workers[:count], start=20):
+        run_unanswered(context, worker, number)
+        worker.unresponsive_since = NOW + 0.1
+        worker.lease_until = NOW + 5
+        expire_leases(context.tables, NOW + 6, note_lapse)
+        finish_crash(context, worker)
+
+
+def run_unanswered(context, worker, number, others=0):
+    """Sends a start, which is not answered, after the worker's last answer."""
+    run_on(context, worker, number, others, -0.1, RunState.UNCERTAIN)
+
+
 def run_on(context, worker, number=1, others=0, age_s=0.1, state=RunState.RUNNING):
     """Starts the task, and others, ``age_s`` before the worker's last answer."""
     for other in range(others):
@@ -133,6 +169,27 @@
     return run
 
 
+def crash_handed_over(context, age_s, state=RunState.RUNNING, answers=True, times=1):
+    """Crashes a worker 0.2 s after its run was handed over to the last leader."""
+    worker = context.tables.workers_by_id["worker-0"]
+    run_on(context, worker, age_s=age_s, state=state)
+    for _ in range(times):
+        runs = runs_to_hand_over(context.tables, NOW)
+        make_task(context, 8)
+        adopt_handed_over_runs(context.tables, runs, NOW)
+    worker = context.tables.workers_by_id["worker-0"]
+    worker.last_answer_at = NOW + 0.1 if answers else 0.0
+    finish_crash(context, worker)
+
+
+def crash_listed(context, worker):
+    """Crashes a worker after its list had shown an earlier leader's run."""
+    row = (context.task.name, 1)
+    apply_worker_view(context.tables, worker, NOW, running=[row])
+    worker.last_answer_at = NOW + 0.1
+    finish_crash(context, worker)
+
+
 def lapse(context, worker):
     run_on(context, worker)
     worker.unresponsive_since = NOW + 0.1
@@ -155,13 +212,39 @@
 def crash_and_restart(context, worker):
     run_on(context, worker)
     worker.born_ms = 1
+    view = WorkerView(clock_ms=1.0, born_ms=2)
     # As the dispatcher does on an answer of a later incarnation.
-    record_crash(context.tables, worker)
-    restart_worker(context.tables, worker, WorkerView(clock_ms=1.0, born_ms=2), NOW)
+    record_restart(context.tables, worker, view, NOW)
+    restart_worker(context.tables, worker, view, NOW)
     apply_worker_view(context.tables, worker, NOW + 0.1)
     settle_crashes(context.tables)
 
 
+def restart_times(context, count, lists="", called_before_s=0.0):
+    """Restarts workers after the task's start was answered.
+
+    Args:
+        context: Context of the scenario.
+        count: Number of workers that restart.
+        lists: List of the next incarnation that holds the run; empty if none does.
+        called_before_s: How long before ``NOW`` the next incarnation was called.
+    """
+    for number in range(1, count + 1):
+        worker = context.tables.workers_by_id[f"worker-{number}"]
+        worker.born_ms = 1
+        run_on(context, worker, number)
+        row = RunningRow(context.task.name, number)
+        if lists == "ended":
+            row = EndedRow(1, context.task.name, number, RunEnd.STOPPED)
+        view = WorkerView(clock_ms=1.0, born_ms=2, **({lists: (row,)} if lists else {}))
+        called_at = NOW - called_before_s
+        record_restart(context.tables, worker, view, called_at)
+        commands = restart_worker(context.tables, worker, view, NOW)
+        assert not commands, commands
+        apply_view(context.tables, worker, view, called_at, NOW)
+        settle_crashes(context.tables)
+
+
 def replace_silent(context, worker, born_ms=2):
     run_on(context, worker)
     worker.born_ms = 1
@@ -235,8 +318,55 @@
     ),
     "crashes once, 2 s into a run beside others": lambda c, w: crash_under(c, 1, 2, 2),
     "crashes twice, 2 s into a run beside others": lambda c, w: crash_under(c, 2, 2, 2),
+    "crashes three times before it answered the start": lambda c, w: crash_dark(c, 3),
+    "crashes four times before it answered the start": lambda c, w: crash_dark(c, 4),
+    "crashes six times before it answered the start": lambda c, w: crash_dark(c, 6),
+    "lapses four times before it answered the start": lambda c, w: lapse_dark(c, 4),
+    "crashes four times, once after it answered the start": lambda c, w: [
+        crash_under(c, 1),
+        crash_dark(c, 3),
+    ],
+    "crashes three times, twice after it answered the start": lambda c, w: [
+        crash_dark(c, 1),
+        crash_under(c, 2, first=4),
+    ],
+    "crashes four times beside others, twice after it answered": lambda c, w: [
+        crash_dark(c, 2, 2),
+        crash_under(c, 2, 2, first=4),
+    ],
+    "crashes 60 s into a run that was handed over": lambda c, w: crash_handed_over(
+        c, 60
+    ),
+    "crashes 60 s into a run handed over, before an answer": lambda c, w: (
+        crash_handed_over(c, 60, answers=False)
+    ),
+    "crashes 60 s into a run that was handed over twice": lambda c, w: (
+        crash_handed_over(c, 60, times=2)
+    ),
+    "crashes 60 s into a run that a list showed": crash_listed,
+    "crashes as a start handed over has no answer": lambda c, w: crash_handed_over(
+        c, -0.1, RunState.UNCERTAIN
+    ),
+    "crashes 0.1 s into a run that was handed over": lambda c, w: crash_handed_over(
+        c, 0.1
+    ),
+    "crashes 0.1 s into a run handed over, before an answer": lambda c, w: (
+        crash_handed_over(c, 0.1, answers=False)
+    ),
     "lapses, then another answers there": crash_after_lapse,
     "restarts under its own id": crash_and_restart,
+    "restarts four times, and lists the start sent between": lambda c, w: (
+        restart_times(c, 4, lists="running")
+    ),
+    "restarts four times, and lists the end of the start": lambda c, w: restart_times(
+        c, 4, lists="ended"
+    ),
+    "restarts four times, as the start and a poll are answered": lambda c, w: (
+        restart_times(c, 4, called_before_s=0.2)
+    ),
+    "restarts three times after it answered the start": lambda c, w: restart_times(
+        c, 3
+    ),
     "is replaced on its host while it is silent": replace_silent,
     "crashes before it answered the start": crash_unanswered,
     "is silent as an earlier one's registration is read": lambda c, w: replace_silent(
@@ -342,6 +472,42 @@
     clear_outlived(context.tables)
 
 
+def run_for_6_s(context, worker, how):
+    """Lets a worker run the task ``how``; its last answer is 6 s later."""
+    row = (context.task.name, 1)
+    if how == "that a list showed":
+        apply_worker_view(context.tables, worker, NOW, running=[row])
+    elif how == "that was handed over":
+        handed = HandedOverRun(*row, worker.worker_id, 4.0, 0.2)
+        adopt_handed_over_runs(context.tables, (handed,), NOW)
+    elif how == "whose start was not answered":
+        start_run(context.task, worker, RunState.UNCERTAIN)
+    else:
+        run = start_run(context.task, worker)
+        run.is_isolated = how != "beside others"
+        if how == "whose start was carried out late":
+            run.answered_at = NOW + 5.9
+    worker.last_answer_at = NOW + 6
+
+
+@given("a suspect task that a worker has run for 6 s, {how}")
+def make_outliving(context, how):
+    make_task(context, 1)
+    context.task.crashes = (Crash("host-gone", True, True),)
+    run_for_6_s(context, context.tables.workers_by_id["worker-0"], how)
+
+
+@when("the leader clears tasks that have outlived the suspicion")
+def clear_tasks(context):
+    clear_outlived(context.tables)
+
+
+@then('the crashes under it are "{kept}"')
+def check_kept(context, kept):
+    found = "kept" if context.task.crashes else "cleared"
+    assert found == kept, context.task.crashes
+
+
 @given("a task under which {count:d} workers crashed while they ran nothing else")
 def make_crashed(context, count):
     make_task(context, 8)
@@ -358,14 +524,44 @@
     finish_crash(context, worker)
 
 
+ANSWERED = "of workers that had answered its start"
+# Fields of ``Crash`` after the host; earlier builds stored two of them.
+CRASH_FIELDS = {
+    ANSWERED: (True, True, True),
+    "of workers that never answered a start": (True, True, False),
+    "by a build that noted no answers": (True, True),
+}
+
+
+def stored_crashes(count, evidence):
+    """Returns crashes as the store holds them."""
+    fields = CRASH_FIELDS[evidence]
+    rows = [(f"host-gone-{number}", *fields) for number in range(count)]
+    return msgspec.convert(rows, tuple[Crash, ...])
+
+
+@given("a task with {count:d} crashes stored {evidence}")
+def make_stored(context, count, evidence):
+    make_task(context, 8)
+    context.task.crashes = stored_crashes(count, evidence)
+
+
+@when("the next leader loads the job and another worker crashes under the task")
+def load_and_crash_again(context):
+    load_and_crash(context)
+
+
 @given("a task with copies allowed, {crashes:d} crashes and a silent worker")
 def make_silent(context, crashes):
+    make_silent_after(context, crashes, ANSWERED)
+
+
+@given("a task with copies allowed, {crashes:d} crashes {evidence} and a silent worker")
+def make_silent_after(context, crashes, evidence):
     context.tables = create_tables(workers=2)
     context.job = add_simple_job(context.tables, is_speculative=True)
     context.task = first_task(context.job)
-    context.task.crashes = tuple(
-        Crash(f"host-gone-{number}", True, True) for number in range(crashes)
-    )
+    context.task.crashes = stored_crashes(crashes, evidence)
     worker = context.tables.workers_by_id["worker-0"]
     run_on(context, worker)
     worker.unresponsive_since = NOW + 0.1
@@ -408,6 +604,46 @@
             context.failed_by_seed[seed] = len(failed)
 
 
+@when(
+    "{count:d} of {workers:d} workers go dark for {dark:g} s each {period:g} s "
+    "before they crash"
+)
+def plan_dark(context, count, workers, dark, period):
+    context.plan = CrashPlan(workers, flapping=count, flap_period_s=period, dark_s=dark)
+
+
+@when("{others:d} tasks are placed on them, with the seeds {first:d} to {last:d}")
+def simulate_dark(context, others, first, last):
+    context.simulations = []
+    for seed in range(first, last + 1):
+        simulation = CrashSimulation(replace(context.plan, seed=seed))
+        simulation.run(others)
+        assert simulation.all_ended(), seed
+        context.simulations.append(simulation)
+
+
+@then("each job that is given up has had {least:d} workers crash under it")
+def check_causes(context, least):
+    found = [simulation.crashes_of_failed_jobs() for simulation in context.simulations]
+    for crashes_by_job in found:
+        assert all(count >= least for count in crashes_by_job.values()), found
+
+
+@when(
+    "{bad:d} tasks crash {workers:d} workers, and {lost:g} of their starts get no "
+    "answer, with the seeds {first:d} to {last:d}"
+)
+def simulate_lost_answers(context, bad, workers, lost, first, last):
+    context.plan = CrashPlan(workers, bad, lost_answers=lost)
+    simulate_dark(context, 6, first, last)
+
+
+@then("both jobs fail, after at most {most:d} starts, and all others are done")
+def check_all(context, most):
+    for context.simulation in context.simulations:
+        check_simulation(context, 2, most)
+
+
 @then("no job is given up")
 def check_none_failed(context):
     assert not context.failed_by_seed, context.failed_by_seed
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -17,6 +17,7 @@
     clear_outlived,
     note_lapse,
     record_crash,
+    record_restart,
     settle_crashes,
 )
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
@@ -280,7 +281,7 @@
             self._log_earlier_incarnation(worker, view)
             return False
         if _has_restarted(worker, view):
-            record_crash(self.tables, worker)
+            record_restart(self.tables, worker, view, sent_at)
             self._fence(worker)
             self._carry_out_all(restart_worker(self.tables, worker, view, now))
         elif not worker.last_answer_at and self._was_removed(worker):
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -2,13 +2,18 @@
 
 A worker that crashes has usually several tasks. Those that had just started are
 suspects: each starts again on a worker of its own. A task that crashed several
-workers, one of which ran nothing else, ends its job as failed.
+workers, one of which ran nothing else, ends its job as failed. A start without an
+answer makes its task a suspect, but convicts it of nothing: the worker may have
+crashed before.
 
 Load pattern: one task in some dozens crashes every worker that starts it, while the
 other tasks of these workers are innocent.
 """
 
-from sassafrasgrade.systems.run_updates import end_job, stop_job_runs
+import math
+from dataclasses import dataclass
+
+from sassafrasgrade.systems.run_updates import end_job, lasted_s_of, stop_job_runs
 from sassafrasgrade.work_commands import LogEvent
 from sassafrasgrade.work_tables import Crash, CrashedTask, WorkState
 
@@ -24,41 +29,80 @@
 # starts after the third crash; one is kept for a crash that a lost leader had not
 # stored.
 MAX_CRASHES = 4
+# Crashes under runs that had certainly begun, without which no others convict: by the
+# published limit two crashed workers are cause to give a task up.
+MIN_PROVEN_CRASHES = 2
 # Time that a suspect waits for a worker of its own, in seconds; after that it shares
 # the one with the fewest runs.
 MAX_ISOLATION_WAIT_S = 2.0
 
 
-def suspects_of(worker):
+@dataclass(frozen=True)
+class NextLife:
+    """What is known of the next incarnation of a worker that has crashed.
+
+    Starts are not addressed to one incarnation: what the next one lists began there,
+    and a start that was answered after the next one was called may be one of its own.
+
+    Attributes:
+        listed: Runs, by (task name, number), that it listed in its first answer.
+        called_at: Clock when the call was sent that it answered.
+    """
+
+    listed: frozenset[tuple[str, int]] = frozenset()
+    called_at: float = math.inf
+
+
+UNKNOWN_LIFE = NextLife()
+
+
+def suspects_of(worker, max_age_s=RESPONSIBLE_S, next_life=UNKNOWN_LIFE):
     """Returns the ``CrashedTask`` values if a worker crashed after its last answer.
 
     Runs count whose start was sent and whose stop the worker has not confirmed.
+
+    Args:
+        worker: The worker.
+        max_age_s: Longest time from a run's start to the worker's last answer.
+        next_life: ``NextLife`` under the same id.
     """
     runs = [
         run
-        for run in worker.runs_by_key.values()
-        if (run.answered_at or run.deadline_ms) and not run.stop_answered_at
+        for key, run in worker.runs_by_key.items()
+        if (run.answered_at or run.deadline_ms)
+        and not run.stop_answered_at
+        and key not in next_life.listed
     ]
     was_alone = len(runs) == 1
     suspects = []
     for run in runs:
-        age_s = worker.last_answer_at - run.started_at
-        if age_s <= RESPONSIBLE_S:
-            was_likely = was_alone or age_s <= LIKELY_S
-            crash = Crash(worker.host or worker.address, was_alone, was_likely)
+        age_s = lasted_s_of(worker, run)
+        if age_s <= max_age_s:
+            crash = Crash(
+                worker.host or worker.address,
+                was_alone,
+                was_alone or age_s <= LIKELY_S,
+                is_proven=0 < run.answered_at < next_life.called_at,
+            )
             suspects.append(CrashedTask(run.task, worker.worker_id, crash))
     return tuple(suspects)
 
 
-def record_crash(tables, worker):
+def record_crash(tables, worker, next_life=UNKNOWN_LIFE):
     """Records that a worker has crashed, before its runs are forgotten.
 
     A worker that drains or whose host is about to be ordered ends as planned.
+
+    Args:
+        tables: The tables.
+        worker: The worker.
+        next_life: ``NextLife`` under the same id.
     """
     if worker.is_draining or worker.is_reserved or worker.is_crash_recorded:
         return
     worker.is_crash_recorded = True
-    for crashed in (*worker.lapsed_suspects, *suspects_of(worker)):
+    suspects = suspects_of(worker, next_life=next_life)
+    for crashed in (*worker.lapsed_suspects, *suspects):
         task = crashed.task
         if not task.is_done and task.job.is_open:
             task.crashes = (*task.crashes, crashed.crash)
@@ -67,6 +111,20 @@
     worker.lapsed_suspects = ()
 
 
+def record_restart(tables, worker, view, sent_at):
+    """Records the crash of an incarnation as the next one answers under its id.
+
+    Args:
+        tables: The tables.
+        worker: The worker.
+        view: ``WorkerView`` of the next incarnation.
+        sent_at: Clock when the call was sent that it answered, in seconds.
+    """
+    rows = (*view.running, *view.ended)
+    listed = frozenset((row.task, row.run) for row in rows)
+    record_crash(tables, worker, NextLife(listed, sent_at))
+
+
 def note_lapse(worker):
     """Keeps the suspects of a worker whose runs lapse, until its fate is known."""
     worker.lapsed_suspects = (*worker.lapsed_suspects, *suspects_of(worker))
@@ -89,6 +147,7 @@
             "crashes": len(task.crashes),
             "alone": crash.was_alone,
             "likely": crash.was_likely,
+            "proven": crash.is_proven,
         }
         commands.append(LogEvent("worker-crashed-under-task", fields))
         if is_convicted(task) and task.job.is_open:
@@ -105,7 +164,7 @@
 
 
 def clear_outlived(tables):
-    """Clears the suspicion of tasks whose isolated run has lasted long enough.
+    """Clears the suspicion of tasks of which a run has lasted long enough.
 
     Returns:
         Commands.
@@ -114,7 +173,7 @@
     for worker in tables.workers_by_id.values():
         for run in worker.runs_by_key.values():
             task = run.task
-            if not (run.is_isolated and run.answered_at and task.crashes):
+            if not (run.answered_at and task.crashes):
                 continue
             if has_outlived_suspicion(worker, run):
                 fields = {"task": task.name, "crashes": len(task.crashes)}
@@ -126,40 +185,46 @@
 
 def is_convicted(task):
     """Whether a task has crashed so many workers that it is given up."""
+    if not has_proof(task.crashes):
+        return False
     if len(task.crashes) >= MAX_CRASHES:
         return True
     hosts = {crash.host for crash in task.crashes}
-    alone = sum(crash.was_alone for crash in task.crashes)
+    alone = sum(crash.was_alone and crash.is_proven for crash in task.crashes)
     if len(task.crashes) < CONVICTING_CRASHES or len(hosts) < 2:
         return False
     return alone > 1 or (alone == 1 and len(hosts) >= CONVICTING_CRASHES)
 
 
-def count_silent_runs(tables, task, max_age_s):
-    """Counts a task's runs on workers that may have crashed under it.
+def has_proof(crashes):
+    """Whether enough crashes are of workers on which the task had certainly begun."""
+    return sum(crash.is_proven for crash in crashes) >= MIN_PROVEN_CRASHES
+
+
+def silent_crashes(tables, task, max_age_s):
+    """Returns the ``Crash`` values of a task if all its silent workers crashed.
 
     Args:
         tables: The tables.
         task: The task.
         max_age_s: Longest time from a run's start to the worker's last answer.
     """
-    workers = [
-        (tables.workers_by_id.get(run.worker_id), run)
-        for run in task.runs_by_number.values()
+    worker_ids = {run.worker_id for run in task.runs_by_number.values()}
+    workers = [tables.workers_by_id.get(worker_id) for worker_id in worker_ids]
+    return [
+        suspect.crash
+        for worker in workers
+        if worker is not None and worker.unresponsive_since
+        for suspect in suspects_of(worker, max_age_s)
+        if suspect.task is task
     ]
-    return sum(
-        worker is not None
-        and worker.unresponsive_since > 0
-        and worker.last_answer_at - run.started_at <= max_age_s
-        for worker, run in workers
-    )
 
 
 def needs_isolation(tables, task):
     """Whether a task is suspect, so that it starts on a worker of its own."""
     if len(task.crashes) > 1 or any(crash.was_likely for crash in task.crashes):
         return True
-    return bool(task.runs_by_number) and count_silent_runs(tables, task, LIKELY_S) > 0
+    return bool(task.runs_by_number) and bool(silent_crashes(tables, task, LIKELY_S))
 
 
 def is_start_held(tables, task):
@@ -172,8 +237,9 @@
         return True
     if not task.runs_by_number:
         return False
-    silent = count_silent_runs(tables, task, RESPONSIBLE_S)
-    return silent > 0 and len(task.crashes) + silent >= CONVICTING_CRASHES
+    silent = silent_crashes(tables, task, RESPONSIBLE_S)
+    crashes = (*task.crashes, *silent)
+    return bool(silent) and len(crashes) >= CONVICTING_CRASHES and has_proof(crashes)
 
 
 def isolated_candidates(task, candidates, waited_s):
@@ -196,5 +262,9 @@
 
 
 def has_outlived_suspicion(worker, run):
-    """Whether a run has lasted for longer than a crashing one would."""
-    return worker.last_answer_at - run.started_at > RESPONSIBLE_S
+    """Whether a run has lasted for longer than a crashing one would.
+
+    A start may be carried out long after it was sent.
+    """
+    began_at = max(run.started_at, run.answered_at)
+    return worker.last_answer_at - began_at > RESPONSIBLE_S
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -71,11 +71,14 @@
         host: Name of the worker's host, or its address.
         was_alone: Whether the worker ran nothing else.
         was_likely: Whether the task had just started there.
+        is_proven: Whether the task had certainly begun there: its start was answered,
+            or a list of the worker showed it.
     """
 
     host: str
     was_alone: bool
     was_likely: bool
+    is_proven: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -104,6 +107,8 @@
         ticket: Ticket of the advice service, if the queue needs one.
         is_isolated: Whether its worker gets no other runs, since its task may crash
             workers.
+        lasted_before_s: How long it had lasted when this leader took it over, in
+            seconds; infinite if an earlier leader started it at an unknown time.
     """
 
     task: "Task"
@@ -125,6 +130,7 @@
     stop_answered_at: float = 0.0
     ticket: str = ""
     is_isolated: bool = False
+    lasted_before_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
