Lead on under a rewritten key whose answer was lost

Callers saw: new jobs accepted and never started, for good, where a single node is left: the store was down, leases ran out, and the answer to the write of the vanished key was lost (review, without a case). With a second copy of that write the leader stepped down. Cause: a leader that found its own record at a higher revision took it for the one that it had written first, and kept the lease and token of before. Change: it continues under that revision, as after an answer; a refused copy is looked at before the leader gives up.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -182,6 +182,16 @@
       | no missed leadership  | yes   |
       | one missed leadership | no    |
 
+  Scenario Outline: a leader that writes its vanished key again has authority if <answer>: <has>
+    Then a leader whose write of its vanished key is "<answer>" has authority: "<has>"
+
+    Examples: its lease was lost, and the node is the only one left
+      | answer                                       | has |
+      | answered                                     | yes |
+      | carried out and not answered                 | yes |
+      | carried out, and a second copy refused       | yes |
+      | not answered, as another node took the key   | no  |
+
   Scenario Outline: a node succeeds a stopped leader, of the one before <state>: it may act for <left> s
     Then a node that succeeds a stopped leader while of the one before "<state>" knows that it may act for <left> s
 
--- a/features/steps/run_end_steps.py
+++ b/features/steps/run_end_steps.py
@@ -220,6 +220,12 @@
     assert run_in_loop(silent_workers.acknowledge_for_next_incarnation) == 0
 
 
+@then('a leader whose write of its vanished key is "{answer}" has authority: "{has}"')
+def check_rewritten_key(context, answer, has):
+    found = asyncio.run(missed_leaderships.rewrite_key(answer))
+    assert found == (has == "yes")
+
+
 @then('a leader that lost its lease and whose key "{state}" has authority: "{has}"')
 def check_authority(context, state, has):
     found = asyncio.run(missed_leaderships.lose_lease(state == "is written again"))
--- a/features/support/missed_leaderships.py
+++ b/features/support/missed_leaderships.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+from returns.result import Failure
+
 from features.support.memory_stores import MemoryStore
+from sassafrasgrade.errors import PlatformUnavailable
 from sassafrasgrade.leaderships import Leadership
 from sassafrasgrade.member_records import (
     EPOCH_KEY,
@@ -106,6 +109,60 @@
     return leadership.is_leader
 
 
+class LossyStore(MemoryStore):
+    """A store that carries out writes of the leader's key and loses their answers.
+
+    Attributes:
+        lost_answer: What becomes of such a write; empty while it is answered.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.lost_answer = ""
+
+    async def commit(self, conditions=(), puts=(), deletes=()):
+        """Applies a commit; its caller may hear nothing, or of its second copy."""
+        if not self.lost_answer or not any(put.key == LEADER_KEY for put in puts):
+            return await super().commit(conditions, puts, deletes)
+        if "another node" in self.lost_answer:
+            lead(self, "second", 2)
+        else:
+            await super().commit(conditions, puts, deletes)
+        if "second copy" in self.lost_answer:
+            return await super().commit(conditions, puts, deletes)
+        return Failure(PlatformUnavailable("no answer", ""))
+
+
+async def rewrite_key(answer):
+    """A leader that lost its lease writes its key again; returns if it has authority.
+
+    Args:
+        answer: What becomes of the write.
+    """
+    store = LossyStore()
+    candidate = Candidate(store)
+    leadership = candidate.leadership
+    leadership.start()
+    await take_turns()
+    leadership._campaign_timeout = None
+    if not leadership.is_leader:
+        await leadership._campaign()
+    assert leadership.has_authority()
+    first_token = leadership.token
+    store.remove(LEADER_KEY)
+    store.lost_answer = "" if answer == "answered" else answer
+    leadership.lease = 0
+    await leadership._register()
+    items = store.items_by_key.values()
+    # What the watch reports; of one write, in any order.
+    leadership._apply_items(tuple(i for i in items if i.revision > first_token))
+    await take_turns()
+    if leadership.is_leader:
+        assert candidate.renewed == [2], candidate.renewed
+        assert leadership.token == store.items_by_key[LEADER_KEY].revision
+    return leadership.has_authority()
+
+
 async def succeed_twice(state):
     """A node succeeds a leader that is known to have stopped.
 
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -343,17 +343,24 @@
         if self.token != token:
             return
         if not isinstance(result, Failure):
-            self.token = self._epoch_revision = result.unwrap()
-            self._key_lease = self.lease
-            self._set_leader(record, self.token, self.lease)
-            self._on_renew(self.token, record.epoch)
+            self._lead_on(record, result.unwrap(), self.lease)
         elif isinstance(result.failure(), RevisionConflict):
             items = result.failure().items
-            if not any(
+            # An earlier copy of the write may have been carried out.
+            self._apply_items(items)
+            if self.token == token and not any(
                 item.key == LEADER_KEY and item.revision == token for item in items
             ):
                 self._lose_leadership("another node took the vanished key")
 
+    def _lead_on(self, record, revision, lease):
+        """Continues as leader under a key that this node has written again."""
+        self.token = revision
+        self._epoch_revision = max(self._epoch_revision, revision)
+        self._key_lease = lease
+        self._set_leader(record, revision, lease)
+        self._on_renew(revision, record.epoch)
+
     def _puts(self, record):
         return [
             Put(LEADER_KEY, encode_record(record), self.lease),
@@ -450,7 +457,7 @@
             self._unreadable_revision = item.revision if is_unreadable else 0
             if self._is_unclaimed(record, item.revision):
                 # A write of this node whose answer was lost has been applied.
-                self._become_leader(record, item.revision, False)
+                self._claim(record, item)
             else:
                 self._set_leader(record, item.revision, item.lease)
         elif item.key == EPOCH_KEY and item.value is None:
@@ -626,6 +633,12 @@
             and revision > self._renounced_revision
         )
 
+    def _claim(self, record, item):
+        if not self.is_leader:
+            self._become_leader(record, item.revision, False)
+        elif item.revision > self.token:
+            self._lead_on(record, item.revision, item.lease)
+
     def _become_leader(self, record, revision, is_predecessor_gone):
         if self.is_leader or self._is_withdrawn or revision < self.leader_revision:
             return
