Keep the settings of a job's queue with the job

Cause: jobs accepted on a route that was removed from the configuration stopped half way after a change of leader, with idle workers (LOST): the new leader took queues from the newest configuration only, and a stored job named its queue without its pool. Its failures counted against a limit of one attempt. Change: the node that accepts a job stores the queue's pool, attempts, objective and advice as an optional last element of the job's record, without a further call; a node whose configuration is old gets them with the leader's answer on the route. All places that look up the queue of accepted work use `queue_of`: the newest known configuration with the route, else the job's record. Pools of stored queues count for runs that are held back. Nodes also hand the queues that they have seen to their leader, for jobs of earlier versions. A job of an unknown queue is not ended as failed before it is known. Earlier versions ignore the new element, and records without it are read as before.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -354,3 +354,44 @@
     Given 20 jobs have changed
     When they are stored, and meanwhile "nothing comes"
     Then the ends reported as stored after each commit are "; 1"
+
+  Scenario Outline: a job whose route was removed is lost by a new leader that knows it by <knowledge>: <effect>
+    Then for a job of a removed route, known by "<knowledge>", "<effect>": "<holds>"
+
+    Examples:
+      | knowledge                                  | effect                                        | holds |
+      | the job's record                           | a waiting task starts                         | yes   |
+      | the job's record                           | the next step starts                          | yes   |
+      | the job's record                           | a lasting task starts again                   | yes   |
+      | the job's record                           | a task that failed once of twice starts again | yes   |
+      | the job's record                           | a task that failed twice ends the job         | yes   |
+      | the job's record                           | an overdue run is copied                      | yes   |
+      | the job's record                           | its pool gets hosts                           | yes   |
+      | the job's record                           | its objective sets its urgency                | yes   |
+      | the job's record                           | it starts only with a ticket                  | yes   |
+      | the job's record                           | it waits for the reports of its pool          | yes   |
+      | the record of a node that asked the leader | a waiting task starts                         | yes   |
+      | the record of a node that asked the leader | a task that failed once of twice starts again | yes   |
+      | a configuration that the node has seen     | a waiting task starts                         | yes   |
+      | a configuration that the node has seen     | a task that failed once of twice starts again | yes   |
+      | a configuration that the node has seen     | it starts only with a ticket                  | yes   |
+      | a configuration that the node has seen     | it waits for the reports of its pool          | yes   |
+      | nothing                                    | a waiting task starts                         | no    |
+      | nothing                                    | a task that failed twice ends the job         | no    |
+
+  Scenario: a node forgets the queues of removed routes before it leads
+    Then a node that saw a route removed knows the pool of its queue as the leader
+
+  Scenario: a job stored with a queue that has moved starts in its former pool
+    Then a job stored with its queue starts in the pool that its queue has now
+
+  Scenario: a job of an unknown queue ends too early, or never, after its attempts
+    Then a job of an unknown queue ends as failed once its queue is known
+
+  Scenario Outline: in a rolling change, records of the <writer> version cannot be read
+    Then a job's record and a route of the <writer> version are read by the other one
+
+    Examples:
+      | writer  |
+      | present |
+      | earlier |
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -97,6 +97,7 @@
         configuration: ``Configuration`` at the takeover.
         epoch: Number of the leadership.
         earlier_left_s: Time for which an earlier leader may still have authority.
+        queues_by_name: Queues of configurations that the node has seen before.
     """
 
     def __init__(
@@ -106,6 +107,7 @@
         configuration=None,
         epoch=EPOCH,
         earlier_left_s=0.0,
+        queues_by_name=None,
     ):
         self.timers = FakeTimerService()
         settings = check_node_settings(
@@ -137,7 +139,12 @@
             request_check=lambda: None,
             confirmed_at=float("-inf"),
         )
-        self.dispatcher.start(configuration or create_configuration())
+        configuration = configuration or create_configuration()
+        if queues_by_name:
+            pools_by_queue = {q.name: {q.pool} for q in queues_by_name.values()}
+            self.dispatcher.start(configuration, queues_by_name, pools_by_queue)
+        else:
+            self.dispatcher.start(configuration)
 
     @property
     def tables(self):
--- a/sassafrasgrade/advice_requesters.py
+++ b/sassafrasgrade/advice_requesters.py
@@ -56,7 +56,7 @@
         job = tables.open_jobs_by_id.get(step_key.partition(".")[0])
         if job is None:
             return
-        queue = tables.queues_by_name[job.queue_name]
+        queue = tables.queue_of(job)
         now = self._timers.now()
         workers = [
             worker
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -28,6 +28,7 @@
     apply_view,
     cancel_job,
     decay_outcome_counts,
+    end_if_exhausted,
     expire_leases,
     forget_run,
     has_incarnation_ended,
@@ -173,14 +174,16 @@
         """Whether orders on hosts may be sent."""
         return not self._is_closed and self._leadership.has_host_authority()
 
-    def start(self, configuration, pools_by_queue=None):
+    def start(self, configuration, queues_by_name=None, pools_by_queue=None):
         """Starts ticking and loading jobs and workers.
 
         Args:
             configuration: The ``Configuration`` in force, or None.
-            pools_by_queue: Pools that each queue has had in the configurations that
-                this node knows.
+            queues_by_name: Queues of the configurations that this node knows, each by
+                the newest one that has it.
+            pools_by_queue: Pools that each queue has had in these configurations.
         """
+        self.tables.queues_by_name.update(queues_by_name or {})
         for queue_name, pools in (pools_by_queue or {}).items():
             self.tables.pools_by_queue[queue_name] = set(pools)
         if configuration is not None:
@@ -221,7 +224,11 @@
 
     def adopt_configuration(self, configuration):
         """Applies a newer configuration."""
+        open_jobs = self.tables.open_jobs_by_id.values()
+        unknown = [job for job in open_jobs if self.tables.queue_of(job) is None]
         self.tables.adopt_configuration(configuration)
+        for job in unknown:
+            self._carry_out_all(end_if_exhausted(self.tables, job))
         self.schedule_placement()
 
     def apply_waves(self, values_by_key):
--- a/sassafrasgrade/job_apis.py
+++ b/sassafrasgrade/job_apis.py
@@ -105,7 +105,9 @@
         if self._node.is_store_lost():
             return self._refuse_without_store(route, job_id)
         accepted_at = self._node.timers.wall_time()
-        record = encode(SubmittedJob(route.queue_name, accepted_at, request.unwrap()))
+        record = encode(
+            SubmittedJob(route.queue_name, accepted_at, request.unwrap(), route.queue)
+        )
         key = job_key(job_id, REQUEST)
         began = self._node.timers.now()
         outcome = await self._node.batcher.create(key, record, deadline_at)
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -6,7 +6,7 @@
 
 from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.job_requests import find_fault
-from sassafrasgrade.platform.messages import JobRequest, Quantity
+from sassafrasgrade.platform.messages import Advice, JobRequest, Quantity, Queue
 from sassafrasgrade.work_tables import (
     ENDED_STATES,
     Crash,
@@ -14,6 +14,7 @@
     WorkState,
     WorkTables,
     create_occurrence,
+    record_queue_pool,
 )
 
 logger = logging.getLogger(__name__)
@@ -24,12 +25,35 @@
 CANCEL = "cancel"
 
 
+class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
+    """The settings of a queue that its jobs need, also once its route is removed.
+
+    Attributes:
+        pool: As in ``Queue``, and so are the others.
+        most_attempts: Number of failed runs after which a task fails for good.
+        stretch: Factor on the critical path.
+        objective_ms: Time that a job may take beyond that.
+        advice: Set if starts need a ticket.
+    """
+
+    pool: str
+    most_attempts: int
+    stretch: float
+    objective_ms: float
+    advice: Advice | None = None
+
+
 class SubmittedJob(msgspec.Struct, frozen=True, array_like=True):
-    """A job as accepted: queue, arrival time in Unix seconds, request."""
+    """A job as accepted: queue, arrival time in Unix seconds, request.
+
+    ``queue`` is missing in records of earlier versions, and if the node that stored
+    the job did not know its queue. Earlier versions ignore it.
+    """
 
     queue_name: str
     accepted_at: Quantity
     request: JobRequest
+    queue: StoredQueue | None = None
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -68,6 +92,13 @@
     return job_id, part
 
 
+def stored_queue_of(queue: Queue):
+    """Returns what is stored of a queue with its jobs."""
+    return StoredQueue(
+        queue.pool, queue.most_attempts, queue.stretch, queue.objective_ms, queue.advice
+    )
+
+
 def decode_submitted(value):
     """Decodes a ``SubmittedJob``; raises one of ``DECODE_ERRORS``."""
     submitted = _submitted_decoder.decode(value)
@@ -133,6 +164,10 @@
     if known is not None:
         return known
     job = Job(job_id, submitted.queue_name, submitted.request, submitted.accepted_at)
+    if submitted.queue is not None:
+        settings = msgspec.structs.asdict(submitted.queue)
+        job.stored_queue = Queue(name=job.queue_name, **settings)
+        record_queue_pool(tables.pools_by_queue, job.stored_queue)
     tables.jobs_by_id[job_id] = job
     tables.open_jobs_by_id[job_id] = job
     tables.has_seen_work = tables.has_seen_work or not job.has_perpetual_steps
--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sassafrasgrade.job_records import StoredQueue
 from sassafrasgrade.platform.messages import Quantity, Whole
 
 
@@ -63,12 +64,14 @@
             be outdated.
         queue_name: Name of the queue; empty if no queue matches.
         prefix: Prefix of the queue.
+        queue: Settings to store with a job; None from nodes of earlier versions.
     """
 
     number: int
     version: int
     queue_name: str
     prefix: str
+    queue: StoredQueue | None = None
 
 
 class LeaderBeat(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -55,7 +55,7 @@
 from sassafrasgrade.settings import exit_if_invalid
 from sassafrasgrade.store_batches import StoreBatcher
 from sassafrasgrade.timers import SuspendAwareTimerService
-from sassafrasgrade.work_tables import record_pools
+from sassafrasgrade.work_tables import record_queues
 
 logger = logging.getLogger(__name__)
 
@@ -155,6 +155,7 @@
         )
         self._client_server = HTTPServer(ClientsDelegate(self))
         self._waves_by_key = {}
+        self._queues_by_name = {}
         self._pools_by_queue = {}
         self._handover = None
         self._newer_version_seen_at = 0.0
@@ -342,7 +343,7 @@
         if configuration.version <= self.configuration_version():
             return
         self.configuration = configuration
-        record_pools(self._pools_by_queue, configuration)
+        record_queues(self._queues_by_name, self._pools_by_queue, configuration)
         self.router = QueueRouter(configuration.queues)
         logger.info(
             "configuration adopted",
@@ -379,7 +380,9 @@
             is_predecessor_gone,
         )
         self._reports_by_stream.clear()
-        self._dispatcher.start(self.configuration, self._pools_by_queue)
+        self._dispatcher.start(
+            self.configuration, self._queues_by_name, self._pools_by_queue
+        )
         self._dispatcher.apply_waves(self._waves_by_key)
 
     def _on_leadership_renewed(self, token, epoch):
--- a/sassafrasgrade/route_lookups.py
+++ b/sassafrasgrade/route_lookups.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from sassafrasgrade.errors import ConfigurationOutdated
+from sassafrasgrade.job_records import StoredQueue, stored_queue_of
 from sassafrasgrade.node_messages import RouteQuestion, RouteReply
 from sassafrasgrade.work_tables import MS_PER_S
 
@@ -28,12 +29,14 @@
         prefix: Prefix of the queue.
         version: Version of the configuration that decided.
         source: ``own`` or ``leader``: who looked it up.
+        queue: ``StoredQueue`` of the queue; None if it is not known.
     """
 
     queue_name: str
     prefix: str
     version: int
     source: str
+    queue: StoredQueue | None = None
 
 
 class RouteLookup:
@@ -78,7 +81,7 @@
             return RouteReply(question.number, 0, "", "")
         route = self._find_own(question.host, question.path)
         return RouteReply(
-            question.number, route.version, route.queue_name, route.prefix
+            question.number, route.version, route.queue_name, route.prefix, route.queue
         )
 
     def _is_own_usable(self):
@@ -94,7 +97,8 @@
         version = self._node.configuration_version()
         if queue is None:
             return Route("", "", version, "own")
-        return Route(queue.name, queue.prefix, version, "own")
+        stored = stored_queue_of(queue)
+        return Route(queue.name, queue.prefix, version, "own", stored)
 
     async def _ask_leader(self, host, path):
         """Returns the leader's ``Route``; None if it has none that may be used."""
@@ -104,7 +108,9 @@
         oldest_usable = max(self._node.configuration_version(), self._newest_version)
         if reply is None or reply.version < max(oldest_usable, 1):
             return None
-        return Route(reply.queue_name, reply.prefix, reply.version, "leader")
+        return Route(
+            reply.queue_name, reply.prefix, reply.version, "leader", reply.queue
+        )
 
     def _find_unconfirmed(self, host, path):
         """Finds a known queue while the store is lost; refuses everything else.
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -437,10 +437,19 @@
     for member in members:
         member.failed_numbers.add(number)
     tables.mark_dirty(task.job)
-    queue = tables.queues_by_name.get(task.job.queue_name)
-    max_attempts = queue.most_attempts if queue is not None else 1
+    return _end_if_task_exhausted(tables, task)
+
+
+def _end_if_task_exhausted(tables, task):
+    """Ends a job as failed once a task has used up its attempts.
+
+    While nothing is known of the job's queue, it stays open, and nothing of it starts.
+    """
+    queue = tables.queue_of(task.job)
     failures = len(task.failed_numbers)
-    if failures < max_attempts or task.is_done or not task.job.is_open:
+    if queue is None or failures < queue.most_attempts:
+        return []
+    if task.is_done or not task.job.is_open:
         return []
     end_job(tables, task.job, WorkState.FAILED)
     event = LogEvent(
@@ -450,6 +459,22 @@
     return [event, *stop_job_runs(task.job, "job failed")]
 
 
+def end_if_exhausted(tables, job):
+    """Ends a job, whose queue has become known, as failed if a task may not run again.
+
+    Returns:
+        Commands.
+    """
+    return [
+        command
+        for occurrence in job.occurrences.values()
+        for row in occurrence.steps
+        for task in row.tasks
+        if task.failed_numbers
+        for command in _end_if_task_exhausted(tables, task)
+    ]
+
+
 def end_job(tables, job, state):
     """Ends a job; callers see the new state once it is stored."""
     if job.pending_state is None and job.is_open:
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -138,7 +138,7 @@
                 for candidate in candidates
                 if candidate.worker.worker_id not in used_worker_ids
             ]
-            if tables.queues_by_name[job.queue_name].advice is not None:
+            if tables.queue_of(job).advice is not None:
                 free = candidates_with_ticket(tables, task, free, now)
             candidate = choose_and_reserve(tables, task, free, now)
             if candidate is None:
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -175,7 +175,7 @@
 
 def _place_job(tables, job, candidates, unplaceable, now, commands):
     """Adds the commands that start a job's tasks on workers with room."""
-    queue = tables.queues_by_name[job.queue_name]
+    queue = tables.queue_of(job)
     usable_by_job = candidates
     if job.urgency >= Urgency.USEFUL:
         usable_by_job = [c for c in candidates if not c.worker.is_yielding]
@@ -251,7 +251,7 @@
 
     Also updates the urgency of a job that ends by itself.
     """
-    queue = tables.queues_by_name[job.queue_name]
+    queue = tables.queue_of(job)
     if job.has_perpetual_steps:
         return (Urgency.PERPETUAL, job.accepted_at, job.job_id)
     job.urgency = urgency_of(job, queue, learned_durations, now_unix)
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -214,6 +214,7 @@
         queue_name: Queue it was submitted to.
         request: What was submitted.
         accepted_at: Unix time at which it arrived, in seconds.
+        stored_queue: ``Queue`` as it was stored with the job; None if it was not.
         state: State as stored; callers see an end only once it is stored.
         pending_state: State to be stored, or None.
         has_started: Whether any task was ever started.
@@ -231,6 +232,7 @@
     queue_name: str
     request: JobRequest
     accepted_at: float
+    stored_queue: Queue | None = None
     state: WorkState = WorkState.QUEUED
     pending_state: WorkState | None = None
     has_started: bool = False
@@ -409,6 +411,8 @@
         held_pools: Pools whose inherited tasks must not start, since one of their
             workers, which may run them for an earlier leader, has not reported yet;
             ``ALL_POOLS`` before that is known.
+        queues_by_name: Queues of all known configurations, each by the newest one
+            that has it.
         pools_by_queue: Pools that each queue has had in any known configuration.
         jobs_complete_at: Clock as of which every stored job is in the tables.
         refused_entries: Entries of workers that name no worker to use.
@@ -442,9 +446,7 @@
         """
         self.configuration = configuration
         self.pools_by_name = {pool.name: pool for pool in configuration.pools}
-        for queue in configuration.queues:
-            self.queues_by_name[queue.name] = queue
-        record_pools(self.pools_by_queue, configuration)
+        record_queues(self.queues_by_name, self.pools_by_queue, configuration)
 
     def is_held(self, task):
         """Whether an earlier leader's run of a task may exist on an unreported worker.
@@ -458,9 +460,17 @@
         pools = self.pools_by_queue.get(task.job.queue_name, ())
         return not self.held_pools.isdisjoint(pools)
 
+    def queue_of(self, job):
+        """Returns a job's ``Queue``, or None if nothing is known of it.
+
+        What was stored with the job decides once no known configuration has the
+        route: the leader may have started after its removal.
+        """
+        return self.queues_by_name.get(job.queue_name, job.stored_queue)
+
     def pool_of(self, job):
         """Returns the name of the pool that runs a job, or None."""
-        queue = self.queues_by_name.get(job.queue_name)
+        queue = self.queue_of(job)
         return queue.pool if queue is not None else None
 
     def mark_dirty(self, job):
@@ -470,10 +480,22 @@
         self.dirty_job_ids.add(job.job_id)
 
 
-def record_pools(pools_by_queue, configuration):
-    """Adds the pools of a configuration's queues to those that the queues have had."""
+def record_queues(queues_by_name, pools_by_queue, configuration):
+    """Adds a configuration's queues to those of the earlier ones.
+
+    Args:
+        queues_by_name: Queues, each by the newest configuration that has it.
+        pools_by_queue: Pools that each queue has had.
+        configuration: A newer ``Configuration``.
+    """
     for queue in configuration.queues:
-        pools_by_queue.setdefault(queue.name, set()).add(queue.pool)
+        queues_by_name[queue.name] = queue
+        record_queue_pool(pools_by_queue, queue)
+
+
+def record_queue_pool(pools_by_queue, queue):
+    """Adds a queue's pool to those that it has had."""
+    pools_by_queue.setdefault(queue.name, set()).add(queue.pool)
 
 
 def create_occurrence(job, number):
