Ask for advice only about workers that may take the task

Cause: on a queue with advice, a step that needs a label never started while workers with the label were idle (LOST): tickets were asked for without regard to it, and as the step fitted on the workers with tickets, no others were asked about. The same held for workers at `maxPerServer` and for suspect ones; gangs that needed more tickets than one call gives never started. Of the filters of placement, advice knew only the pool and whether a worker is usable. Change: `eligible_candidates` says which workers may take a task now, for placement and for advice. A placement that finds no start names the workers, best first, that could take the task and have neither a ticket nor a refusal; the request names the first six of them. It names none if the tasks could not start even with all tickets, so that full or excluded workers are not asked about again with each lapse. Workers that the task avoids come last, also if one has a ticket. A step that no longer waits is not asked about; those that do keep their turn. Tickets are no longer requested ahead of room.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -395,3 +395,52 @@
       | writer  |
       | present |
       | earlier |
+
+  Scenario Outline: a step with advice waits for ever for workers that <case>
+    Then a step with advice starts beside workers that "<case>", which are not asked for
+
+    Examples: eight workers may not take the task, and four with more runs may
+      | case                                 |
+      | lack its label                       |
+      | have no room                         |
+      | run as many of its tasks as they may |
+      | drain                                |
+      | are of another pool                  |
+      | failed runs                          |
+      | are not free for a suspect task      |
+      | run a suspect task                   |
+      | run an unknown task                  |
+      | yield to another pool                |
+      | failed the task                      |
+      | run the task that is copied          |
+
+  Scenario Outline: a gang of <members> that needs more tickets than one call gives never starts
+    Then a gang of <members> tasks with advice starts after <calls> calls
+
+    Examples:
+      | members | calls |
+      | 6       | 1     |
+      | 8       | 2     |
+      | 12      | 2     |
+
+  Scenario Outline: tickets are asked for again and again while <case>
+    Then while "<case>", a step with advice causes <calls> calls
+
+    Examples: each of twelve workers is named once, if any
+      | case                        | calls |
+      | no worker has its label     | 0     |
+      | no worker has room          | 0     |
+      | its gang finds no room      | 0     |
+      | the policy allows no worker | 2     |
+
+  Scenario Outline: answers that take <answer> s are spent on workers that may not take the task
+    Then a step with advice starts if each answer takes <answer> s
+
+    Examples: tickets are valid for 3 s
+      | answer |
+      | 0.01   |
+      | 2.5    |
+      | 9      |
+
+  Scenario: a step whose calls fail keeps the others from their turn
+    Then steps with advice take turns while all calls fail
--- a/sassafrasgrade/advice_requesters.py
+++ b/sassafrasgrade/advice_requesters.py
@@ -47,29 +47,24 @@
         tickets = self._dispatcher.tables.tickets
         try:
             while tickets.wanted and self._dispatcher.has_authority():
-                await self._request_advice(tickets.wanted.popleft())
+                await self._request_advice(*tickets.take_wanted())
         finally:
             self._is_running = False
 
-    async def _request_advice(self, step_key):
+    async def _request_advice(self, step_key, worker_ids):
         tables = self._dispatcher.tables
         job = tables.open_jobs_by_id.get(step_key.partition(".")[0])
         if job is None:
             return
-        queue = tables.queue_of(job)
+        advice = tables.queue_of(job).advice
         now = self._timers.now()
-        workers = [
-            worker
-            for worker in tables.workers_by_id.values()
-            if worker.pool == queue.pool and is_usable(worker, now)
-        ]
-        workers.sort(key=lambda worker: len(worker.runs_by_key))
+        workers = [tables.workers_by_id.get(worker_id) for worker_id in worker_ids]
+        usable = [worker for worker in workers if worker and is_usable(worker, now)]
         asked = tables.tickets.workers_to_ask(
-            step_key, [worker.worker_id for worker in workers], now
+            step_key, [worker.worker_id for worker in usable], now
         )
-        if not asked or queue.advice is None:
+        if not asked or advice is None:
             return
-        advice = queue.advice
         expected_s = (advice.decide_ms + advice.each_ms * len(asked)) / MS_PER_S
         result = await self._client.advise(
             step_key, asked, expected_s + ANSWER_MARGIN_S
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -502,6 +502,7 @@
         now, now_unix = self.timers.now(), self.timers.wall_time()
         began = time.monotonic()
         self._carry_out_all(settle_crashes(self.tables))
+        self.tables.tickets.begin_placement()
         for pool in self.tables.pools_by_name:
             commands = place_tasks(
                 self.tables, pool, self.learned_durations, now, now_unix
@@ -510,6 +511,7 @@
                 self.tables, pool, self.learned_durations, now
             )
             self._carry_out_all(commands)
+        self.tables.tickets.end_placement()
         if self.tables.dirty_job_ids:
             self._writer.schedule(False)
         self._advice.wake()
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -14,6 +14,7 @@
     is_usable,
     next_run_number,
     start_on,
+    want_advice,
 )
 from sassafrasgrade.work_commands import StopRun
 from sassafrasgrade.work_tables import RunState
@@ -138,10 +139,13 @@
                 for candidate in candidates
                 if candidate.worker.worker_id not in used_worker_ids
             ]
-            if tables.queue_of(job).advice is not None:
-                free = candidates_with_ticket(tables, task, free, now)
-            candidate = choose_and_reserve(tables, task, free, now)
+            allowed, has_advice = free, tables.queue_of(job).advice is not None
+            if has_advice:
+                allowed = candidates_with_ticket(tables, task, free, now)
+            candidate = choose_and_reserve(tables, task, allowed, now)
             if candidate is None:
+                if has_advice:
+                    want_advice(tables, [task], free, now)
                 continue
             number = next_run_number(tables, [task])
             commands.append(start_on(tables, task, candidate, number, now))
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -180,16 +180,21 @@
     if job.urgency >= Urgency.USEFUL:
         usable_by_job = [c for c in candidates if not c.worker.is_yielding]
     for group in _startable_groups(tables, job, now):
-        usable = usable_by_job
-        if queue.advice is not None:
-            usable = candidates_with_ticket(tables, group[0], usable, now)
         if unplaceable.rules_out(group[0].step):
             continue
-        placed = _place_group(tables, group, usable, now)
-        if not placed and usable is candidates:
+        allowed = usable_by_job
+        if queue.advice is not None:
+            allowed = candidates_with_ticket(tables, group[0], allowed, now)
+        placed = _place_group(tables, group, allowed, now)
+        commands += placed
+        if placed:
+            continue
+        if queue.advice is not None:
+            if want_advice(tables, group, usable_by_job, now):
+                continue
+        if usable_by_job is candidates:
             if not any(needs_isolation(tables, task) for task in group):
                 unplaceable.add(group[0].step)
-        commands += placed
 
 
 class UnplaceableSizes:
@@ -221,19 +226,54 @@
 
 
 def candidates_with_ticket(tables, task, candidates, now):
-    """Returns the candidates with a ticket for a step.
+    """Returns the candidates with a ticket for a task's step.
 
-    Requests tickets if the step fits on none of them.
+    Those that the task avoids are left out while others may get a ticket.
     """
-    key = step_key_of(task)
-    usable = [
+    key, tickets = step_key_of(task), tables.tickets
+    allowed = [
         candidate
         for candidate in candidates
-        if tables.tickets.ticket(key, candidate.worker.worker_id, now) is not None
+        if tickets.ticket(key, candidate.worker.worker_id, now) is not None
     ]
-    if not any(candidate.fits(task.step) for candidate in usable):
-        tables.tickets.enqueue(key)
-    return usable
+    if not task.avoided_workers:
+        return allowed
+    preferred = [c for c in allowed if not _is_avoided(task, c)]
+    may_ask = any(
+        tickets.may_ask(key, candidate.worker.worker_id, now)
+        for candidate in eligible_candidates(tables, task, candidates, now)
+        if not _is_avoided(task, candidate)
+    )
+    return preferred if may_ask else allowed
+
+
+def want_advice(tables, group, candidates, now):
+    """Requests tickets for the workers on which a group of tasks could start now.
+
+    Args:
+        tables: The tables.
+        group: Tasks of a step that start together.
+        candidates: ``Candidate`` values, with and without a ticket.
+        now: Current clock in seconds.
+
+    Returns:
+        Whether the group could start with tickets for all of them.
+    """
+    task, tickets = group[0], tables.tickets
+    key = step_key_of(task)
+    if tickets.is_confirmed(key):
+        return True
+    chosen = _choose_group(tables, group, candidates, now)
+    _release_all(chosen)
+    if not chosen:
+        return False
+    eligible = eligible_candidates(tables, task, candidates, now)
+    due = [c for c in eligible if tickets.may_ask(key, c.worker.worker_id, now)]
+    due = [c for c in due if not _is_avoided(task, c)] or due
+    if due:
+        ranked = sorted(_rank(task, due, prefers_few_runs=True))
+        tickets.want(key, [rank[-1].worker.worker_id for rank in ranked])
+    return True
 
 
 def order_jobs(tables, pool_name, learned_durations, now_unix):
@@ -327,18 +367,28 @@
 
 
 def _place_group(tables, group, candidates, now):
+    chosen = _choose_group(tables, group, candidates, now)
+    number = next_run_number(tables, group)
+    return [
+        start_on(tables, task, candidate, number, now) for candidate, task in chosen
+    ]
+
+
+def _choose_group(tables, group, candidates, now):
+    """Reserves a candidate for each task; returns (candidate, task) pairs, or none."""
     chosen = []
     for task in group:
         candidate = choose_and_reserve(tables, task, candidates, now)
         if candidate is None:
-            for candidate, taken in chosen:
-                _release(candidate, taken.step)
+            _release_all(chosen)
             return []
         chosen.append((candidate, task))
-    number = next_run_number(tables, group)
-    return [
-        start_on(tables, task, candidate, number, now) for candidate, task in chosen
-    ]
+    return chosen
+
+
+def _release_all(chosen):
+    for candidate, task in chosen:
+        _release(candidate, task.step)
 
 
 def choose_and_reserve(tables, task, candidates, now):
@@ -347,16 +397,22 @@
     A suspect task gets a worker of its own, or the one with the fewest runs.
     """
     is_isolated = needs_isolation(tables, task)
-    if is_isolated:
-        waited_s = now - task.waiting_since if not task.runs_by_number else 0.0
-        candidates = isolated_candidates(task, candidates, waited_s)
-    candidate = choose_candidate(task, candidates, is_isolated)
+    eligible = eligible_candidates(tables, task, candidates, now)
+    candidate = _choose_best(task, eligible, is_isolated)
     if candidate is not None:
         candidate.reserve(task.step)
         candidate.is_exclusive = is_isolated
     return candidate
 
 
+def eligible_candidates(tables, task, candidates, now):
+    """Returns the candidates that may take a task now, tickets aside."""
+    if needs_isolation(tables, task):
+        waited_s = now - task.waiting_since if not task.runs_by_number else 0.0
+        candidates = isolated_candidates(task, candidates, waited_s)
+    return _with_room(task, candidates)
+
+
 def next_run_number(tables, tasks):
     """Returns a run number that no leadership has used for any of the tasks."""
     number = max(task.last_number for task in tasks) + 1
@@ -393,7 +449,26 @@
     return run
 
 
-def choose_candidate(task: Task, candidates, prefers_few_runs=False):
+def choose_candidate(task: Task, candidates):
+    """Returns the best candidate for a task, or None."""
+    return _choose_best(task, _with_room(task, candidates))
+
+
+def _with_room(task, candidates):
+    """Returns the candidates that have room for a task and what its step requires."""
+    step, label, most = task.step, task.step.label, task.step.most_per_worker
+    counts = _runs_of_step(task) if most else Counter()
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.fits(step)
+        and (not label or label in candidate.worker.labels)
+        and (not most or counts[candidate.worker.worker_id] < most)
+        and not (candidate.is_suspect and candidate.runs >= MAX_PROBE_RUNS)
+    ]
+
+
+def _choose_best(task, candidates, prefers_few_runs=False):
     """Returns the best candidate for a task, or None.
 
     Workers are filled one after another, so that the others become idle and their
@@ -401,36 +476,38 @@
 
     Args:
         task: The task.
-        candidates: ``Candidate`` values.
+        candidates: ``Candidate`` values that may take it.
         prefers_few_runs: Whether the number of runs matters most.
     """
-    step = task.step
-    best, best_rank = None, None
-    counts = _runs_of_step(task) if step.most_per_worker else Counter()
-    for candidate in candidates:
-        worker = candidate.worker
-        if not candidate.fits(step) or (step.label and step.label not in worker.labels):
-            continue
-        if step.most_per_worker and (counts[worker.worker_id] >= step.most_per_worker):
-            continue
-        suspect = candidate.is_suspect
-        if suspect and candidate.runs >= MAX_PROBE_RUNS:
-            continue
-        rank = (
+
+    ranked = _rank(task, candidates, prefers_few_runs)
+    return min(ranked)[-1] if ranked else None
+
+
+def _rank(task, candidates, prefers_few_runs):
+    """Returns a tuple for each candidate, which comes last in it; the best is least."""
+    step, avoided, has_failed = task.step, task.avoided_workers, task.failed_numbers
+    return [
+        (
             candidate.all_runs if prefers_few_runs else 0,
-            worker.worker_id in task.avoided_workers,
-            suspect,
+            worker.worker_id in avoided,
+            candidate.is_suspect,
             worker.slowness > SLOW_FACTOR,
-            bool(task.failed_numbers) and worker.failures > worker.successes,
+            bool(has_failed) and worker.failures > worker.successes,
             bool(step.rack) and worker.rack != step.rack,
             step.is_filler and _serves_users(worker),
             worker.is_yielding,
             candidate.cpu_millis,
             worker.worker_id,
+            candidate,
         )
-        if best_rank is None or rank < best_rank:
-            best, best_rank = candidate, rank
-    return best
+        for candidate in candidates
+        for worker in (candidate.worker,)
+    ]
+
+
+def _is_avoided(task, candidate):
+    return candidate.worker.worker_id in task.avoided_workers
 
 
 def _serves_users(worker):
--- a/sassafrasgrade/tickets.py
+++ b/sassafrasgrade/tickets.py
@@ -1,6 +1,5 @@
 """Tickets of the advice service, by step and worker."""
 
-from collections import deque
 from dataclasses import dataclass, field
 
 # Limit on workers named in one call, since each adds to the response time.
@@ -31,11 +30,14 @@
 
     Attributes:
         advice_by_step: ``StepAdvice`` by ``job.occurrence.step``.
-        wanted: Queue of the steps to request tickets for.
+        wanted: Ids of the workers to ask about, best first, by step. Steps come in
+            the order in which they are served.
+        unconfirmed: Wanted steps that the placement under way has not confirmed.
     """
 
     advice_by_step: dict[str, StepAdvice] = field(default_factory=dict)
-    wanted: deque = field(default_factory=deque)
+    wanted: dict[str, list[str]] = field(default_factory=dict)
+    unconfirmed: set[str] = field(default_factory=set)
 
     def ticket(self, step_key, worker_id, now):
         """Returns a valid ticket, or None."""
@@ -45,10 +47,34 @@
         ticket, until = advice.tickets_by_worker.get(worker_id, ("", 0.0))
         return ticket if until > now + EXPIRY_MARGIN_S else None
 
-    def enqueue(self, step_key):
-        """Adds a step to the steps that wait for tickets, at most once."""
-        if step_key not in self.wanted:
-            self.wanted.append(step_key)
+    def begin_placement(self):
+        """Lets the placement that begins decide again which steps wait for tickets."""
+        self.unconfirmed = set(self.wanted)
+
+    def end_placement(self):
+        """Removes the steps that no longer wait; the others keep their turn."""
+        for step_key in self.unconfirmed:
+            self.wanted.pop(step_key, None)
+        self.unconfirmed = set()
+
+    def is_confirmed(self, step_key):
+        """Whether the placement under way has found that a step waits for tickets."""
+        return step_key in self.wanted and step_key not in self.unconfirmed
+
+    def want(self, step_key, worker_ids):
+        """Records that a step waits for tickets.
+
+        Args:
+            step_key: ``job.occurrence.step``.
+            worker_ids: Workers that may take one of its tasks, best first.
+        """
+        self.wanted[step_key] = worker_ids
+        self.unconfirmed.discard(step_key)
+
+    def take_wanted(self):
+        """Removes the step whose turn it is; returns it and its workers."""
+        step_key = next(iter(self.wanted))
+        return step_key, self.wanted.pop(step_key)
 
     def drop(self, step_key, worker_id):
         """Removes a rejected ticket, so that a new one is requested."""
@@ -59,15 +85,16 @@
 
     def workers_to_ask(self, step_key, worker_ids, now):
         """Returns workers to name in the next call; ``worker_ids`` is best-first."""
-        advice = self.advice_by_step.setdefault(step_key, StepAdvice())
-        due_worker_ids = [
-            worker_id
-            for worker_id in worker_ids
-            if now - advice.asked_at_by_worker.get(worker_id, -REFUSAL_RETRY_S)
-            >= REFUSAL_RETRY_S
-            or self._has_lapsed(advice, worker_id, now)
-        ]
-        return due_worker_ids[:MAX_WORKERS_PER_CALL]
+        due = [w for w in worker_ids if self.may_ask(step_key, w, now)]
+        return due[:MAX_WORKERS_PER_CALL]
+
+    def may_ask(self, step_key, worker_id, now):
+        """Whether the service has not decided on a worker, or its ticket has lapsed."""
+        advice = self.advice_by_step.get(step_key)
+        if advice is None or worker_id not in advice.asked_at_by_worker:
+            return True
+        age_s = now - advice.asked_at_by_worker[worker_id]
+        return age_s >= REFUSAL_RETRY_S or self._has_lapsed(advice, worker_id, now)
 
     @staticmethod
     def _has_lapsed(advice, worker_id, now):
@@ -89,6 +116,8 @@
             advice.asked_at_by_worker[worker_id] = now
         for worker_id, ticket in good:
             advice.tickets_by_worker[worker_id] = (ticket, now + valid_s)
+        # The next placement decides whether these tickets suffice.
+        self.wanted.pop(step_key, None)
 
     def forget_job(self, job_id):
         """Removes the advice on a job's steps."""
