Restart perpetual tasks however their runs end

Cause: a perpetual task whose run ended `done` was never started again, its job was shown as completed once all had ended so, though nobody had cancelled it, and the mark was stored, so that no later leader started the task either (LOST). Only failed runs were checked for `perpetual`. Change: an end `done` of a perpetual task frees the task and marks nothing: it is never done, and neither are its occurrence and its job; steps after it wait; a gang starts again once the ends of all members are known. Its run teaches no duration and is not copied, as no copy would finish first. Progress records of earlier versions that say otherwise are corrected when they are applied; the other steps of such an occurrence stay done. A stored end of the job stays, as callers have been shown it.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -200,3 +200,23 @@
       | unanswered | calls |
       | 0          | 1     |
       | 2          | 3     |
+
+  Scenario Outline: done is taken for the end of a perpetual task if <event>
+    Then a perpetual task goes on as it should if "<event>"
+
+    Examples: runs end as done, and records are of earlier versions
+      | event                                    |
+      | a run ends                               |
+      | the end of an unknown run is listed      |
+      | the runs of all tasks end                |
+      | runs end more often than a task may fail |
+      | a member of a gang ends                  |
+      | one of two copies ends                   |
+      | a run ends, and a step comes after       |
+      | a run ends, and a step before is done    |
+      | it is stored as done                     |
+      | its occurrence is stored as done         |
+      | its job is handed over as completed      |
+      | its job is stored as completed           |
+      | a run lasts for longer than declared     |
+      | a run that lasted for long ends          |
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -313,6 +313,8 @@
             run = worker.runs_by_key.get((row.task, row.run))
             if run is None or row.how != "done" or run.task.saved:
                 continue
+            if run.task.step.is_perpetual:
+                continue
             elapsed_s = now - run.started_at
             task = run.task
             self.learned_durations.record_run(
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -210,6 +210,30 @@
     return int(part) if part.isascii() and part.isdigit() else None
 
 
+def without_perpetual_ends(request, progress):
+    """Returns progress without the claim that perpetual tasks are done.
+
+    Earlier versions took a run of such a task that ended ``done`` for its end. The
+    other steps of an occurrence that they took for done stay done.
+
+    Args:
+        request: ``JobRequest``.
+        progress: ``JobProgress``.
+    """
+    finite = {n: step for n, step in enumerate(request.steps) if not step.is_perpetual}
+    if len(finite) == len(request.steps):
+        return progress
+    done = {
+        name: indices
+        for name, indices in progress.done.items()
+        if int(name.partition(".")[2]) in finite
+    }
+    for number in progress.done_occurrences:
+        for step_number, step in finite.items():
+            done[f"{number}.{step_number}"] = list(range(step.count))
+    return msgspec.structs.replace(progress, done=done, done_occurrences=[])
+
+
 def apply_unstored_progress(tables, progress_by_job):
     """Applies progress that the previous leader could no longer store."""
     for job_id, value in progress_by_job.items():
@@ -225,6 +249,9 @@
                 extra={"job": job_id, "error": str(error)},
             )
             continue
+        if job.has_perpetual_steps and progress.state is WorkState.COMPLETED:
+            # An earlier version's mistake that no caller has been shown.
+            progress = msgspec.structs.replace(progress, state=WorkState.RUNNING)
         apply_progress(tables, job, progress)
         if progress.state in ENDED_STATES:
             # The end is visible to callers only once it is stored.
@@ -233,7 +260,11 @@
 
 
 def apply_progress(tables, job, progress: JobProgress):
-    """Applies stored progress to a job that was just loaded."""
+    """Applies stored progress to a job that was just loaded.
+
+    An end of the job stays, as callers have been shown it.
+    """
+    progress = without_perpetual_ends(job.request, progress)
     job.state = progress.state
     job.has_started = progress.has_started
     job.done_occurrences = set(progress.done_occurrences)
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -363,7 +363,7 @@
     if run is not None:
         fields["ran_ms"] = round((now - run.started_at) * MS_PER_S)
     commands = [LogEvent("run-ended", fields)]
-    if row.how is RunEnd.DONE:
+    if row.how is RunEnd.DONE and not task.step.is_perpetual:
         worker.successes += 1
         commands += finish_task(tables, task, now)
     elif row.how is RunEnd.FAILED:
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -157,6 +157,9 @@
         for row in occurrence.steps:
             if not row.step.is_speculative or not row.left or row.step.is_gang:
                 continue
+            if row.step.is_perpetual:
+                # No copy would ever finish first.
+                continue
             expected_s = learned_durations.task_s(job.queue_name, row.step)
             for task in row.tasks:
                 runs = task.runs_by_number.values()
