--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -31,6 +31,7 @@
     assume_longest_lease,
     cancel_job,
     decay_outcome_counts,
+    end_if_exhausted,
     expire_leases,
     forget_removed,
     forget_run,
@@ -186,14 +187,16 @@
         """Whether orders on hosts may be sent."""
         return not self._is_closed and self._leadership.has_host_authority()
 
-    def start(self, configuration, pools_by_queue=None):
+    def start(self, configuration, queues_by_name=None, pools_by_queue=None):
         """Starts ticking and loading jobs and workers.
 
         Args:
             configuration: The ``Configuration`` in force, or None.
-            pools_by_queue: Pools that each queue has had in the configurations that
-                this node knows.
+            queues_by_name: Queues of the configurations that this node knows, each by
+                the newest one that has it.
+            pools_by_queue: Pools that each queue has had in these configurations.
         """
+        self.tables.queues_by_name.update(queues_by_name or {})
         for queue_name, pools in (pools_by_queue or {}).items():
             self.tables.pools_by_queue[queue_name] = set(pools)
         if configuration is not None:
@@ -236,7 +239,11 @@
 
     def adopt_configuration(self, configuration):
         """Applies a newer configuration."""
+        open_jobs = self.tables.open_jobs_by_id.values()
+        unknown = [job for job in open_jobs if self.tables.queue_of(job) is None]
         self.tables.adopt_configuration(configuration)
+        for job in unknown:
+            self._carry_out_all(end_if_exhausted(self.tables, job))
         self.schedule_placement()
 
     def apply_waves(self, values_by_key):
@@ -359,6 +366,8 @@
             run = worker.runs_by_key.get((row.task, row.run))
             if run is None or row.how != "done" or run.task.saved:
                 continue
+            if run.task.step.is_perpetual:
+                continue
             elapsed_s = now - run.started_at
             task = run.task
             self.learned_durations.record_run(
@@ -562,6 +571,7 @@
         now, now_unix = self.timers.now(), self.timers.wall_time()
         began = time.monotonic()
         self._carry_out_all(settle_crashes(self.tables))
+        self.tables.tickets.begin_placement()
         for pool in self.tables.pools_by_name:
             commands = place_tasks(
                 self.tables, pool, self.learned_durations, now, now_unix
@@ -570,6 +580,7 @@
                 self.tables, pool, self.learned_durations, now
             )
             self._carry_out_all(commands)
+        self.tables.tickets.end_placement()
         if self.tables.dirty_job_ids:
             self._writer.schedule(False)
         self._advice.wake()
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -6,7 +6,7 @@
 
 from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.job_requests import find_fault
-from sassafrasgrade.platform.messages import JobRequest, Quantity
+from sassafrasgrade.platform.messages import Advice, JobRequest, Quantity, Queue
 from sassafrasgrade.work_tables import (
     ENDED_STATES,
     Crash,
@@ -14,6 +14,7 @@
     WorkState,
     WorkTables,
     create_occurrence,
+    record_queue_pool,
 )
 
 logger = logging.getLogger(__name__)
@@ -24,12 +25,35 @@
 CANCEL = "cancel"
 
 
+class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
+    """The settings of a queue that its jobs need, also once its route is removed.
+
+    Attributes:
+        pool: As in ``Queue``, and so are the others.
+        most_attempts: Number of failed runs after which a task fails for good.
+        stretch: Factor on the critical path.
+        objective_ms: Time that a job may take beyond that.
+        advice: Set if starts need a ticket.
+    """
+
+    pool: str
+    most_attempts: int
+    stretch: float
+    objective_ms: float
+    advice: Advice | None = None
+
+
 class SubmittedJob(msgspec.Struct, frozen=True, array_like=True):
-    """A job as accepted: queue, arrival time in Unix seconds, request."""
+    """A job as accepted: queue, arrival time in Unix seconds, request.
+
+    ``queue`` is missing in records of earlier versions, and if the node that stored
+    the job did not know its queue. Earlier versions ignore it.
+    """
 
     queue_name: str
     accepted_at: Quantity
     request: JobRequest
+    queue: StoredQueue | None = None
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -68,6 +92,13 @@
     return job_id, part
 
 
+def stored_queue_of(queue: Queue):
+    """Returns what is stored of a queue with its jobs."""
+    return StoredQueue(
+        queue.pool, queue.most_attempts, queue.stretch, queue.objective_ms, queue.advice
+    )
+
+
 def decode_submitted(value):
     """Decodes a ``SubmittedJob``; raises one of ``DECODE_ERRORS``."""
     submitted = _submitted_decoder.decode(value)
@@ -133,6 +164,10 @@
     if known is not None:
         return known
     job = Job(job_id, submitted.queue_name, submitted.request, submitted.accepted_at)
+    if submitted.queue is not None:
+        settings = msgspec.structs.asdict(submitted.queue)
+        job.stored_queue = Queue(name=job.queue_name, **settings)
+        record_queue_pool(tables.pools_by_queue, job.stored_queue)
     tables.jobs_by_id[job_id] = job
     tables.open_jobs_by_id[job_id] = job
     tables.has_seen_work = tables.has_seen_work or not job.has_perpetual_steps
@@ -175,6 +210,30 @@
     return int(part) if part.isascii() and part.isdigit() else None
 
 
+def without_perpetual_ends(request, progress):
+    """Returns progress without the claim that perpetual tasks are done.
+
+    Earlier versions took a run of such a task that ended ``done`` for its end. The
+    other steps of an occurrence that they took for done stay done.
+
+    Args:
+        request: ``JobRequest``.
+        progress: ``JobProgress``.
+    """
+    finite = {n: step for n, step in enumerate(request.steps) if not step.is_perpetual}
+    if len(finite) == len(request.steps):
+        return progress
+    done = {
+        name: indices
+        for name, indices in progress.done.items()
+        if int(name.partition(".")[2]) in finite
+    }
+    for number in progress.done_occurrences:
+        for step_number, step in finite.items():
+            done[f"{number}.{step_number}"] = list(range(step.count))
+    return msgspec.structs.replace(progress, done=done, done_occurrences=[])
+
+
 def apply_unstored_progress(tables, progress_by_job):
     """Applies progress that the previous leader could no longer store."""
     for job_id, value in progress_by_job.items():
@@ -190,6 +249,9 @@
                 extra={"job": job_id, "error": str(error)},
             )
             continue
+        if job.has_perpetual_steps and progress.state is WorkState.COMPLETED:
+            # An earlier version's mistake that no caller has been shown.
+            progress = msgspec.structs.replace(progress, state=WorkState.RUNNING)
         apply_progress(tables, job, progress)
         if progress.state in ENDED_STATES:
             # The end is visible to callers only once it is stored.
@@ -198,7 +260,11 @@
 
 
 def apply_progress(tables, job, progress: JobProgress):
-    """Applies stored progress to a job that was just loaded."""
+    """Applies stored progress to a job that was just loaded.
+
+    An end of the job stays, as callers have been shown it.
+    """
+    progress = without_perpetual_ends(job.request, progress)
     job.state = progress.state
     job.has_started = progress.has_started
     job.done_occurrences = set(progress.done_occurrences)
