Show that a pace that a later call has overtaken is lost

Cause: the leader takes a run to be paced once it has decided so. Since tokens rise with commits, a later call may overtake the order, and the worker refuses it; nothing sends it again, so that a filler goes on at full speed beside a task that misses its target. Change: two rows on the pace that the leader keeps; no logic is changed. Measured: the row of the refused order fails.

--- a/features/late_calls.feature
+++ b/features/late_calls.feature
@@ -57,3 +57,11 @@
       | a poll of a worker that answers                             | yes          |
       | a poll of a worker that did not answer the last one         | no           |
       | a question about its registration, which may be a later one | no           |
+
+  Scenario Outline: a pace of <percent> percent that is answered "<answer>" counts as taken on: <taken>
+    Then a filler whose pace of <percent> percent is answered "<answer>" counts as paced so: "<taken>"
+
+    Examples: a later call overtook it, so that the worker did nothing
+      | percent | answer | taken |
+      | 0       | done   | yes   |
+      | 0       | fence  | no    |
--- a/features/steps/late_call_steps.py
+++ b/features/steps/late_call_steps.py
@@ -59,3 +59,12 @@
 def check_acknowledged(context, poll, acknowledged):
     found = asyncio.run(late_calls.acknowledges(poll))
     assert found == (acknowledged == "yes"), found
+
+
+@then(
+    "a filler whose pace of {percent:d} percent is answered "
+    '"{answer}" counts as paced so: "{taken}"'
+)
+def check_pace(context, percent, answer, taken):
+    pace = asyncio.run(late_calls.pace_after(percent, answer))
+    assert (pace == percent) == (taken == "yes"), pace
--- a/features/support/late_calls.py
+++ b/features/support/late_calls.py
@@ -7,7 +7,13 @@
 
 from features.support.order_cases import RecordingDispatcher, settle
 from features.support.takeovers import TOKEN, Takeover, registration
-from features.support.work_tables import NOW, create_tables
+from features.support.work_tables import (
+    NOW,
+    add_simple_job,
+    create_tables,
+    first_task,
+    start_run,
+)
 from sassafrasgrade.errors import PlatformUnavailable, RevisionConflict
 from sassafrasgrade.leaderships import LEADER_KEY
 from sassafrasgrade.platform.messages import WorkerView
@@ -17,6 +23,7 @@
 from sassafrasgrade.systems.run_updates import remove_worker
 from sassafrasgrade.systems.task_placement import is_usable
 from sassafrasgrade.timers import CLOCK_DRIFT
+from sassafrasgrade.work_commands import PaceRun
 from sassafrasgrade.worker_fences import WorkerFences
 from sassafrasgrade.worker_sessions import WorkerSession
 
@@ -274,3 +281,25 @@
     else:
         await session._poll_once()
     return acknowledged == [7]
+
+
+async def pace_after(percent, answer):
+    """Returns the pace that the leader takes a run to have after a worker's answer."""
+    restarted = RestartedWorker()
+    dispatcher = restarted.leader.dispatcher
+    tables = restarted.leader.tables
+    worker = tables.workers_by_id[WORKER]
+    run = start_run(first_task(add_simple_job(tables)), worker)
+
+    async def pace(*arguments):
+        # A later call, with a later commit's token, is carried out first.
+        restarted.commit()
+        return WorkerReply(OrderOutcome(answer))
+
+    session = WorkerSession(worker, None, dispatcher)
+    session._client = SimpleNamespace(pace=pace)
+    dispatcher._sessions_by_id[WORKER] = session
+    dispatcher._fences.close()
+    dispatcher.carry_out(PaceRun(run, percent))
+    await settle()
+    return run.pace
