Show that a ticket of a worker's earlier life is used after its restart

Cause: tickets are kept by the worker's id, and a restart under that id does not drop them. A ticket is valid during one life of its worker: each start that carries such a one is refused, which is priced, and the step waits for new advice. Class: a statement about one incarnation taken for one about another. Change: two rows on tickets; no logic is changed.

--- a/features/late_calls.feature
+++ b/features/late_calls.feature
@@ -65,3 +65,11 @@
       | percent | answer | taken |
       | 0       | done   | yes   |
       | 0       | fence  | no    |
+
+  Scenario Outline: a ticket for a worker is used after <event>: <used>
+    Then a ticket for a worker is used after "<event>": "<used>"
+
+    Examples: a ticket is valid during one life of its worker
+      | event                             | used |
+      | an answer of the same incarnation | yes  |
+      | a restart of its worker           | no   |
--- a/features/steps/late_call_steps.py
+++ b/features/steps/late_call_steps.py
@@ -68,3 +68,9 @@
 def check_pace(context, percent, answer, taken):
     pace = asyncio.run(late_calls.pace_after(percent, answer))
     assert (pace == percent) == (taken == "yes"), pace
+
+
+@then('a ticket for a worker is used after "{event}": "{used}"')
+def check_ticket(context, event, used):
+    found = run_in_loop(lambda: late_calls.has_ticket_after(event))
+    assert found == (used == "yes"), found
--- a/features/support/late_calls.py
+++ b/features/support/late_calls.py
@@ -303,3 +303,19 @@
     dispatcher.carry_out(PaceRun(run, percent))
     await settle()
     return run.pace
+
+
+def has_ticket_after(event):
+    """Returns whether a worker's ticket is still used after an event."""
+    restarted = RestartedWorker()
+    restarted.commit()
+    restarted.answer_later()
+    tickets, now = restarted.leader.tables.tickets, restarted.leader.timers.now()
+    tickets.record_answer("a.0.0", [WORKER], [(WORKER, "ticket")], 60.0, now)
+    if event.startswith("a restart"):
+        restarted.restart()
+        restarted.commit()
+    restarted.answer_later()
+    assert restarted.is_usable
+    now = restarted.leader.timers.now()
+    return tickets.ticket("a.0.0", WORKER, now) is not None
