Drop the tickets of a worker that has restarted

Operators would have seen starts refused for their ticket, each of them priced, after a restart on a queue with advice; shown on the tables only. Cause: a ticket is valid during one life of its worker, and was kept for the next. Class: what is known of one incarnation taken for another. Change: a restart drops the advice on the worker, so that the next placement asks again. Measured: the row "a restart of its worker" of late_calls.feature failed before, passes now. An advice call that is under way during the restart is not covered.

--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -605,6 +605,7 @@
             run.deadline_ms = view.clock_ms + LATEST_ORDER_MS
             commands.append(StopRun(run, "worker restarted before a start's answer"))
         run.stop_answered_at = 0.0
+    tables.tickets.forget_worker(worker.worker_id)
     worker.born_ms = view.born_ms
     worker.seen_end = worker.stored_end = worker.discarded_end = 0
     worker.unclaimed_runs, worker.unclaimed_ends = {}, {}
--- a/sassafrasgrade/tickets.py
+++ b/sassafrasgrade/tickets.py
@@ -119,6 +119,11 @@
         # The next placement decides whether these tickets suffice.
         self.wanted.pop(step_key, None)
 
+    def forget_worker(self, worker_id):
+        """Removes the advice on a worker, which holds for one life of it."""
+        for step_key in self.advice_by_step:
+            self.drop(step_key, worker_id)
+
     def forget_job(self, job_id):
         """Removes the advice on a job's steps."""
         for step_key in [k for k in self.advice_by_step if k.startswith(job_id)]:
