Send an order again that a later call has overtaken

Cause: the refusal was final for a start, and ignored for a pace; an unanswered pace was not sent again either. Change: an overtaken start, stop or pace is sent again at once with the present token, three times at most, a start only while it is not to be stopped. A pace that is not taken on leaves the earlier one in the tables, so that the next tick decides again.

--- a/features/late_calls.feature
+++ b/features/late_calls.feature
@@ -73,3 +73,26 @@
       | event                             | used |
       | an answer of the same incarnation | yes  |
       | a restart of its worker           | no   |
+
+  Scenario Outline: a <kind> that later calls overtake <overtaken> times is sent <sent> times
+    Then a "<kind>" that later calls overtake <overtaken> times is sent <sent> times, each with the token of the last commit
+
+    Examples:
+      | kind  | overtaken | sent |
+      | start | 0         | 1    |
+      | start | 1         | 2    |
+      | start | 9         | 3    |
+      | stop  | 0         | 1    |
+      | stop  | 1         | 2    |
+      | pace  | 0         | 1    |
+      | pace  | 2         | 3    |
+      | poll  | 0         | 1    |
+
+  Scenario Outline: an id whose row was removed <seconds> s ago is remembered: <remembered>
+    Then an id whose row was removed <seconds> s ago is remembered: "<remembered>"
+
+    Examples: late calls may still be carried out
+      | seconds | remembered |
+      | 12      | yes        |
+      | 19      | yes        |
+      | 21      | no         |
--- a/features/steps/late_call_steps.py
+++ b/features/steps/late_call_steps.py
@@ -77,3 +77,18 @@
 def check_ticket(context, event, used):
     found = run_in_loop(lambda: late_calls.has_ticket_after(event))
     assert found == (used == "yes"), found
+
+
+@then(
+    'a "{kind}" that later calls overtake {overtaken:d} times is sent {sent:d} times, '
+    "each with the token of the last commit"
+)
+def check_tokens(context, kind, overtaken, sent):
+    tokens, expected = asyncio.run(late_calls.tokens_of(kind, overtaken))
+    assert tokens == expected and len(tokens) == sent, (tokens, expected)
+
+
+@then('an id whose row was removed {seconds:d} s ago is remembered: "{remembered}"')
+def check_remembered(context, seconds, remembered):
+    found = run_in_loop(lambda: late_calls.is_remembered_after(seconds))
+    assert found == (remembered == "yes")
--- a/features/support/late_calls.py
+++ b/features/support/late_calls.py
@@ -24,6 +24,7 @@
 from sassafrasgrade.systems.task_placement import is_usable
 from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_commands import PaceRun
+from sassafrasgrade.work_tables import RunState
 from sassafrasgrade.worker_fences import WorkerFences
 from sassafrasgrade.worker_sessions import WorkerSession
 
@@ -319,3 +320,66 @@
     assert restarted.is_usable
     now = restarted.leader.timers.now()
     return tickets.ticket("a.0.0", WORKER, now) is not None
+
+
+async def tokens_of(kind, overtaken):
+    """Returns the tokens that a call carries, and those of the last commits.
+
+    Args:
+        kind: What is sent.
+        overtaken: How often a later call is carried out first.
+    """
+    restarted = RestartedWorker()
+    restarted.commit()
+    restarted.answer_later()
+    dispatcher = restarted.leader.dispatcher
+    tables = restarted.leader.tables
+    worker = tables.workers_by_id[WORKER]
+    task = first_task(add_simple_job(tables))
+    tokens, expected = [], []
+
+    def answer(token):
+        tokens.append(token)
+        expected.append(restarted.revision)
+        if len(tokens) > overtaken:
+            return WorkerReply(OrderOutcome.UNHEALTHY)
+        restarted.revision += 1
+        dispatcher._writer._on_written(restarted.revision)
+        return WorkerReply(OrderOutcome.FENCED)
+
+    async def start(order, timeout_s):
+        return answer(order.token)
+
+    async def stop(task_name, number, token, timeout_s):
+        return answer(token)
+
+    async def pace(task_name, number, percent, token, timeout_s):
+        return answer(token)
+
+    async def poll(token, *arguments):
+        return answer(token)
+
+    session = WorkerSession(worker, None, dispatcher)
+    session._client = SimpleNamespace(start=start, stop=stop, pace=pace, poll_runs=poll)
+    dispatcher.timers.advance(1.0)
+    if kind == "start":
+        run = start_run(task, worker, RunState.STARTING)
+        await session.send_start(run)
+    elif kind == "poll":
+        await session._poll_once()
+    elif kind == "stop":
+        await session.send_stop(task.name, 1, start_run(task, worker))
+    else:
+        await session.send_pace(start_run(task, worker), 0, 100)
+    return tokens, expected
+
+
+def is_remembered_after(seconds):
+    """Returns whether the id of a removed row is known after a time."""
+    restarted = RestartedWorker()
+    tables, now = restarted.leader.tables, restarted.leader.timers.now()
+    proof = EndProof(ProofKind.WORKER_GONE, now)
+    worker = tables.workers_by_id[WORKER]
+    remove_worker(tables, worker, proof, now, has_ended=False)
+    restarted.leader.wait(seconds)
+    return WORKER in tables.removed_at_by_worker
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -745,11 +745,12 @@
 
     @carry_out.register
     def _(self, command: PaceRun):
-        command.run.pace = command.percent
-        session = self._sessions_by_id.get(command.run.worker_id)
+        run, previous_percent = command.run, command.run.pace
+        run.pace = command.percent
+        session = self._sessions_by_id.get(run.worker_id)
         if session is not None:
             IOLoop.current().add_callback(
-                session.send_pace, command.run, command.percent
+                session.send_pace, run, command.percent, previous_percent
             )
 
     @carry_out.register
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -28,6 +28,8 @@
 UNRESPONSIVE_PAUSE_S = 0.25
 # Maximum number of concurrent orders to one worker; each needs a connection.
 MAX_CONCURRENT_ORDERS = 2
+# How often an order is sent at most if later calls overtake it.
+MAX_SENDS = 3
 # Maximum time that the next long poll waits for ends to be stored, in seconds.
 MAX_STORE_WAIT_S = 0.5
 
@@ -214,29 +216,52 @@
             now = self._timers.now()
             run.deadline_ms = self._worker_clock(now) + START_VALID_MS
             run.sent_at, run.sent_to_born_ms = now, self.worker.born_ms
-            run.token = self._dispatcher.worker_token
             self._extend_lease(now, START_VALID_MS / MS_PER_S)
-            task = run.task
-            order = StartOrder(
-                task.name,
-                run.number,
-                task.job.request.spec,
-                run.deadline_ms,
-                run.token,
-                task.saved,
-                run.ticket,
+            reply, _ = await self._send(
+                lambda token: self._start(run, token), lambda: not run.stopped_at
             )
-            reply = await self._client.start(order, ANSWER_TIMEOUT_S)
-            self._note_unanswered(reply)
         if self._is_closed:
             return
         self._dispatcher.handle_start_reply(
             run, reply, reply.outcome in NO_EFFECT_OUTCOMES
         )
 
-    def _note_unanswered(self, reply):
+    async def _start(self, run, token):
+        run.token = token
+        task = run.task
+        order = StartOrder(
+            task.name,
+            run.number,
+            task.job.request.spec,
+            run.deadline_ms,
+            token,
+            task.saved,
+            run.ticket,
+        )
+        return await self._client.start(order, ANSWER_TIMEOUT_S)
+
+    async def _send(self, send, is_due=lambda: True):
+        """Sends an order, and again if a later call of this leader overtook it.
+
+        Args:
+            send: Function of a token that sends it once and returns the reply.
+            is_due: Whether it may be sent again.
+
+        Returns:
+            (Reply, token that the order carried.)
+        """
+        for _ in range(MAX_SENDS):
+            token = self._dispatcher.worker_token
+            reply = await send(token)
+            is_overtaken = (
+                reply.outcome is OrderOutcome.FENCED
+                and token < self._dispatcher.worker_token
+            )
+            if not is_overtaken or self._is_closed or not is_due():
+                break
         if reply.outcome is OrderOutcome.UNKNOWN:
             self._may_have_restarted = True
+        return reply, token
 
     def _is_start_due(self, run):
         """Whether a start is still to be sent.
@@ -252,9 +277,11 @@
             if self._is_closed:
                 return
             born_ms = self.worker.born_ms
-            token = self._dispatcher.worker_token
-            reply = await self._client.stop(task_name, number, token, ANSWER_TIMEOUT_S)
-            self._note_unanswered(reply)
+            reply, token = await self._send(
+                lambda token: self._client.stop(
+                    task_name, number, token, ANSWER_TIMEOUT_S
+                )
+            )
         if self._is_closed or run is None or self.worker.born_ms != born_ms:
             # A stop that an earlier incarnation confirmed says nothing of this one.
             return
@@ -263,16 +290,19 @@
         elif reply.outcome is OrderOutcome.FENCED:
             self._dispatcher.handle_fenced(self.worker.worker_id, token)
 
-    async def send_pace(self, run, percent):
-        """Limits a run's speed to ``percent``; returns whether the worker accepted."""
+    async def send_pace(self, run, percent, previous_percent):
+        """Limits a run's speed to ``percent``.
+
+        Without the worker's consent its earlier pace stays in the tables, so that the
+        next tick decides again.
+        """
         async with self._orders:
             if self._is_closed:
-                return False
-            reply = await self._client.pace(
-                run.task.name,
-                run.number,
-                percent,
-                self._dispatcher.worker_token,
-                ANSWER_TIMEOUT_S,
+                return
+            reply, _ = await self._send(
+                lambda token: self._client.pace(
+                    run.task.name, run.number, percent, token, ANSWER_TIMEOUT_S
+                )
             )
-        return reply.outcome is OrderOutcome.DONE
+        if reply.outcome is not OrderOutcome.DONE:
+            run.pace = previous_percent
