Load the attempts of a scheduled job's tasks

Cause: stored failures and crashes were applied to tasks in the tables only, and occurrences are created when they are due, after the load. Change: what was stored of a task creates its occurrence, which had been due.

--- /dev/null
+++ b/features/steps/reviewed_rule_steps.py
@@ -0,0 +1,164 @@
+"""Steps on what is counted of jobs: attempts, starts, members of gangs, room."""
+
+from collections import Counter
+
+from behave import given, then, when
+
+from features.support.takeovers import Takeover, run_in_loop
+from features.support.work_tables import (
+    NOW,
+    NOW_UNIX,
+    POOL,
+    QUEUE,
+    add_simple_job,
+    apply_worker_view,
+    create_tables,
+    first_task,
+)
+from sassafrasgrade.job_records import (
+    SubmittedJob,
+    add_job,
+    apply_progress,
+    decode_progress,
+    encode,
+    find_task,
+    progress_of,
+)
+from sassafrasgrade.platform.messages import JobRequest, Step
+from sassafrasgrade.platform.workers import (
+    NO_EFFECT_OUTCOMES,
+    OrderOutcome,
+    WorkerReply,
+)
+from sassafrasgrade.systems.learned_durations import LearnedDurations
+from sassafrasgrade.systems.run_updates import cancel_job
+from sassafrasgrade.systems.task_placement import place_tasks
+from sassafrasgrade.work_tables import Crash
+
+JOB = "a" * 16
+TASK = f"{JOB}.0.0.0"
+FAILED = {1, 2, 3}
+CRASHES = (Crash("host-gone", True, True),)
+
+
+def submitted(kind):
+    """Returns a job of one task, which is due many times if it is scheduled."""
+    repeats = 5 if kind == "scheduled" else 0
+    step = Step(count=1, cpu_millis=1000, memory_mb=100, estimate_ms=500)
+    request = JobRequest(
+        spec="s", steps=(step,), repeats=repeats, first_ms=1000, interval_ms=1000
+    )
+    return SubmittedJob(QUEUE, NOW_UNIX, request)
+
+
+@given('a "{kind}" job whose task has {what} stored')
+def store_counts(context, kind, what):
+    tables = create_tables()
+    context.submitted = submitted(kind)
+    job = add_job(tables, JOB, context.submitted)
+    task = find_task(tables, TASK)
+    if what == "failures":
+        task.failed_numbers = set(FAILED)
+    else:
+        task.crashes = CRASHES
+    context.progress = encode(progress_of(job))
+
+
+@when("the next leader loads the job")
+def load_job(context):
+    context.tables = create_tables()
+    job = add_job(context.tables, JOB, context.submitted)
+    apply_progress(context.tables, job, decode_progress(context.progress))
+
+
+@then("it knows the {what} of the task")
+def check_counts(context, what):
+    task = find_task(context.tables, TASK)
+    found = task.failed_numbers if what == "failures" else task.crashes
+    assert found == (FAILED if what == "failures" else CRASHES), found
+
+
+def place(tables):
+    """Places tasks; returns the runs that start."""
+    commands = place_tasks(tables, POOL, LearnedDurations(), NOW, NOW_UNIX)
+    return [command.run for command in commands]
+
+
+@given("a job whose start is sent")
+def send_start(context):
+    context.tables = create_tables(workers=1)
+    context.job = add_simple_job(context.tables)
+    (context.run,) = place(context.tables)
+
+
+@when('the reply to its start is "{reply}"')
+def answer_start(context, reply):
+    word, _, listed = reply.partition(", and a list ")
+    if word == "no reply yet":
+        return
+    outcome = OrderOutcome(word)
+
+    def handle():
+        leader = Takeover(epoch=1)
+        dispatcher = leader.dispatcher
+        dispatcher.tables = context.tables
+        has_no_effect = outcome in NO_EFFECT_OUTCOMES
+        dispatcher.handle_start_reply(context.run, WorkerReply(outcome), has_no_effect)
+
+    run_in_loop(handle)
+    worker = context.tables.workers_by_id["worker-0"]
+    task, number = context.run.task.name, context.run.number
+    if listed == "shows it":
+        row = (task, number, "", 10, 0)
+        apply_worker_view(context.tables, worker, NOW + 1, running=[row])
+    elif listed:
+        end = (1, task, number, "failed")
+        apply_worker_view(context.tables, worker, NOW + 1, ended=[end])
+
+
+@then('the job counts as started: "{started}"')
+def check_started(context, started):
+    assert context.job.has_started == (started == "yes")
+
+
+@given("a gang of {members:d} members, at most {most:d} on each of {workers:d} workers")
+def make_gang(context, members, most, workers):
+    context.tables = create_tables(workers=workers)
+    add_simple_job(context.tables, count=members, is_gang=True, most_per_worker=most)
+
+
+@when("it is placed")
+def place_gang(context):
+    context.runs = place(context.tables)
+
+
+@then("{started:d} members start, at most {most:d} on each worker")
+def check_members(context, started, most):
+    assert len(context.runs) == started, context.runs
+    counts = Counter(run.worker_id for run in context.runs)
+    assert not most or all(count <= most for count in counts.values()), counts
+
+
+@given('a worker with room for one task, which lists a run of a job that is "{state}"')
+def list_run(context, state):
+    context.tables = create_tables(workers=1)
+    tables = context.tables
+    if state != "not there":
+        job = add_simple_job(tables, "b" * 16, cpu_millis=16_000)
+        if state == "cancelled":
+            cancel_job(tables, job)
+        row = (first_task(job).name, 1, "", 10, 0)
+        worker = tables.workers_by_id["worker-0"]
+        apply_worker_view(tables, worker, NOW, running=[row])
+    add_simple_job(tables, cpu_millis=16_000)
+
+
+@when("another task is placed")
+def place_other(context):
+    context.runs = place(context.tables)
+
+
+@then('it starts there: "{starts}"')
+def check_starts(context, starts):
+    found = [run.task.name for run in context.runs]
+    assert (TASK in found) == (starts == "yes"), found
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -277,12 +277,13 @@
             if not row.tasks[index].is_done:
                 row.tasks[index].is_done = True
                 row.left -= 1
+    # Occurrences are created when they are due; those with attempts were.
     for name, numbers in progress.failures.items():
-        task = tables.tasks_by_name.get(f"{job.job_id}.{name}")
+        task = find_task(tables, f"{job.job_id}.{name}")
         if task is not None:
             task.failed_numbers.update(numbers)
     for name, crashes in progress.crashes.items():
-        task = tables.tasks_by_name.get(f"{job.job_id}.{name}")
+        task = find_task(tables, f"{job.job_id}.{name}")
         if task is not None:
             task.crashes = tuple(crashes)
     if not job.is_open:
