Count a job as started once a worker says so

Cause: a job counted as started when its start was placed; a refusal did not undo that. Change: the answer to a start, or a list that shows the run or its end, counts.

--- a/features/reviewed_rules.feature
+++ b/features/reviewed_rules.feature
@@ -11,3 +11,18 @@
       | failures | scheduled |
       | crashes  | plain     |
       | crashes  | scheduled |
+
+  Scenario Outline: a job whose start is <reply> counts as started: <started>
+    Given a job whose start is sent
+    When the reply to its start is "<reply>"
+    Then the job counts as started: "<started>"
+
+    Examples: jobs that had not begun were missing from the count of waiting ones
+      | reply                          | started |
+      | no reply yet                   | no      |
+      | done                           | yes     |
+      | unhealthy                      | no      |
+      | room                           | no      |
+      | unknown                        | no      |
+      | unknown, and a list shows it   | yes     |
+      | unknown, and a list has an end | yes     |
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -37,6 +37,7 @@
     forget_run,
     has_incarnation_ended,
     is_later,
+    record_start,
     remove_worker,
     restart_worker,
 )
@@ -406,6 +407,7 @@
         self.counters.count_start(reply.outcome.value)
         if reply.outcome is OrderOutcome.DONE:
             run.answered_at = now
+            record_start(self.tables, task.job)
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
             if task.is_done or not task.job.is_open:
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -214,6 +214,7 @@
         commands.append(_describe_found(worker, run, now))
         run.state = RunState.RUNNING
         run.answered_at = now
+        record_start(tables, run.task.job)
     _record_progress(run, row, now)
     return commands
 
@@ -384,7 +385,7 @@
 
 
 def record_start(tables, job):
-    """Records that a task of a job was started."""
+    """Records that a task of a job has begun, as its worker says."""
     if not job.has_started:
         job.has_started = True
         if job.state is WorkState.QUEUED:
@@ -399,6 +400,7 @@
         forget_run(tables, run, EndProof(ProofKind.END_LISTED, now), now)
     if task is None:
         return []
+    record_start(tables, task.job)
     if row.saved:
         task.saved = row.saved
     fields = {
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -14,7 +14,6 @@
     isolated_candidates,
     needs_isolation,
 )
-from sassafrasgrade.systems.run_updates import record_start
 from sassafrasgrade.work_commands import LogEvent, StartRun
 from sassafrasgrade.work_tables import (
     MS_PER_S,
@@ -426,7 +425,6 @@
     run.is_isolated = candidate.is_exclusive
     ticket = tables.tickets.ticket(step_key_of(task), worker.worker_id, now)
     run.ticket = ticket or ""
-    record_start(tables, task.job)
     return StartRun(run)
 
 
