Count the members of a gang that start together against the limit of a worker

Cause: the runs of the step were counted before the gang's own. Change: members that are placed together count.

--- a/features/reviewed_rules.feature
+++ b/features/reviewed_rules.feature
@@ -26,3 +26,16 @@
       | unknown                        | no      |
       | unknown, and a list shows it   | yes     |
       | unknown, and a list has an end | yes     |
+
+  Scenario Outline: of a gang of <members> at most <most> run on each of <workers> workers: <started> start
+    Given a gang of <members> members, at most <most> on each of <workers> workers
+    When it is placed
+    Then <started> members start, at most <most> on each worker
+
+    Examples: members that are placed together were not counted
+      | members | most | workers | started |
+      | 3       | 1    | 1       | 0       |
+      | 3       | 1    | 3       | 3       |
+      | 4       | 2    | 2       | 4       |
+      | 5       | 2    | 2       | 0       |
+      | 3       | 0    | 1       | 3       |
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -46,6 +46,8 @@
 # Multiple of its objective up to which a job earns partial value (published rule).
 LATE_FACTOR = 3.0
 
+NO_MEMBERS = Counter()
+
 
 @dataclass(slots=True)
 class Candidate:
@@ -375,13 +377,14 @@
 
 def _choose_group(tables, group, candidates, now):
     """Reserves a candidate for each task; returns (candidate, task) pairs, or none."""
-    chosen = []
+    chosen, members = [], Counter()
     for task in group:
-        candidate = choose_and_reserve(tables, task, candidates, now)
+        candidate = choose_and_reserve(tables, task, candidates, now, members)
         if candidate is None:
             _release_all(chosen)
             return []
         chosen.append((candidate, task))
+        members[candidate.worker.worker_id] += 1
     return chosen
 
 
@@ -390,13 +393,20 @@
         _release(candidate, task.step)
 
 
-def choose_and_reserve(tables, task, candidates, now):
+def choose_and_reserve(tables, task, candidates, now, members=NO_MEMBERS):
     """Returns the best candidate for a task with its resources reserved, or None.
 
     A suspect task gets a worker of its own, or the one with the fewest runs.
+
+    Args:
+        tables: The tables.
+        task: The task.
+        candidates: ``Candidate`` values.
+        now: Current clock in seconds.
+        members: Count of the members of its gang that start with it, by worker id.
     """
     is_isolated = needs_isolation(tables, task)
-    eligible = eligible_candidates(tables, task, candidates, now)
+    eligible = eligible_candidates(tables, task, candidates, now, members)
     candidate = _choose_best(task, eligible, is_isolated)
     if candidate is not None:
         candidate.reserve(task.step)
@@ -404,12 +414,12 @@
     return candidate
 
 
-def eligible_candidates(tables, task, candidates, now):
+def eligible_candidates(tables, task, candidates, now, members=NO_MEMBERS):
     """Returns the candidates that may take a task now, tickets aside."""
     if needs_isolation(tables, task):
         waited_s = now - task.waiting_since if not task.runs_by_number else 0.0
         candidates = isolated_candidates(task, candidates, waited_s)
-    return _with_room(task, candidates)
+    return _with_room(task, candidates, members)
 
 
 def next_run_number(tables, tasks):
@@ -452,10 +462,10 @@
     return _choose_best(task, _with_room(task, candidates))
 
 
-def _with_room(task, candidates):
+def _with_room(task, candidates, members=NO_MEMBERS):
     """Returns the candidates that have room for a task and what its step requires."""
     step, label, most = task.step, task.step.label, task.step.most_per_worker
-    counts = _runs_of_step(task) if most else Counter()
+    counts = _runs_of_step(task) + members if most else NO_MEMBERS
     return [
         candidate
         for candidate in candidates
