Count the room of runs that nobody wants any more until they have ended

Cause: listed runs of closed jobs and done tasks were stopped without a row in the tables. A run of a job that is not there has no known size and is stopped as before.

--- a/features/reviewed_rules.feature
+++ b/features/reviewed_rules.feature
@@ -39,3 +39,14 @@
       | 4       | 2    | 2       | 4       |
       | 5       | 2    | 2       | 0       |
       | 3       | 0    | 1       | 3       |
+
+  Scenario Outline: a listed run of a job that is <state> takes room until it has ended: <takes>
+    Given a worker with room for one task, which lists a run of a job that is "<state>"
+    When another task is placed
+    Then it starts there: "<starts>"
+
+    Examples: runs that the leader had not started and had stopped were not counted
+      | state       | takes | starts |
+      | cancelled   | yes   | no     |
+      | running     | yes   | no     |
+      | not there   | no    | yes    |
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -248,7 +248,7 @@
 def _adopt_run(tables, worker, row, now):
     """Adds a run that was started under an earlier leadership."""
     task = find_task(tables, row.task)
-    if task is None or task.is_done or not task.job.is_open:
+    if task is None:
         return [StopUnknownRun(worker.worker_id, row.task, row.run)]
     run = Run(
         task,
@@ -266,8 +266,11 @@
     worker.runs_by_key[(row.task, row.run)] = run
     assume_longest_lease(tables, worker, now)
     commands.append(_describe_found(worker, run, now))
-    record_start(tables, task.job)
     _record_progress(run, row, now)
+    if task.is_done or not task.job.is_open:
+        # It takes room until it has ended.
+        return [*commands, StopRun(run, "no longer wanted")]
+    record_start(tables, task.job)
     if others and not task.step.is_speculative:
         commands.append(ReportSecondRun(run, others))
         commands += _stop_all_but_one(tables, (run, *others))
