--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -61,6 +61,7 @@
       | late-wide | 17    | 1     |
       | late-wide | 21    | 1     |
       | late-wide | 34    | 1     |
+      | late-wide | 43    | 1     |
 
   Scenario Outline: wide schedules of late calls, <seeds> seeds from <first>
     When <seeds> seeds from <first> of the wide schedules are played in virtual time
@@ -69,13 +70,17 @@
     Examples: late starts and polls acted on the next incarnation of their worker
       | first | seeds |
       | 43    | 1     |
-      | 1     | 10    |
+      | 1     | 5     |
+      | 7     | 4     |
 
     @known_red
     Examples: a late start reaches an incarnation that no call has reached yet
       | first | seeds |
+      | 6     | 1     |
       | 21    | 1     |
       | 35    | 1     |
+      | 38    | 1     |
+      | 55    | 1     |
 
   Scenario Outline: a run that may be at work stays in the tables: <event>
     Given a worker with a run that was answered 0.1 s ago
