--- a/features/reviewed_rules.feature
+++ b/features/reviewed_rules.feature
@@ -50,3 +50,24 @@
       | cancelled   | yes   | no     |
       | running     | yes   | no     |
       | not there   | no    | yes    |
+
+  Scenario Outline: a start of a <kind> task that gets no answer is stopped: <stopped>
+    Given a start of a "<kind>" task is sent
+    When the reply to its start is "unknown"
+    Then its run is stopped: "<stopped>"
+
+    Examples: the stop ended lasting tasks at work while others of their step were away
+      | kind    | stopped |
+      | plain   | yes     |
+      | lasting | no      |
+
+  Scenario Outline: a lasting task whose start got no answer starts again <seconds> s later if a list is without it: <starts>
+    Given a start of a "lasting" task is sent
+    When the reply to its start is "unknown"
+    And its worker lists no run <seconds> s after the start
+    Then the task may start again: "<starts>"
+
+    Examples: the order is void once its deadline has passed
+      | seconds | starts |
+      | 1.0     | no     |
+      | 1.6     | yes    |
--- a/features/steps/reviewed_rule_steps.py
+++ b/features/steps/reviewed_rule_steps.py
@@ -32,8 +32,8 @@
 )
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.run_updates import cancel_job
-from sassafrasgrade.systems.task_placement import place_tasks
-from sassafrasgrade.work_tables import Crash
+from sassafrasgrade.systems.task_placement import START_VALID_MS, place_tasks
+from sassafrasgrade.work_tables import MS_PER_S, Crash
 
 JOB = "a" * 16
 TASK = f"{JOB}.0.0.0"
@@ -91,6 +91,30 @@
     (context.run,) = place(context.tables)
 
 
+@given('a start of a "{kind}" task is sent')
+def send_start_of(context, kind):
+    context.tables = create_tables(workers=1)
+    context.job = add_simple_job(context.tables, is_perpetual=kind == "lasting")
+    (context.run,) = place(context.tables)
+    context.run.deadline_ms = NOW * MS_PER_S + START_VALID_MS
+
+
+@when("its worker lists no run {seconds:g} s after the start")
+def list_nothing(context, seconds):
+    worker = context.tables.workers_by_id["worker-0"]
+    apply_worker_view(context.tables, worker, NOW + seconds)
+
+
+@then('its run is stopped: "{stopped}"')
+def check_stopped(context, stopped):
+    assert bool(context.run.stopped_at) == (stopped == "yes")
+
+
+@then('the task may start again: "{starts}"')
+def check_may_start(context, starts):
+    assert bool(place(context.tables)) == (starts == "yes")
+
+
 @when('the reply to its start is "{reply}"')
 def answer_start(context, reply):
     word, _, listed = reply.partition(", and a list ")
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -435,10 +435,13 @@
 
         The order may still reach the worker. The stop also makes the worker refuse a
         start that arrives after it, so that the task is soon free to start elsewhere.
+        A perpetual task would be stopped at work while others of its step are away: it
+        waits until a list shows it, or the order's deadline has passed.
         """
         if worker is not None:
             worker.failures += 1
-        self.carry_out(StopRun(run, "start without an answer"))
+        if not run.task.step.is_perpetual:
+            self.carry_out(StopRun(run, "start without an answer"))
 
     def drop_unsent_start(self, run, reason):
         """Forgets a run whose start was never sent."""
