--- a/features/support/missed_leaderships.py
+++ b/features/support/missed_leaderships.py
@@ -59,6 +59,19 @@
     store.put_all({LEADER_KEY: encode_record(record), EPOCH_KEY: str(epoch).encode()})
 
 
+async def create_leader(store):
+    """Returns a ``Candidate`` that leads."""
+    candidate = Candidate(store)
+    leadership = candidate.leadership
+    leadership.start()
+    await take_turns()
+    leadership._campaign_timeout = None
+    if not leadership.is_leader:
+        await leadership._campaign()
+    assert leadership.has_authority()
+    return candidate
+
+
 async def campaign(missed):
     """A node campaigns for a vanished key.
 
@@ -94,14 +107,8 @@
 async def write_vanished_key_again(missed):
     """A leader writes its vanished key again; returns whether it still leads."""
     store = MemoryStore()
-    candidate = Candidate(store)
+    candidate = await create_leader(store)
     leadership = candidate.leadership
-    leadership.start()
-    await take_turns()
-    leadership._campaign_timeout = None
-    if not leadership.is_leader:
-        await leadership._campaign()
-    assert leadership.is_leader
     if missed:
         lead(store, "second", 2)
     store.remove(LEADER_KEY)
@@ -140,14 +147,8 @@
         answer: What becomes of the write.
     """
     store = LossyStore()
-    candidate = Candidate(store)
+    candidate = await create_leader(store)
     leadership = candidate.leadership
-    leadership.start()
-    await take_turns()
-    leadership._campaign_timeout = None
-    if not leadership.is_leader:
-        await leadership._campaign()
-    assert leadership.has_authority()
     first_token = leadership.token
     store.remove(LEADER_KEY)
     store.lost_answer = "" if answer == "answered" else answer
@@ -204,14 +205,8 @@
         Whether it has authority.
     """
     store = MemoryStore()
-    candidate = Candidate(store)
+    candidate = await create_leader(store)
     leadership = candidate.leadership
-    leadership.start()
-    await take_turns()
-    leadership._campaign_timeout = None
-    if not leadership.is_leader:
-        await leadership._campaign()
-    assert leadership.has_authority()
     store.remove(LEADER_KEY)
     store.lost_lease = leadership.lease
     store.loses_leader_writes = not is_rewritten
