--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -28,7 +28,8 @@
       | crashes twice, running it alone                     | isolated  |
       | crashes three times, running it alone               | given up  |
       | crashes three times, running others as well         | isolated  |
-      | crashes four times, running others as well          | given up  |
+      | crashes four times, running others as well          | isolated  |
+      | crashes five times, running others as well          | given up  |
       | crashes three times on one host, running it alone   | isolated  |
       | crashes three times on two hosts, running it alone  | given up  |
       | crashes once, 2 s into a run beside others          | free      |
@@ -59,7 +60,19 @@
       | lapses four times before it answered the start       | isolated |
       | crashes four times, once after it answered the start | isolated |
       | crashes three times, twice after it answered the start | given up |
-      | crashes four times beside others, twice after it answered | given up |
+      | crashes four times beside others, twice after it answered | isolated |
+      | crashes five times, three times before it answered   | isolated |
+      | crashes five times, twice before it answered         | given up |
+
+    # A sound job was shown as failed after three crashes, of which one was on a worker
+    # of its own half a second into the run and one left a start without an answer.
+    Examples: crashes that did not come with the start
+      | history                                                    | outcome  |
+      | crashes beside others, unanswered, and 0.5 s into it alone | isolated |
+      | crashes three times, once 0.5 s into it alone              | isolated |
+      | crashes four times, 0.5 s into it alone                    | isolated |
+      | crashes four times, once 0.5 s into it alone               | given up |
+      | crashes five times, 0.5 s into it alone                    | given up |
 
     # A run on the next incarnation of a worker, under the same id, counted as crashed
     # with the earlier one.
@@ -134,6 +147,7 @@
       | of workers that had answered its start  | given up |
       | of workers that never answered a start  | isolated |
       | by a build that noted no answers        | isolated |
+      | by a build that did not ask while it ran | isolated |
 
   Scenario Outline: a run whose worker is silent is copied with <crashes> crashes to <room>: <copied>
     Given a task with copies allowed, <crashes> crashes and a silent worker
@@ -197,6 +211,29 @@
       | 3     | 20      | 1.5    | 60     |
       | 2     | 12      | 1      | 24     |
 
+  # Tasks moved from one worker to the next one that went dark, and were given up.
+  Scenario Outline: no job is given up as workers go dark for <dark> s, one each <period> s
+    When 5 of 12 workers go dark for <dark> s, one each <period> s, under <others> tasks of <cpu> millicores
+    Then no job is given up
+
+    Examples:
+      | dark | period | others | cpu  |
+      | 1.0  | 0.9    | 30     | 1600 |
+      | 1.5  | 0.9    | 60     | 1600 |
+      | 0.5  | 0.7    | 30     | 2700 |
+
+  Scenario Outline: a worker with a task <kind> since <age> s is asked whether it is up: <asked>
+    Given a worker that runs a task <kind> since <age> s
+    Then the worker is asked whether it is up: <asked>
+
+    Examples:
+      | kind                             | age | asked |
+      | under which a worker has crashed | 0.1 | yes   |
+      | under which a worker has crashed | 0.5 | no    |
+      | that is no suspect               | 0.1 | no    |
+      | whose start has no answer        | 0.1 | no    |
+      | while it is silent               | 0.1 | no    |
+
   # Starts to workers that had gone dark counted as crashes under their tasks.
   Scenario Outline: no job of <others> is given up for starts to <count> workers that go dark
     When <count> of <workers> workers go dark for <dark> s each <period> s before they crash
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -42,6 +42,7 @@
     record_crash,
     record_restart,
     settle_crashes,
+    watch_suspects,
 )
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.learned_durations import LearnedDurations
@@ -160,12 +161,16 @@
 
 
 def run_on(context, worker, number=1, others=0, age_s=0.1, state=RunState.RUNNING):
-    """Starts the task, and others, ``age_s`` before the worker's last answer."""
+    """Starts the task, and others, ``age_s`` before the worker's last answer.
+
+    If workers have crashed under the task, this one is asked until that answer.
+    """
     for other in range(others):
         job = add_simple_job(context.tables, f"{number:08x}{other:08x}")
         start_run(first_task(job), worker, now=NOW - 20)
     run = start_run(context.task, worker, state, now=NOW - age_s, number=number)
-    worker.last_answer_at = NOW
+    run.is_watched = bool(context.task.crashes)
+    worker.last_answer_at = worker.last_answered_call_at = NOW
     return run
 
 
@@ -309,6 +314,35 @@
     "crashes three times, running it alone": lambda c, w: crash_under(c, 3),
     "crashes three times, running others as well": lambda c, w: crash_under(c, 3, 2),
     "crashes four times, running others as well": lambda c, w: crash_under(c, 4, 2),
+    "crashes five times, running others as well": lambda c, w: crash_under(c, 5, 2),
+    "crashes five times, twice before it answered": lambda c, w: [
+        crash_dark(c, 2, 2),
+        crash_under(c, 3, 2, first=4),
+    ],
+    "crashes five times, three times before it answered": lambda c, w: [
+        crash_dark(c, 3, 2),
+        crash_under(c, 2, 2, first=4),
+    ],
+    "crashes beside others, unanswered, and 0.5 s into it alone": lambda c, w: [
+        crash_under(c, 1, others=20, age_s=0.6),
+        crash_dark(c, 1),
+        crash_under(c, 1, age_s=0.5, first=4),
+    ],
+    "crashes four times, 0.5 s into it alone": lambda c, w: crash_under(
+        c, 4, age_s=0.5
+    ),
+    "crashes five times, 0.5 s into it alone": lambda c, w: crash_under(
+        c, 5, age_s=0.5
+    ),
+    "crashes three times, once 0.5 s into it alone": lambda c, w: [
+        crash_under(c, 2),
+        crash_under(c, 1, age_s=0.5, first=4),
+    ],
+    "crashes four times, once 0.5 s into it alone": lambda c, w: [
+        crash_under(c, 2),
+        crash_under(c, 1, age_s=0.5, first=4),
+        crash_under(c, 1, first=5),
+    ],
     "crashes three times on two hosts, running it alone": lambda c, w: [
         crash_under(c, 2, same_host=True),
         crash_under(c, 1, first=4),
@@ -527,7 +561,8 @@
 ANSWERED = "of workers that had answered its start"
 # Fields of ``Crash`` after the host; earlier builds stored two of them.
 CRASH_FIELDS = {
-    ANSWERED: (True, True, True),
+    ANSWERED: (True, True, True, True),
+    "by a build that did not ask while it ran": (True, True, True),
     "of workers that never answered a start": (True, True, False),
     "by a build that noted no answers": (True, True),
 }
@@ -682,6 +717,43 @@
     assert simulation.all_others_done()
 
 
+@when(
+    "{count:d} of {workers:d} workers go dark for {dark:g} s, one each {period:g} s, "
+    "under {others:d} tasks of {cpu:d} millicores"
+)
+def simulate_rolling(context, count, workers, dark, period, others, cpu):
+    plan = CrashPlan(
+        workers,
+        rolling=count,
+        rolling_period_s=period,
+        dark_s=dark,
+        cpu_millis=cpu,
+    )
+    simulation = CrashSimulation(plan)
+    simulation.run(others)
+    assert simulation.all_ended()
+    context.failed_by_seed = {job.job_id: 1 for job in simulation.failed_jobs()}
+
+
+@given("a worker that runs a task {kind} since {age:g} s")
+def make_watched(context, kind, age):
+    make_task(context, 1)
+    worker = context.worker = context.tables.workers_by_id["worker-0"]
+    if kind == "under which a worker has crashed":
+        context.task.crashes = (Crash("host-gone", True, True),)
+    run = run_on(context, worker, age_s=age)
+    worker.unresponsive_since = NOW if kind == "while it is silent" else 0.0
+    run.is_watched = kind != "that is no suspect"
+    if kind == "whose start has no answer":
+        run.answered_at = 0.0
+
+
+@then("the worker is asked whether it is up: {asked}")
+def check_asked(context, asked):
+    commands = watch_suspects(context.tables)
+    assert bool(commands) == (asked == "yes"), commands
+
+
 @given("a worker of {cores:d} cores that runs {count:d} tasks of {size:d} cores")
 def make_loaded_worker(context, cores, count, size):
     context.tables = create_tables(workers=1)
--- a/features/support/crash_simulations.py
+++ b/features/support/crash_simulations.py
@@ -47,6 +47,9 @@
         seed: Seed of these times.
         dark_s: Time for which a flapping worker answers no start before its crash is
             noticed.
+        rolling: Number of workers that go dark and crash, one after another.
+        rolling_period_s: Time between two of them.
+        cpu_millis: Size of the tasks that crash no workers.
         lost_answers: Share of the starts of crashing tasks that get no answer.
         rack_lost_at_s: When every other worker crashes.
         outage_until_s: Time until which no progress is stored.
@@ -60,6 +63,9 @@
     flap_period_s: float = 1.0
     seed: int = 0
     dark_s: float = 0.0
+    rolling: int = 0
+    rolling_period_s: float = 1.9
+    cpu_millis: int = 4000
     lost_answers: float = 0.0
     rack_lost_at_s: float = NEVER
     outage_until_s: float = 0.0
@@ -86,6 +92,11 @@
         self._flapping_hosts = {
             f"host-worker-{number}" for number in range(plan.flapping)
         }
+        # Workers are filled in this order, so that tasks follow the crashes.
+        self._rolling_due_by_host = {
+            f"host-worker-{number}": NOW + number * plan.rolling_period_s
+            for number in range(plan.rolling)
+        }
         self._due_at_by_host = {}
         self._noticed_at_by_host = {}
         self._begun_by_worker = {}
@@ -102,7 +113,9 @@
                 is_gang=self._plan.gang_width > 1,
             )
         for number in range(others):
-            add_simple_job(self.tables, f"{number:016x}", cpu_millis=4000)
+            add_simple_job(
+                self.tables, f"{number:016x}", cpu_millis=self._plan.cpu_millis
+            )
         now = NOW
         while self.tables.open_jobs_by_id and now < NOW + SIMULATED_S:
             self._tick(now)
@@ -185,8 +198,9 @@
             run.state, run.answered_at = RunState.RUNNING, now
 
     def _dark_s_of(self, worker):
-        is_flapping = worker.host in self._flapping_hosts
-        return self._plan.dark_s if is_flapping else 0.0
+        is_at_fault = worker.host in self._flapping_hosts
+        is_at_fault = is_at_fault or worker.host in self._rolling_due_by_host
+        return self._plan.dark_s if is_at_fault else 0.0
 
     def _notice(self, worker, now):
         if now >= self._noticed_at_by_host[worker.host]:
@@ -212,6 +226,9 @@
         bad_tasks = {self._bad_task(job_id) for job_id in self.bad_ids}
         if any(run.task.name in bad_tasks for run in runs):
             return True
+        if now >= self._rolling_due_by_host.get(worker.host, NEVER):
+            self._rolling_due_by_host[worker.host] = NEVER
+            return True
         if worker.host in self._flapping_hosts:
             return self._random.random() < TICK_S / self._plan.flap_period_s
         if worker.host != "host-worker-0":
@@ -223,7 +240,7 @@
         return all(member.runs_by_number for member in members)
 
     def _answer(self, worker, now):
-        worker.last_answer_at = now
+        worker.last_answer_at = worker.last_answered_call_at = now
         running, ended = [], []
         for run in worker.runs_by_key.values():
             age_s = now - run.started_at
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -19,6 +19,7 @@
     record_crash,
     record_restart,
     settle_crashes,
+    watch_suspects,
 )
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.host_states import PLAN_INTERVAL_S
@@ -298,6 +299,7 @@
         if view.born_ms is not None:
             worker.born_ms = view.born_ms
         worker.last_answer_at = now
+        worker.last_answered_call_at = max(worker.last_answered_call_at, sent_at)
         worker.lapsed_suspects = ()
         if worker.unresponsive_since:
             worker.unresponsive_since = 0.0
@@ -604,6 +606,7 @@
             self._carry_out_all(stop_stalled(self.tables, self.learned_durations, now))
             self._carry_out_all(pace_fillers(self.tables, now))
             self._carry_out_all(clear_outlived(self.tables))
+            self._carry_out_all(watch_suspects(self.tables))
         self._carry_out_all(
             expire_leases(self.tables, self._leadership.last_renewal_at, note_lapse)
         )
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -1,10 +1,10 @@
 """Finds tasks that crash the workers that start them, and gives them up.
 
 A worker that crashes has usually several tasks. Those that had just started are
-suspects: each starts again on a worker of its own. A task that crashed several
-workers, one of which ran nothing else, ends its job as failed. A start without an
-answer makes its task a suspect, but convicts it of nothing: the worker may have
-crashed before.
+suspects: each starts again on a worker of its own, which is asked in short intervals
+how long it stays up. A task that crashed several workers, two of them at once and while
+they ran nothing else, ends its job as failed. A start without an answer makes its task
+a suspect, but convicts it of nothing: the worker may have crashed before.
 
 Load pattern: one task in some dozens crashes every worker that starts it, while the
 other tasks of these workers are innocent.
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 
 from sassafrasgrade.systems.run_updates import end_job, lasted_s_of, stop_job_runs
-from sassafrasgrade.work_commands import LogEvent
+from sassafrasgrade.work_commands import AskWorker, LogEvent
 from sassafrasgrade.work_tables import Crash, CrashedTask, WorkState
 
 # A run that lasted for longer is not held responsible for a crash, in seconds.
@@ -22,16 +22,22 @@
 # A run that started at most this long before its worker's last answer is a likely
 # cause of a crash, in seconds.
 LIKELY_S = 1.0
-# Crashes that convict a task if one of them was on a worker that ran nothing else and
-# all hosts differ, or if two were, on two hosts or more.
+# A run under which its worker was known to be up for at most this long after it had
+# answered the start is a prompt crash, in seconds. A crashing task takes milliseconds.
+PROMPT_S = 0.25
+# Crashes that convict a task if enough of them are conclusive: prompt, on a worker that
+# ran nothing else.
 CONVICTING_CRASHES = 3
-# Crashes that convict a task whatever else ran there. The published limit allows two
-# starts after the third crash; one is kept for a crash that a lost leader had not
-# stored.
-MAX_CRASHES = 4
-# Crashes under runs that had certainly begun, without which no others convict: by the
-# published limit two crashed workers are cause to give a task up.
-MIN_PROVEN_CRASHES = 2
+# Hosts with conclusive crashes that convict a task.
+MIN_CONCLUSIVE_HOSTS = 2
+# Crashes that convict a task whatever else ran there and how long it ran: the published
+# limit allows two starts after the third.
+MAX_CRASHES = 5
+# Crashes under runs that had certainly begun, without which no others convict.
+MIN_PROVEN_CRASHES = 3
+# Crashes under runs that had certainly begun, after which a task is not copied while
+# it is not known whether one more worker has crashed under it.
+MIN_HOLDING_CRASHES = 2
 # Time that a suspect waits for a worker of its own, in seconds; after that it shares
 # the one with the fewest runs.
 MAX_ISOLATION_WAIT_S = 2.0
@@ -78,11 +84,15 @@
     for run in runs:
         age_s = lasted_s_of(worker, run)
         if age_s <= max_age_s:
+            is_proven = 0 < run.answered_at < next_life.called_at
             crash = Crash(
                 worker.host or worker.address,
                 was_alone,
                 was_alone or age_s <= LIKELY_S,
-                is_proven=0 < run.answered_at < next_life.called_at,
+                is_proven,
+                was_prompt=is_proven
+                and run.is_watched
+                and not outlived_start(worker, run),
             )
             suspects.append(CrashedTask(run.task, worker.worker_id, crash))
     return tuple(suspects)
@@ -148,6 +158,7 @@
             "alone": crash.was_alone,
             "likely": crash.was_likely,
             "proven": crash.is_proven,
+            "prompt": crash.was_prompt,
         }
         commands.append(LogEvent("worker-crashed-under-task", fields))
         if is_convicted(task) and task.job.is_open:
@@ -183,22 +194,48 @@
     return commands
 
 
+def watch_suspects(tables):
+    """Asks the workers of suspect tasks that have just started whether they are up.
+
+    Returns:
+        Commands.
+    """
+    return [
+        AskWorker(worker.worker_id)
+        for worker in tables.workers_by_id.values()
+        if not worker.unresponsive_since
+        and any(
+            run.is_watched and run.answered_at and not outlived_start(worker, run)
+            for run in worker.runs_by_key.values()
+        )
+    ]
+
+
+def outlived_start(worker, run):
+    """Whether a worker was up for a while after it had answered the start of a run."""
+    up_s = max(0.0, worker.last_answered_call_at - run.answered_at)
+    return run.lasted_before_s + up_s > PROMPT_S
+
+
 def is_convicted(task):
     """Whether a task has crashed so many workers that it is given up."""
-    if not has_proof(task.crashes):
-        return False
-    if len(task.crashes) >= MAX_CRASHES:
-        return True
-    hosts = {crash.host for crash in task.crashes}
-    alone = sum(crash.was_alone and crash.is_proven for crash in task.crashes)
-    if len(task.crashes) < CONVICTING_CRASHES or len(hosts) < 2:
-        return False
-    return alone > 1 or (alone == 1 and len(hosts) >= CONVICTING_CRASHES)
+    conclusive = {
+        crash.host
+        for crash in task.crashes
+        if crash.is_proven and crash.was_alone and crash.was_prompt
+    }
+    if len(conclusive) >= MIN_CONCLUSIVE_HOSTS:
+        return len(task.crashes) >= CONVICTING_CRASHES
+    crashes = task.crashes
+    if task.step.is_perpetual:
+        # It is present at many crashes that other causes have.
+        crashes = [crash for crash in crashes if crash.was_alone or crash.was_prompt]
+    return len(crashes) >= MAX_CRASHES and count_proven(crashes) >= MIN_PROVEN_CRASHES
 
 
-def has_proof(crashes):
-    """Whether enough crashes are of workers on which the task had certainly begun."""
-    return sum(crash.is_proven for crash in crashes) >= MIN_PROVEN_CRASHES
+def count_proven(crashes):
+    """Counts the crashes of workers on which the task had certainly begun."""
+    return sum(crash.is_proven for crash in crashes)
 
 
 def silent_crashes(tables, task, max_age_s):
@@ -239,7 +276,9 @@
         return False
     silent = silent_crashes(tables, task, RESPONSIBLE_S)
     crashes = (*task.crashes, *silent)
-    return bool(silent) and len(crashes) >= CONVICTING_CRASHES and has_proof(crashes)
+    if not silent or len(crashes) < CONVICTING_CRASHES:
+        return False
+    return count_proven(crashes) >= MIN_HOLDING_CRASHES
 
 
 def isolated_candidates(task, candidates, waited_s):
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -73,12 +73,15 @@
         was_likely: Whether the task had just started there.
         is_proven: Whether the task had certainly begun there: its start was answered,
             or a list of the worker showed it.
+        was_prompt: Whether the worker, which was asked in short intervals since the
+            start was answered, answered none of these questions but the first ones.
     """
 
     host: str
     was_alone: bool
     was_likely: bool
     is_proven: bool = False
+    was_prompt: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -107,6 +110,8 @@
         ticket: Ticket of the advice service, if the queue needs one.
         is_isolated: Whether its worker gets no other runs, since its task may crash
             workers.
+        is_watched: Whether its worker is asked in short intervals, since workers have
+            crashed under its task.
         lasted_before_s: How long it had lasted when this leader took it over, in
             seconds; infinite if an earlier leader started it at an unknown time.
     """
@@ -130,6 +135,7 @@
     stop_answered_at: float = 0.0
     ticket: str = ""
     is_isolated: bool = False
+    is_watched: bool = False
     lasted_before_s: float = 0.0
 
 
@@ -317,6 +323,8 @@
         unclaimed_ends: ``UnclaimedRow`` of listed ends, by number of the end.
         lease_until: Clock at which all its runs have lapsed if not renewed.
         last_answer_at: Clock of its last answer.
+        last_answered_call_at: Clock when the latest call that it answered was sent; it
+            was up then.
         view_clock_ms: The worker's clock in the last view applied.
         first_view_clock_ms: The worker's clock in the first view applied.
         unresponsive_since: Clock of the first unanswered call since its last answer; 0
@@ -361,6 +369,7 @@
     unclaimed_ends: dict[int, UnclaimedRow] = field(default_factory=dict)
     lease_until: float = 0.0
     last_answer_at: float = 0.0
+    last_answered_call_at: float = 0.0
     view_clock_ms: float = 0.0
     first_view_clock_ms: float = 0.0
     unresponsive_since: float = 0.0
