--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -137,6 +137,20 @@
     When the next leader loads the job and a third worker crashes under the task
     Then the verdict on it is "given up"
 
+  # The verdict on one lasting task stopped the others of its job, which were at work.
+  Scenario Outline: <bad> of 3 lasting tasks <kind> crash their workers: the job is <state>
+    Given a job of 3 lasting tasks <kind> that are at work
+    When <bad> of them crash 3 workers each
+    Then <stopped> of its runs are stopped and the job is "<state>"
+    And the next leader starts <started> of its tasks beside <running> runs
+
+    Examples:
+      | bad | kind       | stopped | state   | started | running |
+      | 1   | one by one | 0       | running | 0       | 2       |
+      | 2   | one by one | 0       | running | 0       | 1       |
+      | 3   | one by one | 0       | failed  | 0       | 0       |
+      | 1   | in a gang  | 2       | failed  | 0       | 0       |
+
   Scenario Outline: crashes stored <evidence> are <outcome> by the next one
     Given a task with 3 crashes stored <evidence>
     When the next leader loads the job and another worker crashes under the task
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -50,12 +50,15 @@
     adopt_handed_over_runs,
     apply_view,
     expire_leases,
+    forget_run,
+    record_start,
     remove_worker,
     restart_worker,
     runs_to_hand_over,
 )
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
 from sassafrasgrade.systems.task_placement import place_tasks
+from sassafrasgrade.work_commands import StopRun
 from sassafrasgrade.work_tables import Crash, RunState, WorkState
 from sassafrasgrade.worker_registrations import apply_item, remove_replaced_workers
 
@@ -548,11 +551,16 @@
     crash_under(context, count)
 
 
-@when("the next leader loads the job and a third worker crashes under the task")
-def load_and_crash(context):
+def load_job(context):
+    """Loads the stored progress of the job into the tables of the next leader."""
     progress = decode_progress(encode(progress_of(context.job)))
     make_task(context, 8)
     apply_progress(context.tables, context.job, progress)
+
+
+@when("the next leader loads the job and a third worker crashes under the task")
+def load_and_crash(context):
+    load_job(context)
     worker = context.tables.workers_by_id["worker-7"]
     run_on(context, worker, 10)
     finish_crash(context, worker)
@@ -575,6 +583,62 @@
     return msgspec.convert(rows, tuple[Crash, ...])
 
 
+@given("a job of 3 lasting tasks {kind} that are at work")
+def make_lasting(context, kind):
+    context.tables = create_tables(workers=12)
+    context.step = {"count": 3, "is_perpetual": True, "is_gang": kind == "in a gang"}
+    context.job = add_simple_job(context.tables, **context.step)
+    for index in range(3):
+        worker = context.tables.workers_by_id[f"worker-{index}"]
+        run = start_run(first_task(context.job, index), worker, now=NOW - 60)
+        run.at_work_at = NOW - 59
+        worker.last_answer_at = worker.last_answered_call_at = NOW
+
+
+@when("{bad:d} of them crash 3 workers each")
+def crash_lasting(context, bad):
+    context.commands = []
+    workers = list(context.tables.workers_by_id.values())[3:]
+    for index in range(bad):
+        context.task = first_task(context.job, index)
+        for run in list(context.task.runs_by_number.values()):
+            forget_run(context.tables, run, EndProof(ProofKind.END_LISTED, NOW), NOW)
+        for number in range(3):
+            worker = workers.pop()
+            run_on(context, worker, 2 + number)
+            record_crash(context.tables, worker)
+            proof = EndProof(ProofKind.WORKER_GONE, NOW)
+            remove_worker(context.tables, worker, proof, NOW)
+            context.commands += settle_crashes(context.tables)
+
+
+@then('{stopped:d} of its runs are stopped and the job is "{state}"')
+def check_lasting(context, stopped, state):
+    stops = [c for c in context.commands if isinstance(c, StopRun)]
+    assert len(stops) == stopped, context.commands
+    job = context.job
+    if job.pending_state is None:
+        record_start(context.tables, job)
+    assert (job.pending_state or job.state).value == state, job
+
+
+@then("the next leader starts {started:d} of its tasks beside {running:d} runs")
+def check_next_leader(context, started, running):
+    tasks = context.job.occurrences[0].steps[0].tasks
+    kept = [task.index for task in tasks if task.runs_by_number and context.job.is_open]
+    progress = decode_progress(encode(progress_of(context.job)))
+    context.tables = create_tables(workers=12)
+    context.job = add_simple_job(context.tables, **context.step)
+    apply_progress(context.tables, context.job, progress)
+    for index in kept:
+        worker = context.tables.workers_by_id[f"worker-{index}"]
+        start_run(first_task(context.job, index), worker)
+    settle_crashes(context.tables)
+    store_progress(context)
+    assert len(kept) == running, kept
+    assert len(place(context, NOW + 5)) == started
+
+
 @given("a task with {count:d} crashes stored {evidence}")
 def make_stored(context, count, evidence):
     make_task(context, 8)
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -141,39 +141,58 @@
 
 
 def settle_crashes(tables):
-    """Logs recorded crashes and ends the jobs of convicted tasks.
+    """Logs recorded crashes and gives convicted tasks up.
 
     Returns:
         Commands.
     """
     crashed_tasks, tables.crashed_tasks = tables.crashed_tasks, []
-    commands = []
-    for crashed in crashed_tasks:
-        task, crash = crashed.task, crashed.crash
-        fields = {
-            "job": task.job.job_id,
-            "task": task.name,
-            "worker": crashed.worker_id,
-            "crashes": len(task.crashes),
-            "alone": crash.was_alone,
-            "likely": crash.was_likely,
-            "proven": crash.is_proven,
-            "prompt": crash.was_prompt,
-        }
-        commands.append(LogEvent("worker-crashed-under-task", fields))
-        if is_convicted(task) and task.job.is_open:
-            end_job(tables, task.job, WorkState.FAILED)
-            fields = {
-                "job": task.job.job_id,
-                "task": task.name,
-                "reason": "the task crashes its workers",
-                "hosts": sorted({crash.host for crash in task.crashes}),
-            }
-            commands.append(LogEvent("job-failed", fields))
-            commands += stop_job_runs(task.job, "job failed")
+    commands = [_describe_crash(crashed) for crashed in crashed_tasks]
+    for task in dict.fromkeys(crashed.task for crashed in crashed_tasks):
+        if task.job.is_open and is_convicted(task):
+            commands += _give_up(tables, task)
     return commands
 
 
+def _describe_crash(crashed):
+    task, crash = crashed.task, crashed.crash
+    fields = {
+        "job": task.job.job_id,
+        "task": task.name,
+        "worker": crashed.worker_id,
+        "crashes": len(task.crashes),
+        "alone": crash.was_alone,
+        "likely": crash.was_likely,
+        "proven": crash.is_proven,
+        "prompt": crash.was_prompt,
+    }
+    return LogEvent("worker-crashed-under-task", fields)
+
+
+def _give_up(tables, task):
+    """Gives a task up, and its job unless other lasting tasks of it can run on."""
+    job = task.job
+    fields = {
+        "job": job.job_id,
+        "task": task.name,
+        "reason": "the task crashes its workers",
+        "hosts": sorted({crash.host for crash in task.crashes}),
+    }
+    if task.step.is_perpetual and not task.step.is_gang and _has_sound_tasks(job):
+        return [LogEvent("task-given-up", fields)]
+    end_job(tables, job, WorkState.FAILED)
+    return [LogEvent("job-failed", fields), *stop_job_runs(job, "job failed")]
+
+
+def _has_sound_tasks(job):
+    return any(
+        task.step.is_perpetual and not is_convicted(task)
+        for occurrence in job.occurrences.values()
+        for row in occurrence.steps
+        for task in row.tasks
+    )
+
+
 def clear_outlived(tables):
     """Clears the suspicion of tasks of which a run has lasted long enough.
 
@@ -268,9 +287,10 @@
     """Whether a suspect task must not start yet.
 
     Its crashes have to be stored, so that the next leader knows of them; and one that
-    may have crashed enough workers waits until it is known whether it did.
+    may have crashed enough workers waits until it is known whether it did. A lasting
+    task that was given up never starts again.
     """
-    if task.crashes and task.job.is_dirty:
+    if task.crashes and (task.job.is_dirty or is_convicted(task)):
         return True
     if not task.runs_by_number:
         return False
