--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -151,6 +151,13 @@
       | 3   | one by one | 0       | failed  | 0       | 0       |
       | 1   | in a gang  | 2       | failed  | 0       | 0       |
 
+  # The verdict was only reached as a worker crashed, so that a leader that died between
+  # storing the crash and the verdict left it to the next crash.
+  Scenario: the next leader gives a task up whose crashes convict it
+    Given a task with 3 crashes stored that convict it
+    When the next leader loads the job and its crashes
+    Then the verdict on it is "given up"
+
   Scenario Outline: crashes stored <evidence> are <outcome> by the next one
     Given a task with 3 crashes stored <evidence>
     When the next leader loads the job and another worker crashes under the task
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -583,6 +583,17 @@
     return msgspec.convert(rows, tuple[Crash, ...])
 
 
+@given("a task with 3 crashes stored that convict it")
+def make_convicted(context):
+    make_stored(context, 3, ANSWERED)
+
+
+@when("the next leader loads the job and its crashes")
+def load_next(context):
+    load_job(context)
+    settle_crashes(context.tables)
+
+
 @given("a job of 3 lasting tasks {kind} that are at work")
 def make_lasting(context, kind):
     context.tables = create_tables(workers=12)
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -286,5 +286,6 @@
         task = find_task(tables, f"{job.job_id}.{name}")
         if task is not None:
             task.crashes = tuple(crashes)
+            tables.loaded_suspects.append(task)
     if not job.is_open:
         tables.open_jobs_by_id.pop(job.job_id, None)
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -147,8 +147,10 @@
         Commands.
     """
     crashed_tasks, tables.crashed_tasks = tables.crashed_tasks, []
+    tasks, tables.loaded_suspects = tables.loaded_suspects, []
     commands = [_describe_crash(crashed) for crashed in crashed_tasks]
-    for task in dict.fromkeys(crashed.task for crashed in crashed_tasks):
+    tasks += [crashed.task for crashed in crashed_tasks]
+    for task in dict.fromkeys(tasks):
         if task.job.is_open and is_convicted(task):
             commands += _give_up(tables, task)
     return commands
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -438,6 +438,7 @@
         has_seen_work: Whether any job that ends by itself was accepted.
         work_seen_at: Clock when the planner first saw such work; 0 before.
         crashed_tasks: ``CrashedTask`` values recorded and not settled yet.
+        loaded_suspects: Tasks that were loaded with crashes, until these are judged.
         held_pools: Pools whose inherited tasks must not start, since one of their
             workers, which may run them for an earlier leader, has not reported yet;
             ``ALL_POOLS`` before that is known.
@@ -466,6 +467,7 @@
     has_seen_work: bool = False
     work_seen_at: float = 0.0
     crashed_tasks: list[CrashedTask] = field(default_factory=list)
+    loaded_suspects: list[Task] = field(default_factory=list)
     held_pools: frozenset[str] | None = frozenset()
     pools_by_queue: dict[str, set[str]] = field(default_factory=dict)
     jobs_complete_at: float = float("-inf")
