--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -158,6 +158,26 @@
     When the next leader loads the job and its crashes
     Then the verdict on it is "given up"
 
+  # Each leader that was lost after a start took the crash under it along: a task was
+  # started three times more after three crashes.
+  Scenario Outline: a task with <crashes> crashes is <outcome> after leaders that <ends>
+    Given a task with <crashes> crashes stored beside other runs
+    When leaders follow one another that "<ends>"
+    Then the verdict on it is "<outcome>"
+
+    Examples:
+      | crashes | ends                                     | outcome  |
+      | 3       | are lost                                 | isolated |
+      | 3       | are lost, are lost                       | given up |
+      | 2       | are lost, are lost, are lost             | isolated |
+      | 4       | are lost                                 | given up |
+      | 4       | hand over, hand over                     | isolated |
+      | 4       | hand over a run on a worker that is gone | given up |
+      | 4       | hand over a run                          | isolated |
+      | 4       | are lost as a worker lists the run       | isolated |
+      | 4       | are lost as a worker lists its end       | isolated |
+      | 4       | are lost as a worker has not reported    | isolated |
+
   Scenario Outline: crashes stored <evidence> are <outcome> by the next one
     Given a task with 3 crashes stored <evidence>
     When the next leader loads the job and another worker crashes under the task
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -3,6 +3,7 @@
 import json
 from collections import Counter
 from dataclasses import replace
+from functools import partial
 
 import msgspec
 from behave import given, then, when
@@ -37,6 +38,7 @@
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.crash_records import (
     clear_outlived,
+    count_unrecorded_starts,
     needs_isolation,
     note_lapse,
     record_crash,
@@ -650,6 +652,59 @@
     assert len(place(context, NOW + 5)) == started
 
 
+@given("a task with {count:d} crashes stored beside other runs")
+def make_stored_beside(context, count):
+    make_task(context, 8)
+    context.task.crashes = tuple(
+        Crash(f"host-gone-{number}", False, True, True) for number in range(count)
+    )
+
+
+def lose_leader(context, lists="", pools=frozenset()):
+    """Lets a leader follow one that was lost; a worker may list its last run."""
+    load_job(context)
+    context.job.is_inherited, context.tables.held_pools = True, pools
+    count_unrecorded_starts(context.tables, False, NOW)
+    worker = context.tables.workers_by_id["worker-0"]
+    if lists == "running":
+        apply_worker_view(context.tables, worker, NOW, running=[(context.task.name, 5)])
+    elif lists == "ended":
+        ended = [(1, context.task.name, 5, "lapsed")]
+        apply_worker_view(context.tables, worker, NOW, ended=ended)
+    settle_crashes(context.tables)
+
+
+def follow_handover(context, worker_id=""):
+    """Lets a leader follow one that handed over, with a run if a worker is named."""
+    load_job(context)
+    if worker_id:
+        run = HandedOverRun(context.task.name, 5, worker_id, 4.0)
+        adopt_handed_over_runs(context.tables, (run,), NOW)
+    count_unrecorded_starts(context.tables, True, NOW)
+    settle_crashes(context.tables)
+
+
+LEADER_ENDS = {
+    "are lost": lose_leader,
+    "are lost as a worker lists the run": partial(lose_leader, lists="running"),
+    "are lost as a worker lists its end": partial(lose_leader, lists="ended"),
+    "are lost as a worker has not reported": partial(
+        lose_leader, pools=frozenset({POOL})
+    ),
+    "hand over": follow_handover,
+    "hand over a run": partial(follow_handover, worker_id="worker-0"),
+    "hand over a run on a worker that is gone": partial(
+        follow_handover, worker_id="worker-gone"
+    ),
+}
+
+
+@when('leaders follow one another that "{ends}"')
+def follow_leaders(context, ends):
+    for end in ends.split(", "):
+        LEADER_ENDS[end](context)
+
+
 @given("a task with {count:d} crashes stored {evidence}")
 def make_stored(context, count, evidence):
     make_task(context, 8)
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -66,6 +66,8 @@
         failures: Numbers of failed runs, by task name without the job's id.
         done_occurrences: Numbers of occurrences that are done.
         crashes: Crashes of workers under tasks, by task name without the job's id.
+        unrecorded_starts: Number of starts of tasks with crashes of whose outcome
+            nothing is known, by task name without the job's id.
     """
 
     state: WorkState
@@ -74,6 +76,7 @@
     failures: dict[str, list[int]]
     done_occurrences: list[int]
     crashes: dict[str, list[Crash]] = {}
+    unrecorded_starts: dict[str, int] = {}
 
 
 _submitted_decoder = msgspec.msgpack.Decoder(SubmittedJob)
@@ -132,7 +135,7 @@
 
 def progress_of(job: Job):
     """Returns the ``JobProgress`` to store for a job."""
-    done, failures, crashes = {}, {}, {}
+    done, failures, crashes, unrecorded_starts = {}, {}, {}, {}
     for occurrence in job.occurrences.values():
         if occurrence.number in job.done_occurrences:
             continue
@@ -148,6 +151,8 @@
                     failures[name] = sorted(task.failed_numbers)
                 if task.crashes:
                     crashes[name] = list(task.crashes)
+                if task.unrecorded_starts:
+                    unrecorded_starts[name] = task.unrecorded_starts
     return JobProgress(
         job.pending_state or job.state,
         job.has_started,
@@ -155,6 +160,7 @@
         failures,
         sorted(job.done_occurrences),
         crashes,
+        unrecorded_starts,
     )
 
 
@@ -286,6 +292,7 @@
         task = find_task(tables, f"{job.job_id}.{name}")
         if task is not None:
             task.crashes = tuple(crashes)
+            task.unrecorded_starts = progress.unrecorded_starts.get(name, 0)
             tables.loaded_suspects.append(task)
     if not job.is_open:
         tables.open_jobs_by_id.pop(job.job_id, None)
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -30,8 +30,8 @@
 CONVICTING_CRASHES = 3
 # Hosts with conclusive crashes that convict a task.
 MIN_CONCLUSIVE_HOSTS = 2
-# Crashes that convict a task whatever else ran there and how long it ran: the published
-# limit allows two starts after the third.
+# Crashes, with starts of unknown outcome, that convict a task whatever else ran there
+# and how long it ran: the published limit allows two starts after the third.
 MAX_CRASHES = 5
 # Crashes under runs that had certainly begun, without which no others convict.
 MIN_PROVEN_CRASHES = 3
@@ -147,15 +147,37 @@
         Commands.
     """
     crashed_tasks, tables.crashed_tasks = tables.crashed_tasks, []
-    tasks, tables.loaded_suspects = tables.loaded_suspects, []
+    loaded, tables.loaded_suspects = tables.loaded_suspects, []
     commands = [_describe_crash(crashed) for crashed in crashed_tasks]
-    tasks += [crashed.task for crashed in crashed_tasks]
+    tasks = [crashed.task for crashed in crashed_tasks]
+    for task in loaded:
+        # A worker that has not reported may still run it.
+        waiting = tables.loaded_suspects if tables.is_held(task) else tasks
+        waiting.append(task)
     for task in dict.fromkeys(tasks):
         if task.job.is_open and is_convicted(task):
             commands += _give_up(tables, task)
     return commands
 
 
+def count_unrecorded_starts(tables, is_handed_over, now):
+    """Counts the starts of loaded suspects that the last leader may have lost.
+
+    It recorded no crash after such a start. One that handed over knew its runs; those
+    on workers that are not known to this leader have crashed.
+
+    Args:
+        tables: Tables with jobs, workers and handed-over runs loaded.
+        is_handed_over: Whether the last leader handed over all that it knew.
+        now: Current clock in seconds.
+    """
+    for task in tables.loaded_suspects:
+        may_have_started = not is_handed_over or now < task.blocked_until
+        if may_have_started and not task.runs_by_number and task.job.is_open:
+            task.unrecorded_starts += 1
+            tables.mark_dirty(task.job)
+
+
 def _describe_crash(crashed):
     task, crash = crashed.task, crashed.crash
     fields = {
@@ -210,7 +232,7 @@
             if has_outlived_suspicion(worker, run):
                 fields = {"task": task.name, "crashes": len(task.crashes)}
                 commands.append(LogEvent("task-cleared-of-crashes", fields))
-                task.crashes = ()
+                task.crashes, task.unrecorded_starts = (), 0
                 tables.mark_dirty(task.job)
     return commands
 
@@ -251,7 +273,8 @@
     if task.step.is_perpetual:
         # It is present at many crashes that other causes have.
         crashes = [crash for crash in crashes if crash.was_alone or crash.was_prompt]
-    return len(crashes) >= MAX_CRASHES and count_proven(crashes) >= MIN_PROVEN_CRASHES
+    count = len(crashes) + task.unrecorded_starts
+    return count >= MAX_CRASHES and count_proven(crashes) >= MIN_PROVEN_CRASHES
 
 
 def count_proven(crashes):
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -261,6 +261,7 @@
     )
     commands = []
     others = tuple(task.runs_by_number.values())
+    _note_outcome(task)
     task.runs_by_number[row.run] = run
     task.last_number = max(task.last_number, row.run)
     worker.runs_by_key[(row.task, row.run)] = run
@@ -277,6 +278,11 @@
     return commands
 
 
+def _note_outcome(task):
+    """Notes that the outcome of a start under an earlier leader is known."""
+    task.unrecorded_starts = max(0, task.unrecorded_starts - 1)
+
+
 def _stop_all_but_one(tables, runs):
     """Returns commands that stop all runs of a task but the most advanced.
 
@@ -403,6 +409,8 @@
         forget_run(tables, run, EndProof(ProofKind.END_LISTED, now), now)
     if task is None:
         return []
+    if run is None:
+        _note_outcome(task)
     record_start(tables, task.job)
     if row.saved:
         task.saved = row.saved
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -22,6 +22,7 @@
 from sassafrasgrade.node_messages import HandOver
 from sassafrasgrade.platform import names
 from sassafrasgrade.prefix_followers import PrefixFollower
+from sassafrasgrade.systems.crash_records import count_unrecorded_starts
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.occurrences import create_due
 from sassafrasgrade.systems.run_updates import (
@@ -237,6 +238,9 @@
         commands += adopt_handed_over_runs(
             self._tables, handed_over_runs, self._timers.now()
         )
+        count_unrecorded_starts(
+            self._tables, self.full_handover is not None, self._timers.now()
+        )
         logger.info(
             "jobs loaded",
             extra={
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -164,6 +164,8 @@
             inherited.
         waiting_since: Clock when it last became startable.
         crashes: Crashes of workers under it.
+        unrecorded_starts: Number of starts that earlier leaders may have sent after
+            the crashes, and of whose outcome nothing is known.
     """
 
     name: str
@@ -182,6 +184,7 @@
     is_new: bool = False
     waiting_since: float = 0.0
     crashes: tuple[Crash, ...] = ()
+    unrecorded_starts: int = 0
 
 
 @dataclass(frozen=True, slots=True, eq=False)
