--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -442,5 +442,8 @@
       | 2.5    |
       | 9      |
 
+  Scenario: steps with advice wait for ever beside workers that shrink, grow and drain
+    Then steps with advice start beside workers that change, with the seeds 1 to 30
+
   Scenario: a step whose calls fail keeps the others from their turn
     Then steps with advice take turns while all calls fail
--- a/features/steps/advised_step_steps.py
+++ b/features/steps/advised_step_steps.py
@@ -9,6 +9,7 @@
     start_beside_excluded,
     start_by_slow_service,
     start_gang,
+    waiting_after_changes,
 )
 
 
@@ -34,6 +35,17 @@
     assert start_by_slow_service(answer_s) == set(OTHERS[-1:])
 
 
+@then(
+    "steps with advice start beside workers that change, with the seeds "
+    "{first:d} to {last:d}"
+)
+def check_changing_workers(context, first, last):
+    waiting_by_seed = {
+        seed: waiting_after_changes(seed) for seed in range(first, last + 1)
+    }
+    assert not any(waiting_by_seed.values()), waiting_by_seed
+
+
 @then("steps with advice take turns while all calls fail")
 def check_turns(context):
     assert order_of_calls() == [1, 2, 3, 1, 2, 3]
--- a/features/support/advised_steps.py
+++ b/features/support/advised_steps.py
@@ -1,17 +1,20 @@
 """Steps of a queue with advice on workers of which some may not take their tasks."""
 
 import asyncio
+import random
 from types import SimpleNamespace
 
 from returns.result import Failure, Success
 
 from features.support.work_tables import (
+    CAPACITY,
     NOW,
     NOW_UNIX,
     POOL,
     QUEUE,
     add_simple_job,
     add_worker,
+    apply_worker_view,
     create_tables,
     start_run,
 )
@@ -19,6 +22,7 @@
 from sassafrasgrade.platform.messages import (
     Advice,
     AdviceReply,
+    Capacity,
     Configuration,
     Pool,
     Queue,
@@ -29,7 +33,7 @@
 from sassafrasgrade.tickets import MAX_WORKERS_PER_CALL
 from sassafrasgrade.timers import FakeTimerService
 from sassafrasgrade.work_commands import StartRun
-from sassafrasgrade.work_tables import Crash, UnclaimedRow
+from sassafrasgrade.work_tables import Crash, RunState, UnclaimedRow
 
 EXCLUDED = tuple(f"worker-{number}" for number in range(8))
 OTHERS = tuple(f"worker-{number}" for number in range(8, 12))
@@ -38,6 +42,9 @@
 # Placements in which a step has to start; more than it takes to ask about all workers.
 MAX_PLACEMENTS = 8
 LARGE_CPU_MILLIS = 9000
+CHANGING_JOBS = 8
+CHANGES = 40
+SPECIAL_SHARE = 0.25
 
 
 class AdviceService:
@@ -335,3 +342,100 @@
         turns.append(int(step_key.partition(".")[0], 16))
         pool.place()
     return turns
+
+
+def waiting_after_changes(seed):
+    """Returns the tasks that never start although workers that may run them are free.
+
+    Workers shrink, grow, drain and return while steps of several shapes wait. The
+    policy allows each step most of the workers.
+    """
+    chooser = random.Random(seed)
+    pool = AdvisedPool()
+    workers = pool.excluded + pool.others
+    for worker in workers:
+        # Labels that few workers have were left out of the questions.
+        is_special = chooser.random() < SPECIAL_SHARE
+        worker.labels = (LABEL if is_special else "common", "r1")
+    pool.service = ChangingPolicy(pool.timers, chooser, workers)
+    tasks = [
+        task for _ in range(CHANGING_JOBS) for task in _add_random_job(pool, chooser)
+    ]
+    for _ in range(CHANGES):
+        _change_worker(chooser.choice(workers))
+        _advance(pool, chooser.choice([0.05, 0.5, VALID_MS / 1000]))
+    for worker in workers:
+        worker.capacity, worker.is_draining = CAPACITY, False
+    for _ in range(CHANGES):
+        _advance(pool, 1.0)
+    return [task.name for task in tasks if not task.is_done]
+
+
+def _add_random_job(pool, chooser):
+    workers = pool.excluded + pool.others
+    has_label = any(LABEL in worker.labels for worker in workers)
+    fields = {
+        "count": chooser.choice([1, 2, 4]),
+        "cpu_millis": chooser.choice([500, 4000, LARGE_CPU_MILLIS]),
+        "most_per_worker": chooser.choice([0, 0, 1]),
+        "label": LABEL if has_label else "",
+        "is_speculative": chooser.random() < 0.3,
+        "estimate_ms": 500,
+    }
+    if fields["cpu_millis"] <= 4000 and not fields["most_per_worker"]:
+        # Such a gang fits on a single worker.
+        fields["is_gang"] = chooser.random() < 0.5
+    return pool.add_job(**fields)
+
+
+def _change_worker(worker):
+    if worker.capacity is CAPACITY:
+        worker.capacity = Capacity(2000, CAPACITY.memory_mb, 0)
+    else:
+        worker.capacity, worker.is_draining = CAPACITY, not worker.is_draining
+
+
+def _advance(pool, seconds):
+    """Places and asks, and lets runs end as ``done`` after some seconds."""
+    pool.place()
+    pool.ask()
+    pool.timers.advance(seconds)
+    now = pool.timers.now()
+    for worker in list(pool.tables.workers_by_id.values()):
+        running, ended = [], []
+        for run in worker.runs_by_key.values():
+            key = (run.task.name, run.number)
+            if now - run.started_at < 1.0:
+                running.append(key)
+            else:
+                ended.append((worker.seen_end + len(ended) + 1, *key, "done"))
+        worker.last_answer_at = now
+        for run in worker.runs_by_key.values():
+            run.state, run.answered_at = RunState.RUNNING, run.started_at
+        apply_worker_view(pool.tables, worker, now, running=running, ended=ended)
+
+
+class ChangingPolicy(AdviceService):
+    """Allows each step most of the workers, and one with the label if there is any.
+
+    Args:
+        timers: ``FakeTimerService``.
+        chooser: Random generator.
+        workers: All workers.
+    """
+
+    def __init__(self, timers, chooser, workers):
+        super().__init__(timers, ())
+        self._chooser = chooser
+        self._ids = [worker.worker_id for worker in workers]
+        self._labelled = [w.worker_id for w in workers if LABEL in w.labels]
+        self._allowed_by_step = {}
+
+    async def advise(self, step_key, worker_ids, timeout_s):
+        """Answers which of the workers may run the step."""
+        if step_key not in self._allowed_by_step:
+            chosen = self._chooser.sample(self._ids, 9)
+            chosen += self._chooser.sample(self._labelled, min(1, len(self._labelled)))
+            self._allowed_by_step[step_key] = chosen
+        self._allowed = self._allowed_by_step[step_key]
+        return await super().advise(step_key, worker_ids, timeout_s)
