--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -231,6 +231,10 @@
       | 0          | 1     |
       | 2          | 3     |
 
+  # A lasting task whose run ended `done` was never started again.
+  Scenario: ends of runs, beside other workers and leaders, keep work from going on
+    Then lasting and scheduled jobs go on as workers and leaders change, with the seeds 1 to 10
+
   Scenario Outline: done is taken for the end of a perpetual task if <event>
     Then a perpetual task goes on as it should if "<event>"
 
