--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -28,8 +28,7 @@
       | crashes twice, running it alone                     | isolated  |
       | crashes three times, running it alone               | given up  |
       | crashes three times, running others as well         | isolated  |
-      | crashes four times, running others as well          | isolated  |
-      | crashes five times, running others as well          | given up  |
+      | crashes four times, running others as well          | given up  |
       | crashes three times on one host, running it alone   | isolated  |
       | crashes three times on two hosts, running it alone  | given up  |
       | crashes once, 2 s into a run beside others          | free      |
@@ -60,9 +59,7 @@
       | lapses four times before it answered the start       | isolated |
       | crashes four times, once after it answered the start | isolated |
       | crashes three times, twice after it answered the start | given up |
-      | crashes four times beside others, twice after it answered | isolated |
-      | crashes five times, three times before it answered   | isolated |
-      | crashes five times, twice before it answered         | given up |
+      | crashes four times beside others, twice after it answered | given up |
 
     # A sound job was shown as failed after three crashes, of which one was on a worker
     # of its own half a second into the run and one left a start without an answer.
@@ -73,6 +70,10 @@
       | crashes four times, 0.5 s into it alone                    | isolated |
       | crashes four times, once 0.5 s into it alone               | given up |
       | crashes five times, 0.5 s into it alone                    | given up |
+      | crashes four times beside others, 0.5 s into it            | isolated |
+      | crashes five times beside others, 0.5 s into it            | given up |
+      | crashes five times, 0.5 s into it, twice before it answered | given up |
+      | crashes five times, 0.5 s into it, thrice before it answered | isolated |
 
     # A run on the next incarnation of a worker, under the same id, counted as crashed
     # with the earlier one.
@@ -188,7 +189,6 @@
       | of workers that had answered its start  | given up |
       | of workers that never answered a start  | isolated |
       | by a build that noted no answers        | isolated |
-      | by a build that did not ask while it ran | isolated |
 
   Scenario Outline: a run whose worker is silent is copied with <crashes> crashes to <room>: <copied>
     Given a task with copies allowed, <crashes> crashes and a silent worker
--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -1,5 +1,14 @@
 Feature: Nodes run jobs on the platform and keep their guarantees under faults
 
+  # Such a leader stepped down without a word: its successor knew of no run, and of no
+  # crash under one.
+  Scenario: a leader that reaches too few workers tells its successor of their runs
+    Given a fleet of 3 nodes and 1 hosts
+    When 2 jobs are at work and no worker answers for 4 seconds
+    Then the next leader is told of 6 runs
+    And all accepted jobs are completed within 25 seconds
+    And no task ran twice
+
   Scenario Outline: jobs are completed after <fault>
     Given a fleet of 3 nodes and 4 hosts
     When 12 jobs are submitted and "<fault>" occurs halfway
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -174,7 +174,7 @@
         job = add_simple_job(context.tables, f"{number:08x}{other:08x}")
         start_run(first_task(job), worker, now=NOW - 20)
     run = start_run(context.task, worker, state, now=NOW - age_s, number=number)
-    run.is_watched = bool(context.task.crashes)
+    run.is_isolated = needs_isolation(context.tables, context.task)
     worker.last_answer_at = worker.last_answered_call_at = NOW
     return run
 
@@ -319,14 +319,19 @@
     "crashes three times, running it alone": lambda c, w: crash_under(c, 3),
     "crashes three times, running others as well": lambda c, w: crash_under(c, 3, 2),
     "crashes four times, running others as well": lambda c, w: crash_under(c, 4, 2),
-    "crashes five times, running others as well": lambda c, w: crash_under(c, 5, 2),
-    "crashes five times, twice before it answered": lambda c, w: [
+    "crashes four times beside others, 0.5 s into it": lambda c, w: crash_under(
+        c, 4, 2, 0.5
+    ),
+    "crashes five times beside others, 0.5 s into it": lambda c, w: crash_under(
+        c, 5, 2, 0.5
+    ),
+    "crashes five times, 0.5 s into it, twice before it answered": lambda c, w: [
         crash_dark(c, 2, 2),
-        crash_under(c, 3, 2, first=4),
+        crash_under(c, 3, 2, 0.5, first=4),
     ],
-    "crashes five times, three times before it answered": lambda c, w: [
+    "crashes five times, 0.5 s into it, thrice before it answered": lambda c, w: [
         crash_dark(c, 3, 2),
-        crash_under(c, 2, 2, first=4),
+        crash_under(c, 2, 2, 0.5, first=4),
     ],
     "crashes beside others, unanswered, and 0.5 s into it alone": lambda c, w: [
         crash_under(c, 1, others=20, age_s=0.6),
@@ -571,8 +576,7 @@
 ANSWERED = "of workers that had answered its start"
 # Fields of ``Crash`` after the host; earlier builds stored two of them.
 CRASH_FIELDS = {
-    ANSWERED: (True, True, True, True),
-    "by a build that did not ask while it ran": (True, True, True),
+    ANSWERED: (True, True, True),
     "of workers that never answered a start": (True, True, False),
     "by a build that noted no answers": (True, True),
 }
@@ -587,7 +591,10 @@
 
 @given("a task with 3 crashes stored that convict it")
 def make_convicted(context):
-    make_stored(context, 3, ANSWERED)
+    make_task(context, 8)
+    context.task.crashes = tuple(
+        Crash(f"host-gone-{number}", True, True, True, True) for number in range(3)
+    )
 
 
 @when("the next leader loads the job and its crashes")
@@ -873,7 +880,7 @@
         context.task.crashes = (Crash("host-gone", True, True),)
     run = run_on(context, worker, age_s=age)
     worker.unresponsive_since = NOW if kind == "while it is silent" else 0.0
-    run.is_watched = kind != "that is no suspect"
+    run.is_isolated = kind != "that is no suspect"
     if kind == "whose start has no answer":
         run.answered_at = 0.0
 
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http.client
+import json
 import signal
 import subprocess
 import sys
@@ -32,6 +33,8 @@
 from sassafrasgrade.tools.standins.worker_states import find_violations
 
 WAIT_TIMEOUT_S = 20.0
+# Duration of a task that is still at work when its worker answers again.
+LONG_TASK_MS = 7000
 # Time after the last version within which every link catches up.
 SLOW_LINK_CATCH_UP_S = 15.0
 # Time after which other nodes' heartbeats announce a version: two of their periods.
@@ -64,6 +67,37 @@
         assert context.fleet.submit(job_id), job_id
 
 
+@when("{count:d} jobs are at work and no worker answers for {seconds:d} seconds")
+def silence_workers(context, count, seconds):
+    fleet, harness = context.fleet, context.fleet.harness
+    context.job_ids = [f"{number:016x}" for number in range(count)]
+    body = job_body() | {"spec": json.dumps({"ms": LONG_TASK_MS, "cpu": 1000})}
+    tasks = count * body["steps"][0]["count"]
+    for job_id in context.job_ids:
+        assert fleet.submit(job_id, body), job_id
+    wait_until(
+        lambda: harness.call(len, harness.fleet.history) >= tasks,
+        WAIT_TIMEOUT_S,
+        "all tasks have begun",
+    )
+    for worker in harness.fleet.workers_by_host.values():
+        worker.is_dark = True
+        fleet.call_later(seconds, setattr, worker, "is_dark", False)
+
+
+@then("the next leader is told of {count:d} runs")
+def check_told(context, count):
+    def told():
+        outputs = [node.output_text() for node in context.fleet.harness.nodes]
+        lines = [line for text in outputs for line in text.splitlines()]
+        events = [json.loads(line) for line in lines if '"jobs loaded"' in line]
+        events.sort(key=lambda event: event["at"])
+        return [event["handed_runs"] for event in events[1:]]
+
+    loads = wait_until(told, WAIT_TIMEOUT_S, "a second leader has loaded the jobs")
+    assert loads[0] == count, loads
+
+
 @then("all accepted jobs are completed within {seconds:d} seconds")
 def await_completed(context, seconds):
     def are_completed():
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -622,7 +622,7 @@
         if self._reaches_too_few_workers(now):
             self._is_releasing = True
             IOLoop.current().add_callback(
-                self._leadership.release, "most workers are out of reach"
+                self._services.release_leadership, "most workers are out of reach"
             )
         self.loader.lift_barrier()
         self._carry_out_all(self._hosts.plan(now))
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -91,12 +91,15 @@
 
     Attributes:
         leader_http: Function that returns the ``CurlClient`` of a leader.
+        release_leadership: Coroutine function of a reason that hands leadership over
+            to any other node.
     """
 
     settings: NodeSettings
     timers: SuspendAwareTimerService
     store: StoreClient
     leader_http: Callable
+    release_leadership: Callable
 
 
 class Node:
@@ -117,7 +120,9 @@
         self.store = StoreClient(
             caller, STORE_TIMEOUT_S, self.counters.count_store_call
         )
-        self.services = NodeServices(settings, timers, self.store, self.leader_http)
+        self.services = NodeServices(
+            settings, timers, self.store, self.leader_http, self._release_leadership
+        )
         self.batcher = StoreBatcher(self.store, timers)
         self.job_api = JobApi(self)
         self.configuration = None
@@ -240,6 +245,14 @@
         self.leadership.step_down(reason)
         self._server.send_all(message)
 
+    async def _release_leadership(self, reason):
+        """Steps down, sends all nodes the runs and removes the leader's key."""
+        if self._dispatcher is None:
+            return
+        revision = self.leadership.leader_revision
+        self._server.send_all(self._dispatcher.export_handover(revision))
+        await self.leadership.release(reason)
+
     def leader_http(self):
         """Returns the client for calls of a leader; others need no memory for it."""
         if self._leader_http is None:
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -25,19 +25,21 @@
 # A run under which its worker was known to be up for at most this long after it had
 # answered the start is a prompt crash, in seconds. A crashing task takes milliseconds.
 PROMPT_S = 0.25
-# Crashes that convict a task if enough of them are conclusive: prompt, on a worker that
-# ran nothing else.
+# Crashes, with starts of unknown outcome, that convict a task if prompt ones were on so
+# many hosts while nothing else ran there, if any was prompt, and if none was. The
+# published limit allows two starts after the third crash.
 CONVICTING_CRASHES = 3
-# Hosts with conclusive crashes that convict a task.
 MIN_CONCLUSIVE_HOSTS = 2
-# Crashes, with starts of unknown outcome, that convict a task whatever else ran there
-# and how long it ran: the published limit allows two starts after the third.
-MAX_CRASHES = 5
-# Crashes under runs that had certainly begun, without which no others convict.
+CONVICTING_CRASHES_WITH_PROMPT = 4
+CONVICTING_CRASHES_IN_ANY_CASE = 5
+# Crashes under runs that had certainly begun, without which no others convict, if any
+# was prompt and if none was.
+MIN_PROVEN_CRASHES_WITH_PROMPT = 2
 MIN_PROVEN_CRASHES = 3
-# Crashes under runs that had certainly begun, after which a task is not copied while
-# it is not known whether one more worker has crashed under it.
-MIN_HOLDING_CRASHES = 2
+# Crashes, and how many of them under runs that had certainly begun, after which a task
+# is not copied while it is not known whether one more worker has crashed under it.
+HOLDING_CRASHES = 3
+MIN_PROVEN_HOLDING_CRASHES = 2
 # Time that a suspect waits for a worker of its own, in seconds; after that it shares
 # the one with the fewest runs.
 MAX_ISOLATION_WAIT_S = 2.0
@@ -85,14 +87,13 @@
         age_s = lasted_s_of(worker, run)
         if age_s <= max_age_s:
             is_proven = 0 < run.answered_at < next_life.called_at
+            is_prompt = run.is_isolated and not outlived_start(worker, run)
             crash = Crash(
                 worker.host or worker.address,
                 was_alone,
                 was_alone or age_s <= LIKELY_S,
                 is_proven,
-                was_prompt=is_proven
-                and run.is_watched
-                and not outlived_start(worker, run),
+                was_prompt=is_proven and is_prompt,
             )
             suspects.append(CrashedTask(run.task, worker.worker_id, crash))
     return tuple(suspects)
@@ -248,7 +249,7 @@
         for worker in tables.workers_by_id.values()
         if not worker.unresponsive_since
         and any(
-            run.is_watched and run.answered_at and not outlived_start(worker, run)
+            run.is_isolated and run.answered_at and not outlived_start(worker, run)
             for run in worker.runs_by_key.values()
         )
     ]
@@ -262,19 +263,19 @@
 
 def is_convicted(task):
     """Whether a task has crashed so many workers that it is given up."""
-    conclusive = {
-        crash.host
-        for crash in task.crashes
-        if crash.is_proven and crash.was_alone and crash.was_prompt
-    }
-    if len(conclusive) >= MIN_CONCLUSIVE_HOSTS:
-        return len(task.crashes) >= CONVICTING_CRASHES
     crashes = task.crashes
     if task.step.is_perpetual:
         # It is present at many crashes that other causes have.
         crashes = [crash for crash in crashes if crash.was_alone or crash.was_prompt]
     count = len(crashes) + task.unrecorded_starts
-    return count >= MAX_CRASHES and count_proven(crashes) >= MIN_PROVEN_CRASHES
+    prompt = [crash for crash in crashes if crash.was_prompt]
+    if len({crash.host for crash in prompt if crash.was_alone}) >= MIN_CONCLUSIVE_HOSTS:
+        return count >= CONVICTING_CRASHES
+    needed, min_proven = CONVICTING_CRASHES_IN_ANY_CASE, MIN_PROVEN_CRASHES
+    if prompt:
+        needed = CONVICTING_CRASHES_WITH_PROMPT
+        min_proven = MIN_PROVEN_CRASHES_WITH_PROMPT
+    return count >= needed and count_proven(crashes) >= min_proven
 
 
 def count_proven(crashes):
@@ -321,9 +322,9 @@
         return False
     silent = silent_crashes(tables, task, RESPONSIBLE_S)
     crashes = (*task.crashes, *silent)
-    if not silent or len(crashes) < CONVICTING_CRASHES:
+    if not silent or len(crashes) < HOLDING_CRASHES:
         return False
-    return count_proven(crashes) >= MIN_HOLDING_CRASHES
+    return count_proven(crashes) >= MIN_PROVEN_HOLDING_CRASHES
 
 
 def isolated_candidates(task, candidates, waited_s):
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -433,7 +433,6 @@
     worker = candidate.worker
     run = create_run(task, worker, number, now)
     run.is_isolated = candidate.is_exclusive
-    run.is_watched = bool(task.crashes)
     ticket = tables.tickets.ticket(step_key_of(task), worker.worker_id, now)
     run.ticket = ticket or ""
     return StartRun(run)
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -73,8 +73,8 @@
         was_likely: Whether the task had just started there.
         is_proven: Whether the task had certainly begun there: its start was answered,
             or a list of the worker showed it.
-        was_prompt: Whether the worker, which was asked in short intervals since the
-            start was answered, answered none of these questions but the first ones.
+        was_prompt: Whether the worker, which got no other runs and was asked in short
+            intervals after it had answered the start, answered only the first calls.
     """
 
     host: str
@@ -108,10 +108,8 @@
         stopped_at: When a stop was last sent; 0 before the first.
         stop_answered_at: When the worker confirmed a stop; 0 before.
         ticket: Ticket of the advice service, if the queue needs one.
-        is_isolated: Whether its worker gets no other runs, since its task may crash
-            workers.
-        is_watched: Whether its worker is asked in short intervals, since workers have
-            crashed under its task.
+        is_isolated: Whether its worker gets no other runs, and is asked in short
+            intervals whether it is up, since its task may crash workers.
         lasted_before_s: How long it had lasted when this leader took it over, in
             seconds; infinite if an earlier leader started it at an unknown time.
     """
@@ -135,7 +133,6 @@
     stop_answered_at: float = 0.0
     ticket: str = ""
     is_isolated: bool = False
-    is_watched: bool = False
     lasted_before_s: float = 0.0
 
 
