--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -662,6 +662,7 @@
 @given("a task with {count:d} crashes stored beside other runs")
 def make_stored_beside(context, count):
     make_task(context, 8)
+    record_start(context.tables, context.job)
     context.task.crashes = tuple(
         Crash(f"host-gone-{number}", False, True, True) for number in range(count)
     )
@@ -693,6 +694,14 @@
 
 LEADER_ENDS = {
     "are lost": lose_leader,
+    "are lost before three prompt crashes": lambda c: [
+        lose_leader(c),
+        crash_under(c, 3, 2),
+    ],
+    "hand over before three prompt crashes": lambda c: [
+        follow_handover(c),
+        crash_under(c, 3, 2),
+    ],
     "are lost as a worker lists the run": partial(lose_leader, lists="running"),
     "are lost as a worker lists its end": partial(lose_leader, lists="ended"),
     "are lost as a worker has not reported": partial(
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -151,7 +151,6 @@
                     failures[name] = sorted(task.failed_numbers)
                 if task.crashes:
                     crashes[name] = list(task.crashes)
-                if task.unrecorded_starts:
                     unrecorded_starts[name] = task.unrecorded_starts
     return JobProgress(
         job.pending_state or job.state,
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -162,7 +162,7 @@
 
 
 def count_unrecorded_starts(tables, is_handed_over, now):
-    """Counts the starts of loaded suspects that the last leader may have lost.
+    """Counts the starts of loaded tasks that the last leader may have lost.
 
     It recorded no crash after such a start. One that handed over knew its runs; those
     on workers that are not known to this leader have crashed.
@@ -172,11 +172,22 @@
         is_handed_over: Whether the last leader handed over all that it knew.
         now: Current clock in seconds.
     """
-    for task in tables.loaded_suspects:
+    for task in _tasks_due(tables):
         may_have_started = not is_handed_over or now < task.blocked_until
-        if may_have_started and not task.runs_by_number and task.job.is_open:
+        if may_have_started and not task.runs_by_number:
             task.unrecorded_starts += 1
-            tables.mark_dirty(task.job)
+            if task.crashes:
+                tables.mark_dirty(task.job)
+
+
+def _tasks_due(tables):
+    """Yields the tasks of started jobs that an earlier leader may have started."""
+    for job in tables.open_jobs_by_id.values():
+        for occurrence in job.occurrences.values() if job.has_started else ():
+            steps = occurrence.steps
+            for row in steps:
+                if not any(steps[number].left for number in row.step.after):
+                    yield from (task for task in row.tasks if not task.is_done)
 
 
 def _describe_crash(crashed):
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -161,8 +161,8 @@
             inherited.
         waiting_since: Clock when it last became startable.
         crashes: Crashes of workers under it.
-        unrecorded_starts: Number of starts that earlier leaders may have sent after
-            the crashes, and of whose outcome nothing is known.
+        unrecorded_starts: Number of starts that earlier leaders may have sent, and of
+            whose outcome nothing is known; stored only beside crashes.
     """
 
     name: str
