--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -179,6 +179,7 @@
       | 4       | are lost as a worker lists its end       | isolated |
       | 4       | are lost as a worker has not reported    | isolated |
       | 0       | are lost before three prompt crashes     | given up |
+      | 0       | are lost twice before two crashes        | given up |
       | 0       | hand over before three prompt crashes    | isolated |
 
   Scenario Outline: crashes stored <evidence> are <outcome> by the next one
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -698,6 +698,11 @@
         lose_leader(c),
         crash_under(c, 3, 2),
     ],
+    "are lost twice before two crashes": lambda c: [
+        lose_leader(c),
+        lose_leader(c),
+        crash_under(c, 2, 2),
+    ],
     "hand over before three prompt crashes": lambda c: [
         follow_handover(c),
         crash_under(c, 3, 2),
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -6,7 +6,13 @@
 
 from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.job_requests import find_fault
-from sassafrasgrade.platform.messages import Advice, JobRequest, Quantity, Queue
+from sassafrasgrade.platform.messages import (
+    Advice,
+    JobRequest,
+    Quantity,
+    Queue,
+    Whole,
+)
 from sassafrasgrade.work_tables import (
     ENDED_STATES,
     Crash,
@@ -66,8 +72,8 @@
         failures: Numbers of failed runs, by task name without the job's id.
         done_occurrences: Numbers of occurrences that are done.
         crashes: Crashes of workers under tasks, by task name without the job's id.
-        unrecorded_starts: Number of starts of tasks with crashes of whose outcome
-            nothing is known, by task name without the job's id.
+        unrecorded_starts: Number of starts of whose outcome nothing is known, by task
+            name without the job's id.
     """
 
     state: WorkState
@@ -76,7 +82,7 @@
     failures: dict[str, list[int]]
     done_occurrences: list[int]
     crashes: dict[str, list[Crash]] = {}
-    unrecorded_starts: dict[str, int] = {}
+    unrecorded_starts: dict[str, Whole] = {}
 
 
 _submitted_decoder = msgspec.msgpack.Decoder(SubmittedJob)
@@ -151,6 +157,7 @@
                     failures[name] = sorted(task.failed_numbers)
                 if task.crashes:
                     crashes[name] = list(task.crashes)
+                if task.unrecorded_starts:
                     unrecorded_starts[name] = task.unrecorded_starts
     return JobProgress(
         job.pending_state or job.state,
@@ -291,7 +298,10 @@
         task = find_task(tables, f"{job.job_id}.{name}")
         if task is not None:
             task.crashes = tuple(crashes)
-            task.unrecorded_starts = progress.unrecorded_starts.get(name, 0)
             tables.loaded_suspects.append(task)
+    for name, count in progress.unrecorded_starts.items():
+        task = find_task(tables, f"{job.job_id}.{name}")
+        if task is not None:
+            task.unrecorded_starts = count
     if not job.is_open:
         tables.open_jobs_by_id.pop(job.job_id, None)
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -177,6 +177,7 @@
         if may_have_started and not task.runs_by_number:
             task.unrecorded_starts += 1
             if task.crashes:
+                # Others are stored with the next change: a takeover writes little.
                 tables.mark_dirty(task.job)
 
 
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -162,7 +162,7 @@
         waiting_since: Clock when it last became startable.
         crashes: Crashes of workers under it.
         unrecorded_starts: Number of starts that earlier leaders may have sent, and of
-            whose outcome nothing is known; stored only beside crashes.
+            whose outcome nothing is known.
     """
 
     name: str
