--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -2,9 +2,11 @@
 
 A worker that crashes has usually several tasks. Those that had just started are
 suspects: each starts again on a worker of its own, which is asked in short intervals
-how long it stays up. A task that crashed several workers, two of them at once and while
-they ran nothing else, ends its job as failed. A start without an answer makes its task
-a suspect, but convicts it of nothing: the worker may have crashed before.
+whether it is still up. Crashes that come at once with such a start soon convict the
+task; others may have any cause, and convict it only by their number. A convicted task
+is given up: its job ends as failed, unless other lasting tasks of it can run on. A
+start without an answer makes its task a suspect, but proves nothing: the worker may
+have crashed before. Starts that a lost leader may have sent count as crashes.
 
 Load pattern: one task in some dozens crashes every worker that starts it, while the
 other tasks of these workers are innocent.
@@ -22,14 +24,15 @@
 # A run that started at most this long before its worker's last answer is a likely
 # cause of a crash, in seconds.
 LIKELY_S = 1.0
-# A run under which its worker was known to be up for at most this long after it had
-# answered the start is a prompt crash, in seconds. A crashing task takes milliseconds.
+# A crash is prompt if the worker was last known to be up at most this long after it had
+# answered the start, in seconds. A crashing task takes milliseconds.
 PROMPT_S = 0.25
-# Crashes, with starts of unknown outcome, that convict a task if prompt ones were on so
-# many hosts while nothing else ran there, if any was prompt, and if none was. The
-# published limit allows two starts after the third crash.
-CONVICTING_CRASHES = 3
+# Hosts on which prompt crashes, while nothing else ran there, are conclusive.
 MIN_CONCLUSIVE_HOSTS = 2
+# Crashes, with starts of unknown outcome, that convict a task: if they are conclusive,
+# if any was prompt, and if none was. The published limit allows two starts after the
+# third crash.
+CONVICTING_CRASHES = 3
 CONVICTING_CRASHES_WITH_PROMPT = 4
 CONVICTING_CRASHES_IN_ANY_CASE = 5
 # Crashes under runs that had certainly begun, without which no others convict, if any
