--- a/sassafrasgrade/tools/standins/worker_states.py
+++ b/sassafrasgrade/tools/standins/worker_states.py
@@ -20,7 +20,8 @@
         number: Number of the run.
         worker_id: Worker that runs it.
         started_at: Clock time of its start.
-        ends_at: Clock time at which it ends by itself; infinite for lasting tasks.
+        ends_at: Clock time at which it ends by itself; infinite for lasting tasks and
+            for those that crash their worker.
         how: How it ended: ``done``, ``failed``, ``stopped``, ``lapsed`` or ``lost``;
             empty while it runs.
         ended_at: Clock time of its end.
@@ -114,12 +115,13 @@
         if used + spec["cpu"] > self.cpu_millis:
             return self._reject("room", now)
         is_perpetual = spec.get("lasting", False)
+        ends_by_itself = not is_perpetual and not spec.get("crashes", False)
         run = StandInRun(
             body["task"],
             body["run"],
             self.worker_id,
             now,
-            float("inf") if is_perpetual else now + spec["ms"] / MS_PER_S,
+            now + spec["ms"] / MS_PER_S if ends_by_itself else float("inf"),
             spec["cpu"],
             fails=self.fails or spec.get("fails", False),
             is_perpetual=is_perpetual,
