--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -20,7 +20,7 @@
 import tomllib
 from pathlib import Path
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest, HTTPResponse
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
@@ -132,6 +132,8 @@
         self.stops_at = None
         self.how = ""
         self.ended = None
+        # Whether ``observed`` has reached its end.
+        self.noted = False
 
     @property
     def cpu(self):
@@ -157,11 +159,11 @@
         self.token = 0
         self.lease_until = 0.0
         self.runs = {}
-        self.ends = []
+        self.ends, self.ended_runs = [], []
         self.end_count = 0
         self.barred = {}
         self.sequence = 0
-        self.is_up = True
+        self.is_up, self.is_dark = True, False
         fields = {"worker": self}
         self._server = HTTPServer(
             Application(
@@ -191,16 +193,17 @@
         }  # fmt: skip
         self.platform.put(f"servers/{self.worker_id}", value)
 
-    def crash(self):
-        """Ends this life at once; what runs is lost."""
-        self.is_up = False
+    async def crash(self, is_dark=False):
+        """Ends this life at once; what runs is lost, a dark one's connections are silent."""
+        self.is_up, self.is_dark = False, is_dark
         now = time.monotonic()
         for run in self.runs.values():
             run.how, run.ended = "lost", now
             self.platform.log(f"lost {run.task} run {run.number} on {self.worker_id}")
         self.runs.clear()
         self._server.stop()
-        return self._server.close_all_connections()
+        if not is_dark:
+            await self._server.close_all_connections()
 
     def used(self):
         """Returns the thousandths of a core of all that runs, also of what stops."""
@@ -221,7 +224,10 @@
         if body["deadlineMs"] < self.clock_ms():
             return self.refuse("late")
         run = Run(self, body, now)
-        if self.platform.guards and self.used() + run.cpu > self.platform.capacity["cpu"]:
+        if (
+            self.platform.guards
+            and self.used() + run.cpu > self.platform.capacity["cpu"]
+        ):
             return self.refuse("room")
         self.runs[key] = run
         self.platform.runs.append(run)
@@ -253,6 +259,8 @@
         self.token = body["fencingToken"]
         if "deadlineMs" in body:
             self.extend_lease(body["deadlineMs"])
+        for number, run in self.ended_runs:
+            run.noted = run.noted or number <= body["observed"]
         self.ends = [row for row in self.ends if row[0] > body["observed"]]
         return None
 
@@ -331,8 +339,11 @@
         run.how, run.ended = how, now
         del self.runs[(run.task, run.number)]
         self.bar(run.task, run.number)
+        self.ended_runs.append((self.end_count, run))
         self.ends.append([self.end_count, run.task, run.number, how, run.saved])
-        self.platform.log(f"ended {run.task} run {run.number} {how} saved '{run.saved}'")
+        self.platform.log(
+            f"ended {run.task} run {run.number} {how} saved '{run.saved}'"
+        )
 
 
 class WorkerHandler(RequestHandler):
@@ -346,7 +357,8 @@
         """Refuses calls that are meant for another worker; a dead one answers none."""
         if not self.worker.is_up:
             self._finished = True
-            self.request.connection.stream.close()
+            if not self.worker.is_dark:
+                self.request.connection.stream.close()
             return
         expected = self.request.headers.get("X-Expect-Instance")
         if expected not in (None, self.worker.worker_id):
@@ -365,9 +377,14 @@
 class StartHandler(WorkerHandler):
     """Starts a run."""
 
+    _auto_finish = False
+
     def post(self):
         """Answers the outcome."""
         body = self.body()
+        if self.worker.platform.holds_up(self.worker, body):
+            # The call stays on its way; its sender gets no answer.
+            return
         status, answer = self.worker.start(body)
         if status != 200:
             self.worker.platform.log(
@@ -396,6 +413,8 @@
 class HoldHandler(WorkerHandler):
     """Renews leases, and lists what runs and what has ended."""
 
+    _auto_finish = False
+
     async def post(self):
         """Answers both lists, after an end or the time to wait."""
         body = self.body()
@@ -455,9 +474,13 @@
         self.gangs = Gangs()
         self.workers, self.runs = {}, []
         self.on_begin = lambda run: None
+        # Whether a start is held up on its way to a worker.
+        self.holds_up = lambda worker, body: False
         self._lives = 0
         self._servers = []
-        application = Application([("/-/machines", MachinesHandler, {"platform": self})])
+        application = Application(
+            [("/-/machines", MachinesHandler, {"platform": self})]
+        )
         for served, port in (
             (self.store.application(), self.store_port),
             (application, self.cloud_port),
@@ -504,11 +527,11 @@
             worker.register()
         return worker
 
-    async def crash(self, machine, down_s, labels=None, keeps_id=False):
+    async def crash(self, machine, down_s, labels=None, keeps_id=False, is_dark=False):
         """Crashes a machine's worker; the next one comes ``down_s`` later."""
         old = self.workers[machine]
         self.log(f"crash of {old.worker_id}")
-        await old.crash()
+        await old.crash(is_dark)
         await asyncio.sleep(down_s)
         kept = old.worker_id if keeps_id else None
         new = self.add_worker(machine, old.port, labels or old.labels, kept)
@@ -619,7 +642,7 @@
             )  # fmt: skip
             try:
                 response = await self._http.fetch(request, raise_error=False)
-            except OSError as error:
+            except (OSError, HTTPError) as error:
                 response = HTTPResponse(request, 599, error=error)
             text = response.body.decode()[:80] if response.body else ""
             self._record.write(f"{method} {job_id} -> {response.code} {text}")
@@ -680,6 +703,7 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {has_trouble}")
     started = []
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
 
     async def main(folder):
         platform = Platform(record, **platform_fields)
