Log by which clock a start was granted, and the longest lease that a worker may hold

Without it the log could not tell a run that lapsed from one whose worker had granted more than the table records: run started now has granted_ms, run forgotten longest_lease_left_ms and list_age_ms. No decision reads them.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -403,6 +403,10 @@
         }
         if reply.detail:
             fields["detail"] = reply.detail
+        if reply.clock_ms:
+            # By the clock of the incarnation that answered.
+            fields["granted_ms"] = round(run.deadline_ms - reply.clock_ms)
+            fields["sent_to_born"] = run.sent_to_born_ms
         logger.info(
             "run started" if not had_no_effect else "start refused", extra=fields
         )
--- a/sassafrasgrade/systems/end_proofs.py
+++ b/sassafrasgrade/systems/end_proofs.py
@@ -68,4 +68,8 @@
     if worker is not None:
         fields["born"] = worker.born_ms
         fields["lease_left_ms"] = round((worker.lease_until - now) * MS_PER_S)
+        longest_left_s = worker.longest_lease_until - now
+        fields["longest_lease_left_ms"] = round(longest_left_s * MS_PER_S)
+        if worker.last_answer_at:
+            fields["list_age_ms"] = round((now - worker.last_answer_at) * MS_PER_S)
     logger.info("run forgotten", extra=fields)
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -322,6 +322,8 @@
         unclaimed_runs: ``UnclaimedRow`` of listed runs, by (task name, number).
         unclaimed_ends: ``UnclaimedRow`` of listed ends, by number of the end.
         lease_until: Clock at which all its runs have lapsed if not renewed.
+        longest_lease_until: The same if each call with a deadline reached a later
+            incarnation, whose clock is another, so that it grants the longest lease.
         last_answer_at: Clock of its last answer.
         last_answered_call_at: Clock when the latest call that it answered was sent; it
             was up then.
@@ -368,6 +370,7 @@
     unclaimed_runs: dict[tuple[str, int], UnclaimedRow] = field(default_factory=dict)
     unclaimed_ends: dict[int, UnclaimedRow] = field(default_factory=dict)
     lease_until: float = 0.0
+    longest_lease_until: float = 0.0
     last_answer_at: float = 0.0
     last_answered_call_at: float = 0.0
     view_clock_ms: float = 0.0
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -135,13 +135,14 @@
         is_responsive = (
             worker.clock_offset_ms is not None and not worker.unresponsive_since
         )
-        if renews and is_responsive and lease_s:
-            deadline_ms = self._worker_clock(now) + lease_s * MS_PER_S
-            self._extend_lease(now, lease_s)
         may_long_poll = (
             renews and worker.has_seen_token and worker.unresponsive_since == 0
         )
         wait_s = LONG_POLL_WAIT_S if may_long_poll else 0
+        timeout_s = wait_s + ANSWER_TIMEOUT_S
+        if renews and is_responsive and lease_s:
+            deadline_ms = self._worker_clock(now) + lease_s * MS_PER_S
+            self._extend_lease(now, lease_s, timeout_s)
         discards = self._end_to_discard() if renews else 0
         born_ms = worker.born_ms
         token = self._dispatcher.worker_token
@@ -150,7 +151,7 @@
             discards,
             deadline_ms,
             wait_s,
-            wait_s + ANSWER_TIMEOUT_S,
+            timeout_s,
         )
         if self._is_closed:
             return False
@@ -178,13 +179,18 @@
             return 0
         return worker.stored_end if worker.stored_end > worker.discarded_end else 0
 
-    def _extend_lease(self, now, lease_s):
+    def _extend_lease(self, now, lease_s, timeout_s):
         """Records a lease before it is sent: the call may arrive and still fail.
 
         ``ANSWER_TIMEOUT_S`` covers the age of the clock offset of a slow worker clock.
+        A call arrives before its timeout, after which its connection is reset.
         """
+        worker = self.worker
         lapses_at = now + ANSWER_TIMEOUT_S + lease_s * CLOCK_DRIFT
-        self.worker.lease_until = max(self.worker.lease_until, lapses_at)
+        worker.lease_until = max(worker.lease_until, lapses_at)
+        longest_s = self._dispatcher.tables.longest_lease_s * CLOCK_DRIFT
+        lapses_at = now + timeout_s + longest_s
+        worker.longest_lease_until = max(worker.longest_lease_until, lapses_at)
 
     def _worker_clock(self, now):
         return now * MS_PER_S + self.worker.clock_offset_ms
@@ -216,7 +222,7 @@
             now = self._timers.now()
             run.deadline_ms = self._worker_clock(now) + START_VALID_MS
             run.sent_at, run.sent_to_born_ms = now, self.worker.born_ms
-            self._extend_lease(now, START_VALID_MS / MS_PER_S)
+            self._extend_lease(now, START_VALID_MS / MS_PER_S, ANSWER_TIMEOUT_S)
             reply, _ = await self._send(
                 lambda token: self._start(run, token), lambda: not run.stopped_at
             )
