Count leases of a worker that restarted unnoticed by what it may have granted

Cause: a deadline is a time on a worker's clock, and each incarnation has its own. Until the leader applies a list of the new incarnation, starts and polls carry deadlines by the clock of the former one, which is ahead. The new one takes them and grants the longest lease, 6 s from their arrival; the tables recorded 1.5 or 4.5 s from their sending. If the worker was cut off before its first list (a poll hung on a silent connection), 'lease lapsed' was concluded up to 4 s early.

Why this works: a run counts as lapsed by the recorded lease only once a list of the present incarnation has shown it, or its start was answered by a clock that is not behind the one that its deadline was set by. Any other run waits for the longest lease that any call with a deadline may have given until its connection was reset. A start that was answered by a clock behind makes the leader ask the worker at once. Handed-over runs carry the longer lease. Runs that are known wait no longer than before (two rows).

--- a/features/granted_leases.feature
+++ b/features/granted_leases.feature
@@ -1,6 +1,5 @@
 Feature: A task does not start again while its worker may hold a lease by another clock
 
-  @known_red
   Scenario Outline: two runs of a task on a worker that restarted under its id, got <calls>, and was cut off
     Then a worker that gets "<calls>" and is cut off keeps its tasks until they lapse
 
@@ -12,7 +11,6 @@
       | a start, and a poll whose answer is lost      |
       | a poll, and then a start that was sent before |
 
-  @known_red
   Scenario Outline: two runs of a task whose lease was handed over after <calls>
     Then a leader that hands over after "<calls>" hands over all of the leases
 
--- a/features/steps/job_accounting_steps.py
+++ b/features/steps/job_accounting_steps.py
@@ -31,8 +31,8 @@
     WorkerReply,
 )
 from sassafrasgrade.systems.learned_durations import LearnedDurations
-from sassafrasgrade.systems.run_updates import cancel_job
-from sassafrasgrade.systems.task_placement import START_VALID_MS, place_tasks
+from sassafrasgrade.systems.run_updates import START_VALID_MS, cancel_job
+from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_tables import MS_PER_S, Crash
 
 JOB = "a" * 16
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -38,6 +38,7 @@
     forget_run,
     has_incarnation_ended,
     is_later,
+    record_answered_start,
     record_start,
     remove_worker,
     restart_worker,
@@ -412,8 +413,13 @@
         )
         self.counters.count_start(reply.outcome.value)
         if reply.outcome is OrderOutcome.DONE:
-            run.answered_at = now
+            record_answered_start(run, reply.clock_ms, now)
             record_start(self.tables, task.job)
+            if not run.is_lease_known:
+                # Its worker has probably restarted; polls may hang on connections to
+                # the earlier incarnation.
+                self.counters.count_start_by_other_clock()
+                self.carry_out(AskWorker(run.worker_id))
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
             if task.is_done or not task.job.is_open:
--- a/sassafrasgrade/node_counters.py
+++ b/sassafrasgrade/node_counters.py
@@ -33,6 +33,11 @@
         self._starts = self._counter(
             "starts", "Starts of runs by outcome.", ["outcome"]
         )
+        self._starts_by_other_clock = self._counter(
+            "starts_by_other_clock",
+            "Starts answered by a clock behind the one that set their deadline.",
+            [],
+        )
         self._second_runs = self._counter(
             "second_runs", "Runs listed while their task had another.", []
         )
@@ -91,6 +96,10 @@
         """Counts a start of a run."""
         self._child(self._starts, outcome).inc()
 
+    def count_start_by_other_clock(self):
+        """Counts a start that a later incarnation of its worker seems to have taken."""
+        self._child(self._starts_by_other_clock).inc()
+
     def count_second_run(self):
         """Counts a run that was listed while its task had another."""
         self._child(self._second_runs).inc()
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -115,8 +115,7 @@
     if worker.is_draining or worker.is_reserved or worker.is_crash_recorded:
         return
     worker.is_crash_recorded = True
-    suspects = suspects_of(worker, next_life=next_life)
-    for crashed in (*worker.lapsed_suspects, *suspects):
+    for crashed in _with_lapsed(worker, suspects_of(worker, next_life=next_life)):
         task = crashed.task
         if not task.is_done and task.job.is_open:
             task.crashes = (*task.crashes, crashed.crash)
@@ -141,7 +140,17 @@
 
 def note_lapse(worker):
     """Keeps the suspects of a worker whose runs lapse, until its fate is known."""
-    worker.lapsed_suspects = (*worker.lapsed_suspects, *suspects_of(worker))
+    worker.lapsed_suspects = _with_lapsed(worker, suspects_of(worker))
+
+
+def _with_lapsed(worker, suspects):
+    """Returns a worker's lapsed suspects, and those of further tasks.
+
+    Runs of one worker may lapse at different times; the first lapse names all suspects.
+    """
+    named = {crashed.task.name for crashed in worker.lapsed_suspects}
+    others = [crashed for crashed in suspects if crashed.task.name not in named]
+    return (*worker.lapsed_suspects, *others)
 
 
 def settle_crashes(tables):
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -47,6 +47,9 @@
 LATEST_ORDER_MS = 20_000.0
 # Tolerance on clock readings that were sent over the network, in milliseconds.
 CLOCK_TOLERANCE_MS = 50.0
+# Time after which a start order is void, in ms: long enough for a slow link, and
+# short enough that a late order cannot start a task that is already settled.
+START_VALID_MS = 1500.0
 
 
 def apply_view(tables: WorkTables, worker: Worker, view: WorkerView, sent_at, now):
@@ -210,6 +213,7 @@
     if run is None:
         return _adopt_run(tables, worker, row, now)
     commands = []
+    run.is_lease_known = True
     if run.state in UNANSWERED_STATES:
         commands.append(_describe_found(worker, run, now))
         run.state = RunState.RUNNING
@@ -258,6 +262,7 @@
         now,
         answered_at=now,
         lasted_before_s=math.inf,
+        is_lease_known=True,
     )
     commands = []
     others = tuple(task.runs_by_number.values())
@@ -298,6 +303,28 @@
     return [StopRun(run, "second run of the task") for run in runs if run is not kept]
 
 
+def record_answered_start(run, clock_ms, now):
+    """Records that a start was answered.
+
+    Args:
+        run: The run.
+        clock_ms: The answering worker's clock; 0 if it was not sent. If it is behind
+            the one that the deadline was set by, a later incarnation has answered.
+        now: Current clock in seconds.
+    """
+    run.answered_at = now
+    least_ms = run.deadline_ms - START_VALID_MS - CLOCK_TOLERANCE_MS
+    if clock_ms and clock_ms >= least_ms:
+        run.is_lease_known = True
+
+
+def lapse_of(worker, run):
+    """Returns the clock at which a run has lapsed if its worker stays silent."""
+    if run.is_lease_known:
+        return worker.lease_until
+    return max(worker.lease_until, worker.longest_lease_until)
+
+
 def assume_longest_lease(tables, worker, now):
     """Records that a worker may hold the longest lease, given by an earlier leader.
 
@@ -362,7 +389,7 @@
             run.task.name,
             run.number,
             worker.worker_id,
-            max(0.0, worker.lease_until - now),
+            max(0.0, lapse_of(worker, run) - now),
             _lasted_s_to_hand_over(worker, run),
         )
         for worker in tables.workers_by_id.values()
@@ -618,6 +645,7 @@
             run.deadline_ms = view.clock_ms + LATEST_ORDER_MS
             commands.append(StopRun(run, "worker restarted before a start's answer"))
         run.stop_answered_at = 0.0
+        run.is_lease_known = False
     tables.tickets.forget_worker(worker.worker_id)
     worker.born_ms = view.born_ms
     worker.seen_end = worker.stored_end = worker.discarded_end = 0
@@ -626,8 +654,9 @@
     worker.clock_offset_ms = None
     worker.has_seen_token = worker.has_shown_runs = False
     worker.failures = worker.successes = 0.0
-    # A renewal by the clock of the earlier incarnation may have reached this one.
+    # Calls by the clock of the earlier incarnation may have reached, or yet reach, it.
     assume_longest_lease(tables, worker, now)
+    worker.lease_until = max(worker.lease_until, worker.longest_lease_until)
     worker.is_crash_recorded = False
     return commands
 
@@ -719,14 +748,14 @@
 
 
 def expire_leases(tables, leader_until, on_lapse=lambda worker: None):
-    """Removes runs on unresponsive workers whose leases have certainly lapsed.
+    """Removes runs on unresponsive workers that have certainly lapsed.
 
     Args:
         tables: The tables.
         leader_until: Last clock at which this node was certainly the leader. After
             that, another leader may have renewed the leases of workers that it
             reaches.
-        on_lapse: Called with each such worker before its runs are removed.
+        on_lapse: Called with each such worker before runs of it are removed.
     """
     commands = []
     for worker in tables.workers_by_id.values():
@@ -734,12 +763,17 @@
             continue
         if worker.unresponsive_since == 0:
             continue
+        runs = worker.runs_by_key.values()
+        lapsed = [run for run in runs if leader_until >= lapse_of(worker, run)]
+        if not lapsed and not worker.unclaimed_runs:
+            continue
         worker.unclaimed_runs.clear()
         on_lapse(worker)
-        proof = EndProof(ProofKind.LEASE_LAPSED, worker.lease_until)
-        for run in list(worker.runs_by_key.values()):
-            # A start order in flight may still arrive, but is void by now: its
-            # deadline is earlier than the end of the lease.
+        for run in lapsed:
+            # No start order can arrive any more: either its deadline has passed, or its
+            # call has timed out, so that its connection was reset.
+            proof = EndProof(ProofKind.LEASE_LAPSED, lapse_of(worker, run))
             forget_run(tables, run, proof, leader_until)
-        commands.append(LogEvent("worker-lapsed", {"worker": worker.worker_id}))
+        fields = {"worker": worker.worker_id, "runs": len(lapsed), "left": len(runs)}
+        commands.append(LogEvent("worker-lapsed", fields))
     return commands
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -40,9 +40,6 @@
 FIXED_VALUE_FRACTION = 0.3
 # Lower bound on work when values are compared, in core-seconds.
 MIN_WORK_CORE_S = 0.1
-# Time after which a start order is void, in ms: long enough for a slow link, and
-# short enough that a late order cannot start a task that is already settled.
-START_VALID_MS = 1500.0
 # Multiple of its objective up to which a job earns partial value (published rule).
 LATE_FACTOR = 3.0
 
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -112,6 +112,9 @@
             intervals whether it is up, since its task may crash workers.
         lasted_before_s: How long it had lasted when this leader took it over, in
             seconds; infinite if an earlier leader started it at an unknown time.
+        is_lease_known: Whether it surely lapses by its worker's ``lease_until``: it is
+            on the incarnation whose clock sets the deadlines, or on one whose clock is
+            ahead.
     """
 
     task: "Task"
@@ -134,6 +137,7 @@
     ticket: str = ""
     is_isolated: bool = False
     lasted_before_s: float = 0.0
+    is_lease_known: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -321,9 +325,11 @@
         discarded_end: Number of the last run end that the worker surely discarded.
         unclaimed_runs: ``UnclaimedRow`` of listed runs, by (task name, number).
         unclaimed_ends: ``UnclaimedRow`` of listed ends, by number of the end.
-        lease_until: Clock at which all its runs have lapsed if not renewed.
-        longest_lease_until: The same if each call with a deadline reached a later
-            incarnation, whose clock is another, so that it grants the longest lease.
+        lease_until: Clock at which the runs of the known incarnation have lapsed if
+            they are not renewed.
+        longest_lease_until: Clock at which those of a later incarnation have lapsed:
+            its clock is another, so that it may grant the longest lease for any
+            deadline.
         last_answer_at: Clock of its last answer.
         last_answered_call_at: Clock when the latest call that it answered was sent; it
             was up then.
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -11,7 +11,7 @@
     OrderOutcome,
     WorkerClient,
 )
-from sassafrasgrade.systems.task_placement import START_VALID_MS
+from sassafrasgrade.systems.run_updates import START_VALID_MS
 from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_tables import MS_PER_S, RunState
 from sassafrasgrade.worker_orders import StartOrder
