Count the lease of a start from its last copy

A start that a later call of the same leader overtook is sent again, up to 1.4 s after the lease was counted. Found by reading; no play or test shows harm, since polls extend the same lease.

--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -222,7 +222,6 @@
             now = self._timers.now()
             run.deadline_ms = self._worker_clock(now) + START_VALID_MS
             run.sent_at, run.sent_to_born_ms = now, self.worker.born_ms
-            self._extend_lease(now, START_VALID_MS / MS_PER_S, ANSWER_TIMEOUT_S)
             reply, _ = await self._send(
                 lambda token: self._start(run, token), lambda: not run.stopped_at
             )
@@ -234,6 +233,8 @@
 
     async def _start(self, run, token):
         run.token = token
+        now = self._timers.now()
+        self._extend_lease(now, START_VALID_MS / MS_PER_S, ANSWER_TIMEOUT_S)
         task = run.task
         order = StartOrder(
             task.name,
