Let a poll that acknowledges ends reach only the incarnation it was meant for

What callers would see: a task that ended done runs again. A poll that acknowledges ends by the numbers of one incarnation may reach the next one of its worker: curl sends it again on a fresh connection when a reused one is reset, and a connection whose first packet was lost is made a second later. The next incarnation then discards ends that nobody has seen.

Such a poll is now sent once, and only within 0.25 s; otherwise it is held back, and the next one, at once, acknowledges nothing. Rows of other_incarnations.feature with the real curl client: two copies before, one now.

--- /dev/null
+++ b/features/other_incarnations.feature
@@ -0,0 +1,45 @@
+Feature: What belongs to one incarnation of a worker is not taken for another's
+
+  @known_red
+  Scenario Outline: two runs of a task on a worker that restarted, got <calls>, and was cut off
+    Then a worker that restarts, gets "<calls>" and is cut off keeps its task
+
+    Examples: the recorded longest lease begins with the first sending
+      | calls                       |
+      | a start that was sent again |
+
+    Examples: a poll of the former incarnation is carried out late, before a raised token
+      | calls                                    |
+      | a start and a poll, and late a lost poll |
+
+  Scenario Outline: an unseen end is acknowledged by a poll that is sent again (<ends> ends, <copies> copies)
+    Then a poll that acknowledges <ends> ends is sent <copies> times: <outcome>
+
+    Examples: its reused connection is reset, so that the second copy may reach a later incarnation
+      | ends | copies | outcome   |
+      | 57   | 1      | held-back |
+      | 0    | 2      | done      |
+
+  Scenario Outline: an unseen end is acknowledged by a poll that waited <seconds> s for its connection
+    Then a poll whose connection takes <seconds> s still acknowledges ends: <sent>
+
+    Examples: the first packet is repeated after 1 s, and a later incarnation may accept it
+      | seconds | sent |
+      | 0.01    | yes  |
+      | 0.2     | yes  |
+      | 1.0     | no   |
+
+  Scenario: an unseen end is acknowledged after a poll that was held back
+    Then a poll that was held back is repeated at once, without an acknowledgement
+
+  @known_red
+  Scenario: a task is blamed for the crash of an incarnation that never ran it
+    Then a task is not blamed for the crash of an incarnation that never ran it
+
+  @known_red
+  Scenario: a leader's barrier ends before a lease that the last poll of an earlier one gave
+    Then a next leader waits for a lease that the last poll of an earlier one gave
+
+  @known_red
+  Scenario: a late answer of a former incarnation counts as another restart, as clocks were set back
+    Then a late answer of the former incarnation is ignored, though its start is later
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -84,6 +84,7 @@
             request_time=0.0,
             time_info={},
             copies=1,
+            is_held_back=False,
         )
 
     async def fetch(self, *arguments, **options):
--- /dev/null
+++ b/features/steps/other_incarnation_steps.py
@@ -0,0 +1,50 @@
+"""Steps on what belongs to one incarnation of a worker, and reaches another one."""
+
+import asyncio
+
+from behave import then
+
+from features.support import other_incarnations
+
+
+@then('a worker that restarts, gets "{calls}" and is cut off keeps its task')
+def check_kept(context, calls):
+    freed_after_s = asyncio.run(other_incarnations.play(calls))
+    assert freed_after_s >= 0, freed_after_s
+
+
+@then("a task is not blamed for the crash of an incarnation that never ran it")
+def check_not_blamed(context):
+    former, present = asyncio.run(other_incarnations.crashes_of_listed_run())
+    assert len(former) == 1 and former[0].is_proven, former
+    assert not present, present
+
+
+@then("a poll that acknowledges {ends:d} ends is sent {copies:d} times: {outcome}")
+def check_copies(context, ends, copies, outcome):
+    found = asyncio.run(other_incarnations.copies_of_poll(ends))
+    assert found == (copies, outcome), found
+
+
+@then("a poll whose connection takes {seconds:g} s still acknowledges ends: {sent}")
+def check_sent(context, seconds, sent):
+    found = asyncio.run(other_incarnations.is_sent_after(seconds))
+    assert found == (sent == "yes"), found
+
+
+@then("a poll that was held back is repeated at once, without an acknowledgement")
+def check_held_back(context):
+    found = asyncio.run(other_incarnations.acknowledged_after_held_back())
+    assert found == ([57, 0], True), found
+
+
+@then("a next leader waits for a lease that the last poll of an earlier one gave")
+def check_barrier(context):
+    freed_after_s = other_incarnations.barrier_after_last_poll()
+    assert freed_after_s >= 0, freed_after_s
+
+
+@then("a late answer of the former incarnation is ignored, though its start is later")
+def check_ignored(context):
+    known_ms, present_ms = asyncio.run(other_incarnations.born_after_late_answer())
+    assert known_ms == present_ms, (known_ms, present_ms)
--- a/features/support/granted_leases.py
+++ b/features/support/granted_leases.py
@@ -31,7 +31,7 @@
 DARK_S = 0.6
 CALL_DELAY_S = 0.2
 # Time for which the leader is watched after the cut, and its steps, in seconds.
-WATCHED_S = 12.0
+WATCHED_S = 40.0
 STEP_S = 0.05
 
 
--- a/features/support/virtual/networks.py
+++ b/features/support/virtual/networks.py
@@ -177,10 +177,11 @@
         """Returns 0: answers arrive whole."""
         return 0
 
-    def note_sent(self):
-        """Tells the caller that the request is being sent."""
-        if self._on_sent is not None:
-            self._on_sent()
+    def may_send(self):
+        """Tells the caller of a request about to be sent; returns whether it may be."""
+        if self._on_sent is None:
+            return True
+        return self._on_sent() == pycurl.PREREQFUNC_OK
 
 
 class VirtualHttp:
@@ -281,7 +282,9 @@
 
     def _send(self, copy):
         network, world = self._network, self._world
-        self._curl.note_sent()
+        if not self._curl.may_send():
+            self.node.loop.call_soon(self.fail, "held back")
+            return
         endpoint = network.endpoints_by_address[self.address]
         open_at = network.open_at(self.node.name, endpoint.place)
         at = open_at + network.delay_s(self.node.name, endpoint.place)
--- a/sassafrasgrade/platform/calls.py
+++ b/sassafrasgrade/platform/calls.py
@@ -90,10 +90,24 @@
 
     curl itself retries a request on a new connection when a reused one turns out
     to be dead; its answer or error then describes only the last copy.
+
+    Args:
+        once_within_s: If set, the request is sent only once, and only within this time
+            of the begin of the call, in seconds.
+
+    Attributes:
+        loop: ``IOLoop`` whose time counts.
+        copies: How often sending has begun.
+        is_held_back: Whether a copy was not sent for its lateness.
     """
 
-    def __init__(self):
+    def __init__(self, once_within_s=None):
         self.copies = 0
+        self.is_held_back = False
+        self.loop = IOLoop.current()
+        self._once_until = (
+            None if once_within_s is None else self.loop.time() + once_within_s
+        )
 
     def prepare(self, curl):
         """Installs the tracker on a curl handle."""
@@ -101,6 +115,11 @@
         curl.setopt(pycurl.PREREQFUNCTION, self._record_copy)
 
     def _record_copy(self, *addresses):
+        if self._once_until is not None:
+            is_late = self.loop.time() > self._once_until
+            if self.copies or is_late:
+                self.is_held_back = True
+                return pycurl.PREREQFUNC_ABORT
         self.copies += 1
         return pycurl.PREREQFUNC_OK
 
@@ -132,17 +151,25 @@
         self._address = address
 
     async def fetch(
-        self, method, path, body=None, timeout_s=1.0, headers=None, limits=None
+        self,
+        method,
+        path,
+        body=None,
+        timeout_s=1.0,
+        headers=None,
+        limits=None,
+        once_within_s=None,
     ):
         """Sends one call; a transport failure returns a response with ``error``.
 
-        ``copies`` of the response says how often sending had begun. With ``limits``
-        (``TransferLimits``) the timeout is theirs.
+        ``copies`` of the response says how often sending had begun, and
+        ``is_held_back`` whether ``once_within_s`` (see ``SendTracker``) forbade one.
+        With ``limits`` (``TransferLimits``) the timeout is theirs.
         """
         all_headers = {"Content-Type": "application/json", "Expect": ""}
         if headers:
             all_headers |= headers
-        tracker = SendTracker()
+        tracker = SendTracker(once_within_s)
         guard = None
         if limits is not None:
             guard = ProgressGuard(self._http, limits)
@@ -171,4 +198,5 @@
             if guard is not None:
                 guard.stop()
         response.copies = tracker.copies
+        response.is_held_back = tracker.is_held_back
         return response
--- a/sassafrasgrade/platform/workers.py
+++ b/sassafrasgrade/platform/workers.py
@@ -7,7 +7,12 @@
 
 from sassafrasgrade.errors import DECODE_ERRORS
 from sassafrasgrade.platform import names
-from sassafrasgrade.platform.calls import HTTP_OK, JsonCaller, was_sent_again
+from sassafrasgrade.platform.calls import (
+    HTTP_OK,
+    JsonCaller,
+    was_never_sent,
+    was_sent_again,
+)
 from sassafrasgrade.platform.messages import OrderReply, WorkerView
 
 HTTP_BAD_REQUEST = 400
@@ -21,7 +26,11 @@
 
 
 class OrderOutcome(Enum):
-    """Outcome of an order to a worker."""
+    """Outcome of an order to a worker.
+
+    ``NOT_SENT``: no connection was made. ``HELD_BACK``: a poll was not sent, or not a
+    second time, since it might have reached a later incarnation.
+    """
 
     DONE = "done"
     FENCED = "fence"
@@ -32,11 +41,20 @@
     INVALID = "invalid"
     UNHEALTHY = "unhealthy"
     WRONG_INSTANCE = "wrong-instance"
+    NOT_SENT = "not-sent"
+    HELD_BACK = "held-back"
     UNKNOWN = "unknown"
 
 
+# Time from the begin of a poll that acknowledges ends to its last moment of being sent,
+# in seconds. The numbers of the ends are of one incarnation.
+ACKNOWLEDGE_WITHIN_S = 0.25
 # Outcomes that prove that the order had no effect.
-NO_EFFECT_OUTCOMES = frozenset(OrderOutcome) - {OrderOutcome.DONE, OrderOutcome.UNKNOWN}
+NO_EFFECT_OUTCOMES = frozenset(OrderOutcome) - {
+    OrderOutcome.DONE,
+    OrderOutcome.HELD_BACK,
+    OrderOutcome.UNKNOWN,
+}
 # Outcomes that are acted on whatever became of earlier copies of the order. A fence is
 # none of them: a later call of the same leader may have come between two copies.
 OUTCOMES_OF_ALL_COPIES = frozenset({OrderOutcome.DONE})
@@ -117,12 +135,25 @@
             body["deadlineMs"] = int(deadline_ms)
         if wait_s:
             body["waitMs"] = int(wait_s * 1000)
-        return await self._order(names.HOLD_PATH, body, timeout_s, _views)
+        once_within_s = ACKNOWLEDGE_WITHIN_S if observed else None
+        return await self._order(
+            names.HOLD_PATH, body, timeout_s, _views, once_within_s
+        )
 
-    async def _order(self, path, body, timeout_s, decoder=None):
+    async def _order(self, path, body, timeout_s, decoder=None, once_within_s=None):
         response = await self._caller.fetch(
-            "POST", path, body, timeout_s, self._headers
+            "POST",
+            path,
+            body,
+            timeout_s,
+            self._headers,
+            once_within_s=once_within_s,
         )
+        if response.is_held_back:
+            detail = f"not sent again, after {response.copies} copies"
+            return WorkerReply(OrderOutcome.HELD_BACK, detail=detail)
+        if was_never_sent(response):
+            return WorkerReply(OrderOutcome.NOT_SENT, detail=str(response.error))
         try:
             reply = _reply(response, decoder)
         except DECODE_ERRORS as error:
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -169,6 +169,12 @@
             self._dispatcher.handle_replaced_worker(worker)
             return False
         self._may_have_restarted = True
+        if reply.outcome is OrderOutcome.HELD_BACK:
+            logger.info(
+                "acknowledgement of ends held back",
+                extra={"worker": worker.worker_id, "detail": reply.detail},
+            )
+            return True
         self._dispatcher.record_unresponsive(worker, reply.detail)
         return False
 
