Wait for late calls while a restarted worker has not seen a raised token

A call of the former incarnation's time that had no answer may be carried out seconds later by the next one, and renews its leases, until that one has seen a token above all that were sent to its id. If the worker is cut off before, its runs now count as lapsed only once no such call can arrive any more.

--- a/features/other_incarnations.feature
+++ b/features/other_incarnations.feature
@@ -1,6 +1,5 @@
 Feature: What belongs to one incarnation of a worker is not taken for another's
 
-  @known_red
   Scenario Outline: two runs of a task on a worker that restarted, got <calls>, and was cut off
     Then a worker that restarts, gets "<calls>" and is cut off keeps its task
 
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -320,9 +320,12 @@
 
 def lapse_of(worker, run):
     """Returns the clock at which a run has lapsed if its worker stays silent."""
-    if run.is_lease_known:
+    longest_until = worker.longest_lease_until
+    if worker.accepts_earlier_calls:
+        longest_until += LATEST_ORDER_MS / MS_PER_S
+    elif run.is_lease_known:
         return worker.lease_until
-    return max(worker.lease_until, worker.longest_lease_until)
+    return max(worker.lease_until, longest_until)
 
 
 def assume_longest_lease(tables, worker, now):
@@ -771,8 +774,8 @@
         worker.unclaimed_runs.clear()
         on_lapse(worker)
         for run in lapsed:
-            # No start order can arrive any more: either its deadline has passed, or its
-            # call has timed out, so that its connection was reset.
+            # A start order in flight is void by now: its deadline has passed, or its
+            # connection was reset.
             proof = EndProof(ProofKind.LEASE_LAPSED, lapse_of(worker, run))
             forget_run(tables, run, proof, leader_until)
         fields = {"worker": worker.worker_id, "runs": len(lapsed), "left": len(runs)}
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -419,6 +419,14 @@
         """Whether it may run anything, also of jobs that are not known yet."""
         return bool(self.runs_by_key or self.unclaimed_runs)
 
+    @property
+    def accepts_earlier_calls(self):
+        """Whether it has restarted and not seen a token that its earlier calls lack.
+
+        Those without an answer may still be carried out.
+        """
+        return self.fenced_at > -math.inf and not self.has_seen_token
+
     @property
     def settled_end(self):
         """Number of the last run end up to which the job of each is known or gone."""
