Give a worker in doubt no further starts, and free a task whose start was not sent

A start without an answer now makes the leader ask the worker, which gets no other until it lists its runs; and a start that never got a connection frees its task at once.

--- a/features/granted_leases.feature
+++ b/features/granted_leases.feature
@@ -29,3 +29,14 @@
       | calls                                          | seconds |
       | a start and a poll, without a restart          | 1.1     |
       | a start after its last poll, without a restart | 1.1     |
+
+  Scenario Outline: tasks wait for the lease of a silent worker (a start <outcome>, a list afterwards: <listed>)
+    Then after a start "<outcome>", listed later: "<listed>", its task is free: "<free>", its worker usable: "<usable>"
+
+    Examples: a call that was never sent reached nobody; a worker in doubt gets no further starts until it answers
+      | outcome             | listed | free | usable |
+      | that was answered   | no     | no   | yes    |
+      | that was never sent | no     | yes  | no     |
+      | that was never sent | yes    | yes  | yes    |
+      | without an answer   | no     | no   | no     |
+      | without an answer   | yes    | no   | yes    |
--- a/features/steps/granted_lease_steps.py
+++ b/features/steps/granted_lease_steps.py
@@ -26,3 +26,12 @@
 def check_handed_over(context, calls):
     left_s_by_task = asyncio.run(granted_leases.hand_over(calls))
     assert min(left_s_by_task.values()) >= 0, left_s_by_task
+
+
+@then(
+    'after a start "{outcome}", listed later: "{listed}", its task is free: "{free}", '
+    'its worker usable: "{usable}"'
+)
+def check_after_start(context, outcome, listed, free, usable):
+    found = asyncio.run(granted_leases.after_start_to(outcome, listed == "yes"))
+    assert found == (free == "yes", usable == "yes"), found
--- a/features/support/granted_leases.py
+++ b/features/support/granted_leases.py
@@ -12,6 +12,7 @@
 from features.support.work_tables import start_run
 from sassafrasgrade.platform.messages import RunningRow, WorkerView
 from sassafrasgrade.platform.workers import OrderOutcome, WorkerReply
+from sassafrasgrade.systems.task_placement import is_usable
 from sassafrasgrade.timers import MS_PER_S
 from sassafrasgrade.work_tables import RunState
 from sassafrasgrade.worker_sessions import WorkerSession
@@ -313,3 +314,37 @@
     return {
         row.task: now + left_by_task[row.task] - life.lapses_at() for row in life.rows
     }
+
+
+# Outcomes of a start, by what became of it.
+OUTCOMES_BY_NAME = {
+    "that was answered": OrderOutcome.DONE,
+    "that was never sent": OrderOutcome.NOT_SENT,
+    "without an answer": OrderOutcome.UNKNOWN,
+}
+
+
+async def after_start_to(outcome, is_listed_later):
+    """Returns whether a start's task and its worker are free for another start.
+
+    Args:
+        outcome: Key of ``OUTCOMES_BY_NAME``.
+        is_listed_later: Whether the worker then answers a poll, with an empty list.
+    """
+    worker = RestartedWorker()
+    worker.next_life = worker.first_life
+    await worker.poll()
+    row = worker.session.worker
+    assert is_usable(row, worker.timers.now())
+
+    async def start(order, timeout_s):
+        return WorkerReply(OUTCOMES_BY_NAME[outcome], worker.first_life.clock_ms())
+
+    worker.client.start, worker.client.hangs_polls = start, True
+    await worker.start(JOBS[0])
+    worker.client.hangs_polls = False
+    if is_listed_later:
+        worker.timers.advance(CALL_DELAY_S)
+        await worker.poll()
+    task = worker.leader.tables.tasks_by_name[f"{JOBS[0]}.0.0.0"]
+    return not task.runs_by_number, is_usable(row, worker.timers.now())
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -429,8 +429,12 @@
             run.state = RunState.UNCERTAIN
             self.handle_unanswered_start(worker, run)
             return
-        forget_run(self.tables, run, EndProof(ProofKind.START_REFUSED, now), now)
-        if reply.outcome is OrderOutcome.FENCED:
+        is_sent = reply.outcome is not OrderOutcome.NOT_SENT
+        kind = ProofKind.START_REFUSED if is_sent else ProofKind.START_NOT_SENT
+        forget_run(self.tables, run, EndProof(kind, now), now)
+        if not is_sent and worker is not None:
+            self._doubt(worker)
+        elif reply.outcome is OrderOutcome.FENCED:
             self.handle_fenced(run.worker_id, run.token)
         elif reply.outcome is OrderOutcome.WRONG_INSTANCE and worker is not None:
             self.handle_replaced_worker(worker)
@@ -451,10 +455,16 @@
         waits until a list shows it, or the order's deadline has passed.
         """
         if worker is not None:
-            worker.failures += 1
+            self._doubt(worker)
         if not run.task.step.is_perpetual:
             self.carry_out(StopRun(run, "start without an answer"))
 
+    def _doubt(self, worker):
+        """Gives a worker no new runs until it has answered a question."""
+        worker.failures += 1
+        worker.doubted_at = self.timers.now()
+        self.carry_out(AskWorker(worker.worker_id))
+
     def drop_unsent_start(self, run, reason):
         """Forgets a run whose start was never sent."""
         now = self.timers.now()
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -65,6 +65,8 @@
     Returns:
         Commands.
     """
+    if sent_at >= worker.doubted_at:
+        worker.doubted_at = 0.0
     if view.clock_ms < worker.view_clock_ms:
         # Answers on different connections may arrive out of order.
         return []
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -115,6 +115,7 @@
         and not worker.is_draining
         and not worker.is_reserved
         and worker.unresponsive_since == 0
+        and worker.doubted_at == 0
         and worker.missing_since == 0
         and now >= worker.usable_after
     )
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -351,6 +351,8 @@
         first_view_clock_ms: The worker's clock in the first view applied.
         unresponsive_since: Clock of the first unanswered call since its last answer; 0
             if there is none.
+        doubted_at: Clock of the last start without an answer, if no list was requested
+            since; 0 otherwise. Meanwhile it gets no new runs.
         failures: Decaying count of runs that failed, stalled or were slow, and of
             starts that were not answered or refused as unhealthy.
         successes: Decaying count of runs that ended ``done``.
@@ -397,6 +399,7 @@
     view_clock_ms: float = 0.0
     first_view_clock_ms: float = 0.0
     unresponsive_since: float = 0.0
+    doubted_at: float = 0.0
     failures: float = 0.0
     successes: float = 0.0
     usable_after: float = 0.0
@@ -414,11 +417,6 @@
         """Whether calls to it carry a token that earlier incarnations have seen."""
         return self.fenced_at == math.inf
 
-    @property
-    def has_runs(self):
-        """Whether it may run anything, also of jobs that are not known yet."""
-        return bool(self.runs_by_key or self.unclaimed_runs)
-
     @property
     def accepts_earlier_calls(self):
         """Whether it has restarted and not seen a token that its earlier calls lack.
@@ -427,6 +425,11 @@
         """
         return self.fenced_at > -math.inf and not self.has_seen_token
 
+    @property
+    def has_runs(self):
+        """Whether it may run anything, also of jobs that are not known yet."""
+        return bool(self.runs_by_key or self.unclaimed_runs)
+
     @property
     def settled_end(self):
         """Number of the last run end up to which the job of each is known or gone."""
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -272,7 +272,7 @@
             )
             if not is_overtaken or self._is_closed or not is_due():
                 break
-        if reply.outcome is OrderOutcome.UNKNOWN:
+        if reply.outcome in (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT):
             self._may_have_restarted = True
         return reply, token
 
