--- a/features/support/virtual/peers.py
+++ b/features/support/virtual/peers.py
@@ -11,6 +11,7 @@
     """One end of a connection between two nodes; messages arrive in order."""
 
     def __init__(self, world, owner, other_name):
+        self._number = next(world.stream_numbers)
         self._world = world
         self._owner = owner
         self._other_name = other_name
@@ -19,6 +20,10 @@
         self.on_message = self.on_close = lambda *arguments: None
         self._last_arrival = 0.0
 
+    def __hash__(self):
+        """Returns its number: nodes keep sets of streams, and send in their order."""
+        return self._number
+
     def send(self, message):
         """Sends a message, unless the connection is closed."""
         if self.is_closed or not self._owner.is_alive:
--- a/features/support/virtual/worlds.py
+++ b/features/support/virtual/worlds.py
@@ -103,6 +103,7 @@
         self.takeovers = 0
         self.on_takeover = []
         self.lost_handover_until = 0.0
+        self.stream_numbers = itertools.count()
         self._heap = []
         self._numbers = itertools.count()
         self._seed = seed
