Reproduces two runs after a worker's restart in virtual time

Workers that go dark leave connections that stay silent, complete those that are opened meanwhile, and register some time after they are back; tasks may be long.

The start went out after the rebirth with the clock of the former incarnation. A start after an acknowledged `done` in 5 (opened-while-dark): a poll is refused for its token by the new incarnation, and the next one acknowledges its ends by the former one's numbers. No logic is changed; the rows are known red.

--- a/features/support/virtual/cases.py
+++ b/features/support/virtual/cases.py
@@ -8,9 +8,15 @@
 
 # When the directed faults begin, in seconds: jobs are under way by then.
 BEGIN_S = 8.0
+# When workers are reborn one after the other, and how long each is cut off then.
+RESTARTS_S = (9.0, 21.0, 33.0)
+CUT_S = 9.0
 SMALL = Size(nodes=3, workers=3, seconds=30.0, job_period_s=0.25)
 WIDE = Size(nodes=3, workers=5, seconds=30.0, job_period_s=0.25)
 SPARSE = Size(nodes=2, workers=5, seconds=30.0, job_period_s=0.5)
+# Long tasks beside a steady flow of short ones.
+LONG = Size(nodes=3, workers=3, seconds=50.0, job_period_s=0.45, long_share=0.8)
+QUICK = Size(nodes=2, workers=3, seconds=45.0, job_period_s=0.35)
 BUSY = Size(nodes=2, workers=3, seconds=22.0, job_period_s=0.05)
 
 
@@ -202,7 +208,71 @@
     return (slow, _reborn(source, dark=False), _reborn(source, dark=False))
 
 
+def _restart_unheard(source, worker, begin_s, **options):
+    """Returns a dark restart of which the leader learns late.
+
+    The clock of the earlier incarnation is ahead by more than the longest lease.
+    """
+    options = {
+        "returns": "reborn",
+        "dark": True,
+        "silent_share": source.choice((0.5, 1.0)),
+        "registers_after_s": source.uniform(0.5, 1.5),
+    } | options
+    at, gap_s = begin_s + source.uniform(0.0, 3.0), source.uniform(0.02, 0.5)
+    return Fault("worker_crash", at, gap_s, worker, None, options)
+
+
+def _restarts_and_cuts(source):
+    """Yields three pairs of a restart and the cut after it."""
+    for worker, begin_s in zip(source.sample("012", 3), RESTARTS_S, strict=True):
+        crash = _restart_unheard(source, worker, begin_s)
+        at = crash.at + crash.lasts_s + source.uniform(0.1, 2.0)
+        options = {"from": "nodes", "how": source.choice(("both", "in", "out"))}
+        yield crash, Fault("worker_cut", at, CUT_S, worker, None, options)
+
+
+def cut_after_restart(source):
+    """n. A worker is reborn and cut off before the leader has heard of it."""
+    return tuple(fault for pair in _restarts_and_cuts(source) for fault in pair)
+
+
+def _with_lost_leader(source, kind, after_s, lasts_s):
+    faults = []
+    for crash, cut in _restarts_and_cuts(source):
+        at = cut.at + source.uniform(*after_s)
+        faults += [crash, cut, Fault(kind, at, lasts_s)]
+    return tuple(faults)
+
+
+def cut_after_restart_and_takeover(source):
+    """n. The leader is killed before the cut or in it."""
+    return _with_lost_leader(source, "node_kill", (-0.6, 6.0), 5.0)
+
+
+def cut_after_restart_and_handover(source):
+    """n. The leader hands over the runs of the worker that is cut off."""
+    return _with_lost_leader(source, "node_stop", (-2.0, 5.0), 8.0)
+
+
+def opened_while_dark(source):
+    """n. A poll whose connection is opened while its worker is dark reaches the next.
+
+    The worker dies between two polls: the next one waits for ends to be stored.
+    """
+    faults = []
+    for worker, begin_s in zip(source.sample("012", 3), RESTARTS_S, strict=True):
+        crash = _restart_unheard(source, worker, begin_s, silent_share=0.0)
+        slow = Fault("store_slow", crash.at - 0.7, 1.0, options={"slow_s": 0.5})
+        faults += [slow, crash]
+    return tuple(faults)
+
+
 CASES = {
+    "cut-after-restart": Case(cut_after_restart, LONG),
+    "cut-after-restart-and-takeover": Case(cut_after_restart_and_takeover, LONG),
+    "cut-after-restart-and-handover": Case(cut_after_restart_and_handover, LONG),
+    "opened-while-dark": Case(opened_while_dark, QUICK),
     "stored-for-earlier": Case(stored_for_earlier, BUSY),
     "queued-start": Case(queued_start, BUSY),
     "job-behind-barrier": Case(job_behind_barrier),
--- a/features/support/virtual/clouds.py
+++ b/features/support/virtual/clouds.py
@@ -20,6 +20,7 @@
         self.state = "up"
         self.worker = None
         self.listed_id = ""
+        self.registers_at = 0.0
 
 
 class SimulatedCloud:
@@ -52,8 +53,12 @@
         self._next_port += 1
         return f"10.0.1.1:{self._next_port}"
 
-    def boot(self, machine, worker_id=None, address=None):
-        """Starts a worker on a machine, under a new id unless one is given."""
+    def boot(self, machine, worker_id=None, address=None, silent_s=0.0, clock_ms=None):
+        """Starts a worker on a machine, under a new id unless one is given.
+
+        It registers after ``silent_s`` seconds; an earlier entry of its id stays
+        meanwhile. Its clock begins at ``clock_ms``, if that is given.
+        """
         if machine.worker is not None and machine.worker.is_up:
             return
         if worker_id is None:
@@ -67,6 +72,9 @@
         machine.worker = SimulatedWorker(
             self._world, worker_id, machine.name, machine.address, machine.pool, rate
         )
+        if clock_ms is not None:
+            machine.worker.first_clock_ms = clock_ms
+        machine.registers_at = self._world.now + silent_s
         machine.state = "up"
         self._world.log("worker", f"{machine.worker.label} is up", worker_id)
 
@@ -80,7 +88,9 @@
         worker = machine.worker
         if worker is None or not worker.is_up:
             return
-        if self._world.network.is_open(machine.name, "store"):
+        if self._world.now < machine.registers_at:
+            self._world.store.keep_registered(worker.worker_id)
+        elif self._world.network.is_open(machine.name, "store"):
             self._world.store.register(worker.worker_id, worker.entry())
 
     # The host service.
--- a/features/support/virtual/faults.py
+++ b/features/support/virtual/faults.py
@@ -88,6 +88,8 @@
     if not worker.is_up:
         return
     worker.die(options.get("dark", False))
+    if "silent_share" in options:
+        world.network.silence(worker.address, options["silent_share"])
     how = options.get("returns", "reborn")
     worker_id = worker.worker_id if how == "reborn" else None
     address = None if how in ("reborn", "reuse") else world.cloud.new_address()
@@ -95,7 +97,9 @@
         address = worker.address
     if how == "swap":
         address = _address_of_another(world, machine)
-    world.at(world.now + fault.lasts_s, world.cloud.boot, machine, worker_id, address)
+    at, silent_s = world.now + fault.lasts_s, options.get("registers_after_s", 0.0)
+    clock_ms = options.get("clock_ms")
+    world.at(at, world.cloud.boot, machine, worker_id, address, silent_s, clock_ms)
 
 
 def _address_of_another(world, machine):
--- a/features/support/virtual/jobs.py
+++ b/features/support/virtual/jobs.py
@@ -7,6 +7,11 @@
 HOST = "queue.example"
 PREFIX = "/q"
 SUBMIT_TIMEOUT_S = 3.0
+# Ranges of the estimated durations of tasks, in milliseconds.
+SHORT_MS = (200, 3000)
+LONG_MS = (6000, 20_000)
+# Small, so that workers always have room for the next task.
+LONG_CPU_MILLIS = 100
 
 
 class JobStream:
@@ -17,13 +22,15 @@
         random_source: Seeded ``random.Random``.
         period_s: Mean time between two jobs, in seconds.
         until: When the last one is submitted.
+        long_share: Share of the steps whose tasks take many seconds.
     """
 
-    def __init__(self, world, random_source, period_s, until):
+    def __init__(self, world, random_source, period_s, until, long_share=0.0):
         self._world = world
         self._random = random_source
         self._period_s = period_s
         self._until = until
+        self._long_share = long_share
         self._requests_by_id = {}
         self._next_id = 0
         self.submitted = self.accepted = 0
@@ -85,17 +92,23 @@
             return JobRequest(spec="s", steps=(step,))
         steps = []
         for number in range(random.choice((1, 2, 2, 3))):
+            is_long = self._draws_long()
+            count, cpu_millis = random.randint(1, 3), random.choice((250, 500, 1000))
             steps.append(
                 Step(
-                    count=random.randint(1, 3),
-                    cpu_millis=random.choice((250, 500, 1000)),
+                    count=count,
+                    cpu_millis=LONG_CPU_MILLIS if is_long else cpu_millis,
                     memory_mb=64,
-                    estimate_ms=random.uniform(200, 3000),
+                    estimate_ms=random.uniform(*(LONG_MS if is_long else SHORT_MS)),
                     after=(number - 1,) if number else (),
                 )
             )
         return JobRequest(spec="s", steps=tuple(steps))
 
+    def _draws_long(self):
+        # Nothing is drawn without long tasks, so that earlier seeds stay as they were.
+        return bool(self._long_share) and self._random.random() < self._long_share
+
     def _send(self, job_id, request, attempt):
         nodes = [node for node in self._world.nodes if node.is_running]
         if not nodes or attempt > 5:
--- a/features/support/virtual/networks.py
+++ b/features/support/virtual/networks.py
@@ -18,6 +18,10 @@
 # Range of the time after which a call is carried out late, in seconds (published).
 LATE_RANGE_S = (1.5, 12.0)
 ANYONE = "*"
+# Pause after which the first packet of a connection is repeated; it doubles.
+FIRST_REPEAT_S = 1.0
+# Chance that a call reuses a silent connection while another idle one works.
+SILENT_FIRST_SHARE = 0.5
 
 
 @dataclass(frozen=True)
@@ -54,12 +58,15 @@
         place: Name of its machine.
         handle: Called with an ``Arrival``; None once nothing listens.
         is_dark: Whether it ended without closing its connections.
+        is_opened_later: Whether connections that are opened while it is dark are
+            completed by what listens there next.
     """
 
     def __init__(self, place, handle):
         self.place = place
         self.handle = handle
         self.is_dark = False
+        self.is_opened_later = False
 
 
 @dataclass
@@ -100,6 +107,8 @@
         self.lateness = []
         self.delays_by_place = {}
         self.idle = Counter()
+        # Idle connections on which nothing comes back, and no reset either.
+        self.silent = Counter()
         self.calls = []
         self.last_spoken = {}
 
@@ -151,11 +160,34 @@
         if not is_dark:
             self.reset(address)
 
+    def silence(self, address, share):
+        """Ends a dark server's idle connections: a share goes silent for good.
+
+        The others are closed. Connections that are opened meanwhile are completed
+        later.
+        """
+        self.endpoints_by_address[address].is_opened_later = True
+        for key in list(self.idle):
+            if key[1] == address:
+                idle, self.idle[key] = self.idle[key], 0
+                self.silent[key] += sum(
+                    self.random.random() < share for _ in range(idle)
+                )
+
+    def takes_silent(self, key):
+        """Whether a call reuses a silent connection; it is not used again."""
+        if not self.silent[key]:
+            return False
+        if self.idle[key] and self.random.random() >= SILENT_FIRST_SHARE:
+            return False
+        self.silent[key] -= 1
+        return True
+
     def reset(self, address, caller=None):
         """Resets the connections to an address, of one node or of all."""
         for key in list(self.idle):
             if key[1] == address and caller in (None, key[0]):
-                self.idle[key] = 0
+                self.idle[key] = self.silent[key] = 0
         for call in list(self.calls):
             if call.address == address and caller in (None, call.node.name):
                 call.reset()
@@ -253,24 +285,34 @@
             self._request.request_timeout, self.fail, "timed out"
         )
         key = (self.node.name, self.address)
-        if network.idle[key] > 0:
+        if network.takes_silent(key):
+            self._is_reused = True
+            self._curl.note_sent()
+        elif network.idle[key] > 0:
             network.idle[key] -= 1
             self._is_reused = True
             self._send(self._copy)
         else:
             self._connect()
 
-    def _connect(self):
+    def _connect(self, repeat_s=FIRST_REPEAT_S):
         network, world = self._network, self._world
         self._is_reused = False
         endpoint = network.endpoints_by_address.get(self.address)
         if endpoint is None or endpoint.is_dark:
+            if endpoint is not None and endpoint.is_opened_later:
+                at = world.now + repeat_s
+                world.at(at, self._connect_again, self._copy, 2 * repeat_s)
             return
         there = network.arrival_at(self.node.name, endpoint.place)
         back = network.open_at(endpoint.place, self.node.name)
         opened_at = max(there, back) + network.delay_s(endpoint.place, self.node.name)
         world.at(opened_at, self._connected, self._copy, endpoint)
 
+    def _connect_again(self, copy, repeat_s):
+        if copy == self._copy and not self.future.done() and self.node.is_alive:
+            self._connect(repeat_s)
+
     def _connected(self, copy, endpoint):
         if copy != self._copy or self.future.done():
             return
--- a/features/support/virtual/stores.py
+++ b/features/support/virtual/stores.py
@@ -226,6 +226,12 @@
         if item is None or base64.b64decode(item["value"]) != value:
             self.put(key, value)
 
+    def keep_registered(self, worker_id):
+        """Keeps a listed registration for as long as a heartbeat does."""
+        key = names.WORKERS_PREFIX + worker_id
+        if key in self._heard_at:
+            self._heard_at[key] = self._world.now
+
     def _expire_registrations(self):
         now = self._world.now
         if now < self.down_until:
--- a/features/support/virtual/workers.py
+++ b/features/support/virtual/workers.py
@@ -8,6 +8,7 @@
 HOLD_MOST_MS = 6000.0
 STOP_MOST_S = 0.4
 MAX_LISTED_ENDS = 500
+FIRST_CLOCK_MS = 1000.0
 CAPACITY = {"cpu": 8000, "memMb": 32_768, "gpu": 0}
 HTTP_WRONG_INSTANCE = 421
 
@@ -63,6 +64,7 @@
         self.born_at = world.now
         self.born_ms = int((world.unix_s + world.now) * MS_PER_S)
         self._clock_rate = clock_rate
+        self.first_clock_ms = FIRST_CLOCK_MS
         self.is_up = True
         self.unhealthy_until = 0.0
         self.unhealthy_share = 1.0
@@ -84,7 +86,8 @@
 
     def clock_ms(self):
         """Returns the worker's own steady clock in milliseconds."""
-        return 1000.0 + (self._world.now - self.born_at) * self._clock_rate * MS_PER_S
+        lived_ms = (self._world.now - self.born_at) * self._clock_rate * MS_PER_S
+        return self.first_clock_ms + lived_ms
 
     def entry(self):
         """Returns its registration."""
--- a/features/support/virtual/worlds.py
+++ b/features/support/virtual/worlds.py
@@ -26,12 +26,21 @@
 
 @dataclass(frozen=True)
 class Size:
-    """Size of a simulated site and length of its run."""
+    """Size of a simulated site and length of its run.
+
+    Attributes:
+        nodes: Number of nodes.
+        workers: Number of workers.
+        seconds: Length of the run.
+        job_period_s: Mean time between two jobs, in seconds.
+        long_share: Share of the tasks that take many seconds.
+    """
 
     nodes: int = 3
     workers: int = 4
     seconds: float = 45.0
     job_period_s: float = 0.4
+    long_share: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -113,7 +122,11 @@
         self.checker = Checker(self)
         self.cloud = SimulatedCloud(self, self._random("cloud"))
         self.jobs = JobStream(
-            self, self._random("jobs"), size.job_period_s, size.seconds - 5.0
+            self,
+            self._random("jobs"),
+            size.job_period_s,
+            size.seconds - 5.0,
+            size.long_share,
         )
         self.nodes = [SimulatedNode(self, number) for number in range(size.nodes)]
         self._version = 0
@@ -223,7 +236,7 @@
         """Forgets the connections of a node that has ended."""
         for key in list(self.network.idle):
             if key[0] == node.name:
-                self.network.idle[key] = 0
+                self.network.idle[key] = self.network.silent[key] = 0
         calls = self.network.calls
         self.network.calls = [call for call in calls if call.node is not node]
 
--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -64,6 +64,23 @@
       | late-wide | 38    | 1     |
       | late-wide | 43    | 1     |
 
+    Examples: a worker is reborn and cut off, and its leader is lost
+      | case                           | first | seeds |
+      | cut-after-restart-and-takeover | 1     | 3     |
+
+    @known_red
+    Examples: a worker is reborn and cut off before a list of it is applied
+      | case                           | first | seeds |
+      | cut-after-restart              | 1     | 12    |
+      | cut-after-restart-and-handover | 1     | 8     |
+      | cut-after-restart-and-takeover | 4     | 10    |
+
+    @known_red
+    Examples: a poll opened to a dark worker is refused, and the next one forgets ends
+      | case              | first | seeds |
+      | opened-while-dark | 19    | 1     |
+      | opened-while-dark | 28    | 6     |
+
   Scenario Outline: wide schedules of late calls, <seeds> seeds from <first>
     When <seeds> seeds from <first> of the wide schedules are played in virtual time
     Then no task had two runs at a time, nor a start after its noted end
