--- a/features/support/virtual/networks.py
+++ b/features/support/virtual/networks.py
@@ -288,7 +288,7 @@
         key = (self.node.name, self.address)
         if network.takes_silent(key):
             self._is_reused = True
-            self._curl.note_sent()
+            self._curl.may_send()
         elif network.idle[key] > 0:
             network.idle[key] -= 1
             self._is_reused = True
