Lets stand-in workers vanish, return under their ids and be cut off

A second incarnation takes over the id and the address with empty memory and a clock of its own; the connections of the first one stay open and silent, new ones queue in the listening socket; its registration comes late. A long poll that a silent worker holds was answered with an empty body as soon as it ended; it is held now.

--- a/sassafrasgrade/tools/standins/fleet_handlers.py
+++ b/sassafrasgrade/tools/standins/fleet_handlers.py
@@ -7,6 +7,7 @@
 from tornado import gen
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
+from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 from sassafrasgrade.platform import names
@@ -14,6 +15,10 @@
 
 TICK_PERIOD_S = 0.02
 HEARTBEAT_PERIOD_S = 0.5
+# Pause between two looks at whether a call may be answered again.
+SILENCE_CHECK_S = 0.05
+# Reading of a worker's own clock at the start of an incarnation under an old id.
+FIRST_CLOCK_READING_S = 1.0
 MOVE_DURATION_S = 0.4
 # Time from the start of a crashing task to the crash, and until the worker is back.
 CRASH_DELAY_S = 0.01
@@ -30,25 +35,28 @@
         host_name: Host that it runs on.
         pool: Pool that it joins.
         port: TCP port that it listens on.
+        former: ``StandInWorker`` that ended by ``vanish`` and whose id and address it
+            takes over, or None. It then has a clock of its own.
 
     Attributes:
         is_dark: Whether its calls are held unanswered.
         is_closed: Whether it has ended: nothing revives it.
     """
 
-    def __init__(self, fleet, host_name, pool, port):
+    def __init__(self, fleet, host_name, pool, port, former=None):
         self.fleet = fleet
         self.host_name = host_name
         self.port = port
         self.address = f"{fleet.address}:{port}"
-        worker_id = f"i-{host_name}-{fleet.next_incarnation()}"
         self.state = WorkerState(
-            worker_id,
+            former.worker_id if former else f"i-{host_name}-{fleet.next_incarnation()}",
             pool,
             CAPACITY_CPU_MILLIS,
             int(time.time() * 1000),
             fleet.history,
         )
+        if former is not None:
+            self.state.clock_offset_s = FIRST_CLOCK_READING_S - fleet.timers.now()
         self.is_dark = False
         self.is_closed = False
         self.is_draining = False
@@ -61,7 +69,11 @@
             ]
         )
         self._server = HTTPServer(application)
-        self._server.listen(port, fleet.address)
+        # The server gets a duplicate, so that connections queue here after its end.
+        self._listener = (
+            former._listener if former else bind_sockets(port, fleet.address)[0]
+        )
+        self._server.add_sockets([self._listener.dup()])
 
     @property
     def worker_id(self):
@@ -70,6 +82,15 @@
 
     def close(self, now):
         """Ends this incarnation: its runs are lost and its server stops."""
+        self.vanish(now)
+        self._listener.close()
+
+    def vanish(self, now):
+        """Ends this incarnation as a loss of power does: its runs are lost.
+
+        Its connections stay open and silent. New ones are not accepted, but wait for
+        the next incarnation at this address.
+        """
         self.state.mark_runs_lost(now)
         self._server.stop()
         self.is_closed = True
@@ -120,6 +141,8 @@
         self.workers_by_host = {}
         self.pools_by_host = {}
         self.host_orders = []
+        # (Time, what befell a worker, its id.)
+        self.events = []
         self._ports = ports
         self._incarnation_count = 0
         timers.subscribe(TICK_PERIOD_S, self._tick)
@@ -171,6 +194,57 @@
             pool = self.pools_by_host[worker.host_name]
             self._start_worker(worker.host_name, pool, worker.port)
 
+    async def vanish_and_return(self, host_name, dark_s, registration_delay_s):
+        """Lets a host's worker vanish; one with its id, but no memory, takes its place.
+
+        Args:
+            host_name: The host.
+            dark_s: Time between the two incarnations in seconds.
+            registration_delay_s: Time from the second one's start to its registration
+                in seconds; until then, that of the first one stays.
+
+        Returns:
+            The second ``StandInWorker``, as soon as it has started.
+        """
+        former = self.workers_by_host.pop(host_name)
+        former.vanish(self.timers.now())
+        self._record("vanishes", former)
+        await gen.sleep(dark_s)
+        worker = StandInWorker(self, host_name, former.state.pool, former.port, former)
+        self.workers_by_host[host_name] = worker
+        self._record("returns", worker)
+        IOLoop.current().call_later(registration_delay_s, self._register_late, worker)
+        return worker
+
+    def _register_late(self, worker):
+        if not worker.is_closed:
+            self.register(worker)
+            self._record("registers", worker)
+
+    def _record(self, event, worker):
+        self.events.append((self.timers.now(), event, worker.worker_id))
+
+    async def vanish_return_and_cut(
+        self, host_name, dark_s, registration_delay_s, cut_after_s, cut_s
+    ):
+        """Lets a worker vanish and return, and cuts the second incarnation off.
+
+        Args:
+            host_name: The host.
+            dark_s: As of ``vanish_and_return``.
+            registration_delay_s: As of ``vanish_and_return``.
+            cut_after_s: Time from the second start to the cut in seconds.
+            cut_s: Duration of the cut in seconds: its runs go on, and nothing is
+                answered, closed or reset.
+        """
+        worker = await self.vanish_and_return(host_name, dark_s, registration_delay_s)
+        await gen.sleep(cut_after_s)
+        worker.is_dark = True
+        self._record("is cut off", worker)
+        await gen.sleep(cut_s)
+        worker.is_dark = False
+        self._record("answers again", worker)
+
     async def execute_order(self, host_name, pool, kind, is_standby):
         """Moves or maintains a host, and starts a new worker unless it is on standby.
 
@@ -199,16 +273,22 @@
 
     async def prepare(self):
         """Holds calls while silent; rejects calls meant for other incarnations."""
-        while self.worker.is_dark or self.worker.is_closed:
-            await gen.sleep(0.1)
-            if self.request.connection.stream.closed():
-                self._finished = True
-                return
+        if not await self.hold_while_silent():
+            return
         expected = self.request.headers.get(names.EXPECT_INSTANCE_HEADER)
         if expected not in (None, self.worker.worker_id):
             self.set_status(421)
             self.finish({})
 
+    async def hold_while_silent(self):
+        """Waits until the worker may answer; returns False if the caller has left."""
+        while self.worker.is_dark or self.worker.is_closed:
+            await gen.sleep(SILENCE_CHECK_S)
+            if self.request.connection.stream.closed():
+                self._finished = True
+                return False
+        return True
+
     def body(self):
         """Returns the decoded JSON body."""
         return json.loads(self.request.body)
@@ -257,7 +337,7 @@
         deadline = self.now() + body.get("waitMs", 0) / 1000
         while not state.ended and self.now() < deadline:
             await gen.sleep(TICK_PERIOD_S)
-        if not (self.worker.is_dark or self.worker.is_closed):
+        if await self.hold_while_silent():
             self.answer((200, state.describe_runs(self.now())))
 
 
--- a/sassafrasgrade/tools/standins/worker_states.py
+++ b/sassafrasgrade/tools/standins/worker_states.py
@@ -52,6 +52,9 @@
 class WorkerState:
     """One incarnation of a stand-in worker.
 
+    All times are of the stand-ins' clock, so that runs of different workers compare;
+    only what is sent and received is on the worker's own clock.
+
     Attributes:
         worker_id: Identifier of the incarnation.
         pool: Pool of the worker.
@@ -65,6 +68,7 @@
             starts up to it are rejected.
         hangs: Whether its runs are stalled: they make no progress and don't end.
         fails: Whether the runs that it starts fail.
+        clock_offset_s: The worker's own clock minus the stand-ins' clock, in seconds.
     """
 
     worker_id: str
@@ -80,6 +84,7 @@
     barred_by_task: dict = field(default_factory=dict)
     hangs: bool = False
     fails: bool = False
+    clock_offset_s: float = 0.0
 
     def tick(self, now):
         """Ends the runs that are due; returns whether any ended."""
@@ -106,7 +111,7 @@
             return 200, self._clock(now)
         if body["run"] <= self.barred_by_task.get(body["task"], 0):
             return self._reject("old", now)
-        deadline = body["deadlineMs"] / MS_PER_S
+        deadline = self._time_of(body["deadlineMs"])
         if deadline < now:
             return self._reject("late", now)
         self._extend_lease(deadline, now)
@@ -151,7 +156,7 @@
             return self._reject("fence", now)
         self.token = body["fencingToken"]
         if "deadlineMs" in body:
-            self._extend_lease(body["deadlineMs"] / MS_PER_S, now)
+            self._extend_lease(self._time_of(body["deadlineMs"]), now)
         for number, run in self.ended:
             if number <= body["observed"]:
                 run.acknowledged_at = run.acknowledged_at or now
@@ -198,7 +203,11 @@
         self.ended.append((self.last_end_number, run))
 
     def _clock(self, now):
-        return {"timestampMs": int(now * MS_PER_S)}
+        return {"timestampMs": int((now + self.clock_offset_s) * MS_PER_S)}
+
+    def _time_of(self, clock_ms):
+        """Returns the stand-ins' time at a reading of the worker's own clock."""
+        return clock_ms / MS_PER_S - self.clock_offset_s
 
     def _reject(self, reason, now):
         return 409, self._clock(now) | {"reason": reason}
