Shows two runs after a worker's restart with real nodes (known red)

features/restarted_workers.feature plays a worker that vanishes while a long poll waits there, returns under its id with a clock of its own, answers starts and is cut off before its first list is applied.

--- a/features/support/node_fleets.py
+++ b/features/support/node_fleets.py
@@ -23,10 +23,10 @@
 class NodeFleet:
     """A ``FleetHarness`` with the requests and faults that scenarios need."""
 
-    def __init__(self, nodes, hosts):
+    def __init__(self, nodes, hosts, has_standby=True):
         folder = tempfile.mkdtemp(prefix="sassafrasgrade-nodes-")
         self.folder = folder
-        self.harness = FleetHarness(folder, nodes, hosts)
+        self.harness = FleetHarness(folder, nodes, hosts, has_standby)
         self._timers = []
 
     def start(self):
--- a/features/support/restarted_workers.py
+++ b/features/support/restarted_workers.py
@@ -5,16 +5,16 @@
 
 import json
 import random
-import signal
 import sys
 import threading
 import time
-from dataclasses import dataclass
 
 import fire
 from tornado.ioloop import IOLoop
 
-from features.support.node_fleets import NodeFleet, restart_when_ended
+from features.support.node_fleets import NodeFleet, kill_and_restart
+from features.support.waiting import wait_until
+from sassafrasgrade.tools.standins.fleet_handlers import SilentRestart
 from sassafrasgrade.tools.standins.worker_states import find_violations
 
 NODES = 3
@@ -23,46 +23,24 @@
 SUBMIT_PAUSE_S = 0.1
 TASKS_PER_JOB = 3
 TASK_CPU_MILLIS = 40
-WARM_UP_S = 4.0
+TASK_MS = (10_000, 20_000)
+# Runs that have begun before the first worker vanishes.
+RUNS_BEFORE = 90
+WAIT_TIMEOUT_S = 20.0
 CUT_S = 9.0
-# Time from a cut until the tasks that were taken for lapsed have started elsewhere.
-LAPSE_S = 8.5
 # Time between a leader's end and a cut.
 KILL_LEAD_S = 0.6
-
-
-@dataclass(frozen=True)
-class RestartPlan:
-    """When the workers vanish, return and are cut off, in seconds.
-
-    Attributes:
-        workers: Number of workers that return.
-        begins_after_s: Time from the end of the warm-up until they vanish.
-        dark_s: Time until they are back.
-        registration_delay_s: Time from then until their registration is written.
-        cut_after_s: Time from their return to the cut.
-        kills_leader: Whether the leader is killed shortly before the cut.
-    """
-
-    workers: int
-    begins_after_s: float
-    dark_s: float
-    registration_delay_s: float
-    cut_after_s: float
-    kills_leader: bool = False
-
-
-def choose_plan(seed, kills_leader=False):
-    """Returns the plan of a seed."""
-    rng = random.Random(f"{seed} restarted")
-    return RestartPlan(
-        rng.randint(1, 2),
-        round(rng.uniform(0.0, 1.5), 2),
-        round(rng.uniform(0.3, 0.8), 2),
-        round(rng.uniform(0.0, 1.5), 2),
-        round(rng.uniform(0.3, 2.5), 2),
-        kills_leader,
-    )
+# Log lines on a worker that tell what its leader took it for.
+WORKER_EVENTS = frozenset(
+    {
+        "dependency lost",
+        "dependency regained",
+        "worker-restarted",
+        "worker-lapsed",
+        "worker token raised",
+        "worker-reported",
+    }
+)
 
 
 class LongTasks:
@@ -70,18 +48,24 @@
 
     Args:
         fleet: ``NodeFleet``.
-        rng: Seeded ``random.Random``.
+        seed: Seed of the jobs.
     """
 
-    def __init__(self, fleet, rng):
+    def __init__(self, fleet, seed):
         self._fleet = fleet
-        self._rng = rng
+        self._rng = random.Random(f"{seed} long tasks")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run)
 
     def start(self):
-        """Starts to submit jobs."""
+        """Starts to submit jobs; returns once many of their tasks run."""
         self._thread.start()
+        stand_in = self._fleet.harness.fleet
+        wait_until(
+            lambda: len(stand_in.history) >= RUNS_BEFORE,
+            WAIT_TIMEOUT_S,
+            "the first tasks run",
+        )
 
     def stop(self):
         """Stops submitting."""
@@ -93,69 +77,105 @@
             self._fleet.submit(f"{self._rng.getrandbits(64):016x}", self._body())
 
     def _body(self):
-        ms = self._rng.randint(10_000, 20_000)
+        ms = self._rng.randint(*TASK_MS)
         spec = json.dumps({"ms": ms, "cpu": TASK_CPU_MILLIS})
         step = {"cpu": TASK_CPU_MILLIS, "memMb": 16, "estimateMs": ms}
         return {"spec": spec, "steps": [step | {"count": TASKS_PER_JOB}]}
 
 
-def play(fleet, plan, seed):
-    """Plays a plan on a started fleet under load; returns the violations found."""
-    load = LongTasks(fleet, random.Random(f"{seed} long tasks"))
-    stand_in = fleet.harness.fleet
-    load.start()
-    try:
-        threading.Event().wait(WARM_UP_S + plan.begins_after_s)
-        fleet.harness.call(_schedule, stand_in, plan)
-        cut_after_s = plan.dark_s + plan.cut_after_s
-        if plan.kills_leader:
-            threading.Event().wait(max(0.0, cut_after_s - KILL_LEAD_S))
-            leader = fleet.leader()
-            leader.send_signal(signal.SIGKILL)
-            restart_when_ended(fleet, leader)
-        threading.Event().wait(cut_after_s + LAPSE_S)
-    finally:
-        load.stop()
-    history = fleet.harness.call(list, stand_in.history)
-    return find_violations(history, fleet.harness.timers.now())
-
+def restart_and_cut(fleet, workers, restart, kills_leader=False):
+    """Restarts workers and cuts them off, until all that ran at the cut has ended.
 
-def _schedule(stand_in, plan):
-    for host in sorted(stand_in.workers_by_host)[: plan.workers]:
-        IOLoop.current().add_callback(
-            stand_in.vanish_return_and_cut,
-            host,
-            plan.dark_s,
-            plan.registration_delay_s,
-            plan.cut_after_s,
-            CUT_S,
+    Args:
+        fleet: ``NodeFleet``, under load.
+        workers: Number of workers.
+        restart: ``SilentRestart``.
+        kills_leader: Whether the leader is killed, and started again, ``KILL_LEAD_S``
+            before the cut.
+    """
+    harness, stand_in = fleet.harness, fleet.harness.fleet
+    harness.call(_schedule, stand_in, workers, restart)
+    wait_until(
+        lambda: has_happened(stand_in, ("returns",), 1),
+        WAIT_TIMEOUT_S,
+        "a worker is back",
+    )
+    if kills_leader:
+        leader = fleet.leader()
+        fleet.call_later(
+            max(0.0, restart.cut_after_s - KILL_LEAD_S),
+            kill_and_restart,
+            fleet,
+            [leader],
         )
+    wait_until(
+        lambda: has_happened(stand_in, ("is cut off", "ended otherwise"), workers),
+        WAIT_TIMEOUT_S,
+        "all workers are cut off",
+    )
+    cut_off = [
+        worker
+        for worker in harness.call(list, stand_in.workers_by_host.values())
+        if worker.is_dark
+    ]
+    wait_until(
+        lambda: not any(worker.state.runs_by_key for worker in cut_off),
+        WAIT_TIMEOUT_S,
+        "all that ran at the cut has ended",
+    )
 
 
-# Log lines on a worker that tell what its leader took it for.
-WORKER_EVENTS = frozenset(
-    {
-        "dependency lost",
-        "dependency regained",
-        "worker-restarted",
-        "worker-lapsed",
-        "worker token raised",
-        "worker-reported",
+def _schedule(stand_in, workers, restart):
+    """Restarts the workers that tasks were started on last: more are on their way."""
+    latest_by_worker = {run.worker_id: run.started_at for run in stand_in.history}
+    hosts = sorted(
+        stand_in.workers_by_host,
+        key=lambda host: latest_by_worker.get(
+            stand_in.workers_by_host[host].worker_id, 0.0
+        ),
+    )
+    for host in hosts[-workers:]:
+        IOLoop.current().add_callback(stand_in.vanish_and_return, host, restart)
+
+
+def has_happened(stand_in, events, count):
+    """Whether one of some events has befallen a number of workers."""
+    return sum(row.event in events for row in list(stand_in.events)) >= count
+
+
+def runs_at_cut(fleet):
+    """Returns the runs that were alive when their workers were cut off."""
+    stand_in = fleet.harness.fleet
+    cut_at_by_worker = {
+        row.worker_id: row.at
+        for row in list(stand_in.events)
+        if row.event == "is cut off"
     }
-)
+    return [
+        run
+        for run in list(stand_in.history)
+        if run.started_at < cut_at_by_worker.get(run.worker_id, 0.0) < run.ended_at
+    ]
+
+
+def violations_of(fleet):
+    """Returns what ``find_violations`` says of all runs so far."""
+    history = fleet.harness.call(list, fleet.harness.fleet.history)
+    return find_violations(history, fleet.harness.timers.now())
 
 
 def describe(fleet, violations, most=3):
     """Returns lines on violations in order of time: stand-ins' history, nodes' logs."""
     tasks = sorted({text.partition(":")[0] for text in violations})[:most]
     stand_in = fleet.harness.fleet
-    rows = [(at, f"{event} {worker}") for at, event, worker in stand_in.events]
-    restarted = {worker for _, _, worker in stand_in.events}
+    rows = [(row.at, f"{row.worker_id} {row.event}") for row in stand_in.events]
+    restarted = {row.worker_id for row in stand_in.events}
     for run in stand_in.history:
         if run.task in tasks:
             name = f"{run.task} run {run.number} on {run.worker_id}"
             rows.append((run.started_at, f"{name} begins"))
-            rows.append((run.ended_at, f"{name} ends: {run.how or 'alive'}"))
+            if run.how:
+                rows.append((run.ended_at, f"{name} ends: {run.how}"))
     # Nodes log the time of day.
     offset_s = time.time() - fleet.harness.timers.now()
     for node in fleet.harness.nodes:
@@ -168,6 +188,15 @@
     return [f"  {at:.3f} {text}" for at, text in sorted(rows)]
 
 
+def choose_restart(seed):
+    """Returns (number of workers, ``SilentRestart``) of a seed."""
+    rng = random.Random(f"{seed} restarted")
+    workers = rng.randint(1, 2)
+    limits = ((0.0, 1.15), (0.3, 0.8), (0.0, 1.5), (0.3, 2.5))
+    times = [round(rng.uniform(*limit), 2) for limit in limits]
+    return workers, SilentRestart(*times, CUT_S)
+
+
 def run(first=1, plays=1, kills_leader=False):
     """Plays seeds; exits with status 1 if any task ran twice at once.
 
@@ -178,16 +207,21 @@
     """
     failed = []
     for seed in range(first, first + plays):
-        plan = choose_plan(seed, kills_leader)
-        fleet = NodeFleet(NODES, HOSTS)
+        fleet = NodeFleet(NODES, HOSTS, has_standby=False)
+        workers, restart = choose_restart(seed)
+        load = LongTasks(fleet, seed)
         try:
             fleet.start()
-            violations = play(fleet, plan, seed)
+            load.start()
+            restart_and_cut(fleet, workers, restart, kills_leader)
+            violations = violations_of(fleet)
             lines = describe(fleet, violations)
-            runs = len(fleet.harness.fleet.history)
         finally:
+            load.stop()
             fleet.stop()
-        print(f"seed {seed}: {runs} runs, {len(violations)} violations, {plan}")
+        runs = len(fleet.harness.fleet.history)
+        text = f"{runs} runs, {len(violations)} violations, {workers} workers"
+        print(f"seed {seed}: {text}, {restart}")
         if violations:
             failed.append(seed)
             print(*lines, f"  outputs: {fleet.folder}", sep="\n")
--- a/sassafrasgrade/tools/standins/fleet_handlers.py
+++ b/sassafrasgrade/tools/standins/fleet_handlers.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import time
+from dataclasses import dataclass
 
 from tornado import gen
 from tornado.httpserver import HTTPServer
@@ -27,6 +28,37 @@
 CAPACITY_MEMORY_MB = 65_536
 
 
+@dataclass(frozen=True)
+class SilentRestart:
+    """A restart under the same id, without a reset of connections, and a cut after it.
+
+    Attributes:
+        after_poll_s: Time from the arrival of a long poll until the first incarnation
+            ends, in seconds; None to end it at once.
+        dark_s: Time between the two incarnations in seconds.
+        registration_delay_s: Time from the second one's start to its registration in
+            seconds; until then, that of the first one stays.
+        cut_after_s: Time from the second one's start to the cut in seconds.
+        cut_s: Duration of the cut in seconds: the runs go on and their leases lapse,
+            but nothing is answered, closed or reset.
+    """
+
+    after_poll_s: float | None
+    dark_s: float
+    registration_delay_s: float
+    cut_after_s: float
+    cut_s: float
+
+
+@dataclass(frozen=True)
+class WorkerEvent:
+    """What befell a worker at a time of the stand-ins' clock, in seconds."""
+
+    at: float
+    event: str
+    worker_id: str
+
+
 class StandInWorker:
     """A worker: its state, its HTTP server and its registration.
 
@@ -41,6 +73,7 @@
     Attributes:
         is_dark: Whether its calls are held unanswered.
         is_closed: Whether it has ended: nothing revives it.
+        long_polls: Number of long polls that have arrived.
     """
 
     def __init__(self, fleet, host_name, pool, port, former=None):
@@ -60,6 +93,7 @@
         self.is_dark = False
         self.is_closed = False
         self.is_draining = False
+        self.long_polls = 0
         fields = {"worker": self}
         application = Application(
             [
@@ -80,6 +114,12 @@
         """Identifier of this incarnation."""
         return self.state.worker_id
 
+    async def await_long_poll(self):
+        """Waits until the next long poll has arrived, or this incarnation has ended."""
+        before = self.long_polls
+        while self.long_polls == before and not self.is_closed:
+            await gen.sleep(TICK_PERIOD_S)
+
     def close(self, now):
         """Ends this incarnation: its runs are lost and its server stops."""
         self.vanish(now)
@@ -141,7 +181,6 @@
         self.workers_by_host = {}
         self.pools_by_host = {}
         self.host_orders = []
-        # (Time, what befell a worker, its id.)
         self.events = []
         self._ports = ports
         self._incarnation_count = 0
@@ -194,27 +233,36 @@
             pool = self.pools_by_host[worker.host_name]
             self._start_worker(worker.host_name, pool, worker.port)
 
-    async def vanish_and_return(self, host_name, dark_s, registration_delay_s):
-        """Lets a host's worker vanish; one with its id, but no memory, takes its place.
+    async def vanish_and_return(self, host_name, restart):
+        """Lets a worker vanish; one with its id, but no memory, takes its place.
 
         Args:
             host_name: The host.
-            dark_s: Time between the two incarnations in seconds.
-            registration_delay_s: Time from the second one's start to its registration
-                in seconds; until then, that of the first one stays.
-
-        Returns:
-            The second ``StandInWorker``, as soon as it has started.
+            restart: ``SilentRestart``.
         """
-        former = self.workers_by_host.pop(host_name)
+        former = self.workers_by_host[host_name]
+        if restart.after_poll_s is not None:
+            await former.await_long_poll()
+            await gen.sleep(restart.after_poll_s)
+        if former.is_closed:
+            self._record("ended otherwise", former)
+            return
+        del self.workers_by_host[host_name]
         former.vanish(self.timers.now())
         self._record("vanishes", former)
-        await gen.sleep(dark_s)
+        await gen.sleep(restart.dark_s)
         worker = StandInWorker(self, host_name, former.state.pool, former.port, former)
         self.workers_by_host[host_name] = worker
         self._record("returns", worker)
-        IOLoop.current().call_later(registration_delay_s, self._register_late, worker)
-        return worker
+        IOLoop.current().call_later(
+            restart.registration_delay_s, self._register_late, worker
+        )
+        await gen.sleep(restart.cut_after_s)
+        worker.is_dark = True
+        self._record("is cut off", worker)
+        await gen.sleep(restart.cut_s)
+        worker.is_dark = False
+        self._record("answers again", worker)
 
     def _register_late(self, worker):
         if not worker.is_closed:
@@ -222,28 +270,7 @@
             self._record("registers", worker)
 
     def _record(self, event, worker):
-        self.events.append((self.timers.now(), event, worker.worker_id))
-
-    async def vanish_return_and_cut(
-        self, host_name, dark_s, registration_delay_s, cut_after_s, cut_s
-    ):
-        """Lets a worker vanish and return, and cuts the second incarnation off.
-
-        Args:
-            host_name: The host.
-            dark_s: As of ``vanish_and_return``.
-            registration_delay_s: As of ``vanish_and_return``.
-            cut_after_s: Time from the second start to the cut in seconds.
-            cut_s: Duration of the cut in seconds: its runs go on, and nothing is
-                answered, closed or reset.
-        """
-        worker = await self.vanish_and_return(host_name, dark_s, registration_delay_s)
-        await gen.sleep(cut_after_s)
-        worker.is_dark = True
-        self._record("is cut off", worker)
-        await gen.sleep(cut_s)
-        worker.is_dark = False
-        self._record("answers again", worker)
+        self.events.append(WorkerEvent(self.timers.now(), event, worker.worker_id))
 
     async def execute_order(self, host_name, pool, kind, is_standby):
         """Moves or maintains a host, and starts a new worker unless it is on standby.
@@ -334,6 +361,7 @@
         if rejection is not None:
             self.answer(rejection)
             return
+        self.worker.long_polls += bool(body.get("waitMs"))
         deadline = self.now() + body.get("waitMs", 0) / 1000
         while not state.ended and self.now() < deadline:
             await gen.sleep(TICK_PERIOD_S)
--- a/sassafrasgrade/tools/standins/fleets.py
+++ b/sassafrasgrade/tools/standins/fleets.py
@@ -137,9 +137,10 @@
         folder: Folder for the settings and outputs of the nodes.
         node_count: Number of nodes.
         host_count: Hosts of the work pool; half as many more are on standby.
+        has_standby: Whether there is a standby pool, to which idle hosts are moved.
     """
 
-    def __init__(self, folder, node_count=3, host_count=4):
+    def __init__(self, folder, node_count=3, host_count=4, has_standby=True):
         logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
         self._loop = None
         self._ready = threading.Event()
@@ -161,6 +162,7 @@
             for number in range(node_count)
         ]
         self.version = 0
+        self._has_standby = has_standby
         self.call(self._create_stand_ins, store_port, cloud_port, ports, host_count)
 
     def _run_loop(self):
@@ -203,7 +205,8 @@
             node.lane.listen(node.lane_port, ADDRESS)
         for number in range(host_count):
             self.fleet.add_host(f"host-{number}", POOL)
-        for number in range(host_count, host_count + host_count // 2):
+        standby_count = host_count // 2 if self._has_standby else 0
+        for number in range(host_count, host_count + standby_count):
             self.fleet.add_host(f"host-{number}", STANDBY, is_standby=True)
         self._put_configuration()
 
@@ -211,10 +214,9 @@
         self.version += 1
         prefixes = [QUEUE_PREFIX, *more_prefixes]
         queues = [_queue(n, prefix) for n, prefix in enumerate(prefixes, 1)]
-        pools = [
-            {"name": POOL, "enforcesCapacity": True},
-            {"name": STANDBY, "enforcesCapacity": True, "standby": True},
-        ]
+        pools = [{"name": POOL, "enforcesCapacity": True}]
+        if self._has_standby:
+            pools.append({"name": STANDBY, "enforcesCapacity": True, "standby": True})
         value = {"version": self.version, "routes": queues, "services": pools}
         self._put(names.CONFIGURATION_KEY, value)
 
