Reproduces two runs after a quick restart, and beside late calls

No connection need be silent: a worker that is back within 80 ms, between two polls, takes the next long poll, which waits there while starts with the former clock are answered. No logic is changed; the rows are known red.

--- a/features/support/virtual/cases.py
+++ b/features/support/virtual/cases.py
@@ -16,6 +16,7 @@
 SPARSE = Size(nodes=2, workers=5, seconds=30.0, job_period_s=0.5)
 # Long tasks beside a steady flow of short ones.
 LONG = Size(nodes=3, workers=3, seconds=50.0, job_period_s=0.45, long_share=0.8)
+MIXED = Size(nodes=2, workers=3, seconds=50.0, job_period_s=0.35, long_share=0.5)
 QUICK = Size(nodes=2, workers=3, seconds=45.0, job_period_s=0.35)
 BUSY = Size(nodes=2, workers=3, seconds=22.0, job_period_s=0.05)
 
@@ -255,6 +256,37 @@
     return _with_lost_leader(source, "node_stop", (-2.0, 5.0), 8.0)
 
 
+def cut_after_restart_late_calls(source):
+    """n. Calls to the worker, from just before its end on, are carried out late."""
+    faults = []
+    for crash, cut in _restarts_and_cuts(source):
+        options = {"share": source.choice((0.2, 0.5)), "reaches_next": True}
+        late = Fault("late_orders", crash.at - 0.5, 3.0, crash.target, None, options)
+        faults += [late, crash, cut]
+    return tuple(faults)
+
+
+def cut_after_quick_restart(source):
+    """n. The next poll waits at the next incarnation; all connections are reset."""
+    faults = []
+    for worker, begin_s in zip(source.sample("012", 3), RESTARTS_S, strict=True):
+        options = {
+            "returns": "reborn",
+            "dark": False,
+            "registers_after_s": source.uniform(0.5, 1.5),
+        }
+        at, gap_s = begin_s + source.uniform(0.0, 3.0), source.uniform(0.005, 0.08)
+        cut_at = at + gap_s + source.uniform(0.1, 1.2)
+        how = {"from": "nodes", "how": source.choice(("both", "in", "out"))}
+        faults += [
+            # The worker ends between two polls: the next waits for ends to be stored.
+            Fault("store_slow", at - 0.7, 1.2, options={"slow_s": 0.5}),
+            Fault("worker_crash", at, gap_s, worker, None, options),
+            Fault("worker_cut", cut_at, CUT_S, worker, None, how),
+        ]
+    return tuple(faults)
+
+
 def opened_while_dark(source):
     """n. A poll whose connection is opened while its worker is dark reaches the next.
 
@@ -272,6 +304,8 @@
     "cut-after-restart": Case(cut_after_restart, LONG),
     "cut-after-restart-and-takeover": Case(cut_after_restart_and_takeover, LONG),
     "cut-after-restart-and-handover": Case(cut_after_restart_and_handover, LONG),
+    "cut-after-restart-late-calls": Case(cut_after_restart_late_calls, LONG),
+    "cut-after-quick-restart": Case(cut_after_quick_restart, MIXED),
     "opened-while-dark": Case(opened_while_dark, QUICK),
     "stored-for-earlier": Case(stored_for_earlier, BUSY),
     "queued-start": Case(queued_start, BUSY),
--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -74,6 +74,8 @@
       | cut-after-restart              | 1     | 12    |
       | cut-after-restart-and-handover | 1     | 8     |
       | cut-after-restart-and-takeover | 4     | 10    |
+      | cut-after-restart-late-calls   | 1     | 8     |
+      | cut-after-quick-restart        | 1     | 12    |
 
     @known_red
     Examples: a poll opened to a dark worker is refused, and the next one forgets ends
