--- a/features/support/virtual/cases.py
+++ b/features/support/virtual/cases.py
@@ -202,6 +202,23 @@
     )
 
 
+def late_and_cut_off(source):
+    """Late calls renew leases of a worker that is reborn, and cut off soon after."""
+    late = {"share": 0.3, "reaches_next": True, "range": (1.5, 5.0)}
+    reborn = {"returns": "reborn", "dark": True}
+    faults = []
+    for worker, earliest in zip("012", (7.0, 13.0, 19.0), strict=True):
+        at = earliest + source.uniform(0, 2)
+        gap_s = source.uniform(0.05, 0.8)
+        cut_at = at + gap_s + source.uniform(0.02, 1.5)
+        faults += [
+            Fault("late_orders", at - 0.5, gap_s + 1.0, worker, None, late),
+            Fault("worker_crash", at, gap_s, worker, None, reborn),
+            Fault("worker_cut", cut_at, 9.0, worker, None, {"from": "all"}),
+        ]
+    return tuple(faults)
+
+
 def stored_for_earlier(source):
     """Ends of the earlier incarnation are stored after the next one has begun."""
     slow_s = source.uniform(0.3, 0.7)
@@ -325,4 +342,5 @@
     "odd-writer": Case(odd_writer),
     "changed-address": Case(changed_address),
     "start-at-next": Case(start_at_next, SPARSE),
+    "late-and-cut-off": Case(late_and_cut_off),
 }
--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -81,6 +81,12 @@
       | opened-while-dark | 19    | 1     |
       | opened-while-dark | 28    | 6     |
 
+    @known_red
+    Examples: a late start, or also a late poll, reaches a reborn worker that is cut off
+      | case             | first | seeds |
+      | late-and-cut-off | 33    | 1     |
+      | late-and-cut-off | 156   | 1     |
+
   Scenario Outline: wide schedules of late calls, <seeds> seeds from <first>
     When <seeds> seeds from <first> of the wide schedules are played in virtual time
     Then no task had two runs at a time, nor a start after its noted end
@@ -91,6 +97,7 @@
       | 1     | 3     |
       | 7     | 4     |
 
+    @known_red
     Examples: a late start reaches an incarnation that no call has reached yet
       | first | seeds |
       | 4     | 1     |
