Acknowledge nothing after a start that another clock has answered

The leader asks such a worker at once, but a poll that overtakes the question acknowledged the ends of the former incarnation, which the next one then discards unseen.

--- a/features/other_incarnations.feature
+++ b/features/other_incarnations.feature
@@ -45,3 +45,6 @@
 
   Scenario: a late answer of a former incarnation counts as another restart, as clocks were set back
     Then a late answer of the former incarnation is ignored, though its start is later
+
+  Scenario: an end is acknowledged just after a start that a later incarnation has answered
+    Then no end is acknowledged after a start that another clock has answered
--- a/features/steps/other_incarnation_steps.py
+++ b/features/steps/other_incarnation_steps.py
@@ -40,6 +40,12 @@
     assert found == ([57, 0], True), found
 
 
+@then("no end is acknowledged after a start that another clock has answered")
+def check_not_acknowledged(context):
+    discarded = asyncio.run(other_incarnations.discarded_after_start())
+    assert not discarded, discarded
+
+
 @then("a next leader waits for a lease that the last poll of an earlier one gave")
 def check_barrier(context):
     freed_after_s = other_incarnations.barrier_after_last_poll()
--- a/features/support/other_incarnations.py
+++ b/features/support/other_incarnations.py
@@ -264,3 +264,36 @@
     arrives.set()
     await polling
     return session.worker.born_ms, worker.next_life.born_ms
+
+
+async def discarded_after_start():
+    """A start is answered by another clock; the next poll acknowledges ends.
+
+    The question that the leader asks at once is overtaken by that poll.
+
+    Returns:
+        Names of tasks whose end ``done`` the next incarnation discarded unseen.
+    """
+    worker = RestartedWorker()
+    client, row = worker.client, worker.session.worker
+    await worker.poll()
+    row.seen_end = row.stored_end = 57
+    poll_runs, discarded, overtaken = client.poll_runs, [], asyncio.Event()
+
+    async def poll(token, observed, deadline_ms, *others):
+        if deadline_ms is None:
+            await overtaken.wait()
+        elif observed:
+            discarded.extend(started.task for started in worker.next_life.rows)
+        return await poll_runs(token, observed, deadline_ms, *others)
+
+    client.poll_runs = poll
+    await worker.restart()
+    await worker.start(JOBS[0])
+    (run,) = row.runs_by_key.values()
+    assert run.answered_at and not run.is_lease_known
+    # Its end is number 1 there by the time that the poll arrives.
+    await worker.poll()
+    overtaken.set()
+    await settle()
+    return discarded
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -238,6 +238,8 @@
         self._dispatcher.handle_start_reply(
             run, reply, reply.outcome in NO_EFFECT_OUTCOMES
         )
+        if not run.is_lease_known:
+            self._may_have_restarted = True
 
     async def _start(self, run, token):
         run.token = token
