--- a/features/support/restarted_workers.py
+++ b/features/support/restarted_workers.py
@@ -10,7 +10,6 @@
 import time
 
 import fire
-from tornado.ioloop import IOLoop
 
 from features.support.node_fleets import NodeFleet, kill_and_restart
 from features.support.waiting import wait_until
@@ -127,15 +126,8 @@
 
 def _schedule(stand_in, workers, restart):
     """Restarts the workers that tasks were started on last: more are on their way."""
-    latest_by_worker = {run.worker_id: run.started_at for run in stand_in.history}
-    hosts = sorted(
-        stand_in.workers_by_host,
-        key=lambda host: latest_by_worker.get(
-            stand_in.workers_by_host[host].worker_id, 0.0
-        ),
-    )
-    for host in hosts[-workers:]:
-        IOLoop.current().add_callback(stand_in.vanish_and_return, host, restart)
+    for host in stand_in.hosts_by_latest_start()[-workers:]:
+        stand_in.restart_silently(host, restart)
 
 
 def has_happened(stand_in, events, count):
--- a/sassafrasgrade/tools/soaks.py
+++ b/sassafrasgrade/tools/soaks.py
@@ -19,6 +19,7 @@
 
 import fire
 
+from sassafrasgrade.tools.standins.fleet_handlers import SilentRestart
 from sassafrasgrade.tools.standins.fleets import (
     ADDRESS,
     QUEUE_HOST,
@@ -51,6 +52,16 @@
 THIN_LINK_PROBABILITY = 0.15
 THIN_BYTES_PER_S = 200_000.0
 LARGE_CONFIGURATION_QUEUES = 3000
+# Probability that a fault comes with a silent restart of a worker, and limits of its
+# times in seconds: dark, until the registration, until the cut, of the cut.
+SILENT_RESTART_PROBABILITY = 0.4
+SILENT_RESTART_LIMITS_S = ((0.3, 0.8), (0.0, 1.5), (0.3, 1.5), (6.0, 9.0))
+# Longest pause between two jobs of long tasks in seconds, and how long these run: for
+# longer than it takes until they are taken for lapsed after a restart.
+LONG_JOB_PAUSE_S = 1.0
+LONG_TASK_MS = 6000
+MAX_CANCEL_ATTEMPTS = 10
+CANCEL_RETRY_S = 0.3
 SUBMIT_PAUSE_S = 0.25
 REQUEST_TIMEOUT_S = 3.0
 MAX_SUBMIT_ATTEMPTS = 4
@@ -87,9 +98,15 @@
 
 
 class Clients:
-    """Threads that submit and cancel jobs at random nodes."""
+    """Threads that submit and cancel jobs at random nodes.
 
-    def __init__(self, harness, seed):
+    Args:
+        harness: ``FleetHarness``.
+        seed: Seed of the load.
+        has_long_jobs: Whether some jobs have tasks that run for seconds.
+    """
+
+    def __init__(self, harness, seed, has_long_jobs=False):
         self._harness = harness
         self.observed_by_id = {}
         self._lock = threading.Lock()
@@ -101,6 +118,9 @@
         # Its own generator: the load of a seed stays what it was.
         rng = random.Random(f"{seed} crashing")
         self._threads.append(threading.Thread(target=self._run_crashing, args=(rng,)))
+        if has_long_jobs:
+            rng = random.Random(f"{seed} long")
+            self._threads.append(threading.Thread(target=self._run_long, args=(rng,)))
 
     def start(self):
         """Starts the clients."""
@@ -135,6 +155,31 @@
             step |= {"speculative": True} if rng.random() < 0.5 else {}
             self._send(rng, job_id, observed, {"spec": spec, "steps": [step]})
 
+    def _run_long(self, rng):
+        """Submits jobs of long tasks; cancels them at the end of the faults.
+
+        Tasks that were lost with their workers run alone, which takes too long.
+        """
+        submitted = []
+        while not self._stopping.wait(LONG_JOB_PAUSE_S * rng.random()):
+            job_id = f"{rng.getrandbits(64):016x}"
+            observed = ObservedJob()
+            with self._lock:
+                self.observed_by_id[job_id] = observed
+            submitted.append((job_id, observed))
+            spec = {"ms": LONG_TASK_MS, "cpu": 50}
+            step = {"cpu": 50, "memMb": 16, "estimateMs": LONG_TASK_MS, "count": 1}
+            self._send(rng, job_id, observed, {"spec": spec, "steps": [step]})
+        for job_id, observed in submitted:
+            self._cancel_surely(rng, job_id, observed)
+
+    def _cancel_surely(self, rng, job_id, observed):
+        for _ in range(MAX_CANCEL_ATTEMPTS):
+            self._cancel(rng, job_id, observed)
+            if observed.cancelled_at:
+                return
+            threading.Event().wait(CANCEL_RETRY_S)
+
     def _cancel(self, rng, job_id, observed):
         status, _ = self.request(rng, "DELETE", job_id)
         if status in (200, 410):
@@ -185,13 +230,15 @@
         many_rng: Seeded ``random.Random`` of the faults on many parts at once, of its
             own so that the other faults of a seed stay what they were.
         size_rng: The same for thin links and large configurations.
+        restart_rng: The same for workers that return under their ids; None for none.
     """
 
-    def __init__(self, harness, rng, many_rng, size_rng):
+    def __init__(self, harness, rng, many_rng, size_rng, restart_rng):
         self._harness = harness
         self._rng = rng
         self._many_rng = many_rng
         self._size_rng = size_rng
+        self._restart_rng = restart_rng
         self._timers = []
         self._wave_number = 0
         self.injected = []
@@ -223,6 +270,9 @@
         if self._size_rng.random() < THIN_LINK_PROBABILITY:
             kinds = [self._thin_store_link, self._grow_configuration]
             self._run(self._size_rng.choice(kinds))
+        restart_rng = self._restart_rng
+        if restart_rng and restart_rng.random() < SILENT_RESTART_PROBABILITY:
+            self._run(self._restart_worker_silently)
 
     def _run(self, kind):
         self.injected.append((round(time.monotonic(), 2), kind.__name__))
@@ -367,6 +417,18 @@
             setattr(state, name, True)
             self._schedule(2.0, partial(setattr, state, name, False))
 
+    def _restart_worker_silently(self):
+        fleet = self._harness.fleet
+        hosts = self._harness.call(fleet.hosts_by_latest_start)
+        if len(hosts) <= 2:
+            return
+        limits = SILENT_RESTART_LIMITS_S
+        times = [self._restart_rng.uniform(*limit) for limit in limits]
+        restart = SilentRestart(None, *times)
+        self._harness.call(fleet.restart_silently, hosts[-1], restart)
+        # Healing waits for the end of the cut.
+        self._schedule(restart.dark_s + restart.cut_after_s + restart.cut_s, int)
+
     def _change_configuration(self):
         self._harness.change_configuration()
 
@@ -434,7 +496,7 @@
     return violations
 
 
-def run_seed(seed, seconds, nodes, folder):
+def run_seed(seed, seconds, nodes, folder, restarts=False):
     """Runs one seed; returns a text for each guarantee that was broken.
 
     Args:
@@ -442,12 +504,17 @@
         seconds: Duration of fault injection.
         nodes: Number of nodes.
         folder: Folder for outputs.
+        restarts: Whether workers also return under their ids, under long tasks.
     """
     rng = random.Random(seed)
     harness = FleetHarness(folder, node_count=nodes)
-    clients = Clients(harness, seed)
+    clients = Clients(harness, seed, restarts)
     injector = FaultInjector(
-        harness, rng, random.Random(f"{seed} many"), random.Random(f"{seed} size")
+        harness,
+        rng,
+        random.Random(f"{seed} many"),
+        random.Random(f"{seed} size"),
+        random.Random(f"{seed} restarts") if restarts else None,
     )
     pause = threading.Event()
     try:
@@ -469,10 +536,12 @@
         clients.stop()
         harness.stop()
     accepted = sum(observed.is_accepted for observed in clients.observed_by_id.values())
+    restarted = sum(row.event == "is cut off" for row in harness.fleet.events)
     print(
         f"seed {seed}: {len(injector.injected)} faults, "
         f"{len(clients.observed_by_id)} jobs, "
-        f"{accepted} accepted, {len(broken)} broken",
+        f"{accepted} accepted, {len(broken)} broken"
+        + (f", {restarted} workers returned" if restarts else ""),
         flush=True,
     )
     for text in broken:
@@ -480,7 +549,7 @@
     return broken
 
 
-def soak(first=1, seeds=1, seconds=12.0, nodes=3):
+def soak(first=1, seeds=1, seconds=12.0, nodes=3, restarts=False):
     """Runs seeds in sequence; exits with status 1 if any broke a guarantee.
 
     Args:
@@ -488,11 +557,12 @@
         seeds: Number of seeds.
         seconds: Duration of fault injection per seed.
         nodes: Number of nodes.
+        restarts: Whether workers also return under their ids, under long tasks.
     """
     failed = []
     for seed in range(first, first + seeds):
         folder = tempfile.mkdtemp(prefix=f"sassafrasgrade-soak-{seed}-")
-        if run_seed(seed, seconds, nodes, folder):
+        if run_seed(seed, seconds, nodes, folder, restarts):
             failed.append(seed)
             print(f"  outputs: {folder}", flush=True)
     print(f"{seeds - len(failed)} seeds passed, {len(failed)} failed {failed or ''}")
--- a/sassafrasgrade/tools/standins/fleet_handlers.py
+++ b/sassafrasgrade/tools/standins/fleet_handlers.py
@@ -182,6 +182,7 @@
         self.pools_by_host = {}
         self.host_orders = []
         self.events = []
+        self._vanished_by_host = {}
         self._ports = ports
         self._incarnation_count = 0
         timers.subscribe(TICK_PERIOD_S, self._tick)
@@ -212,7 +213,8 @@
 
     def crash(self, host_name, keeps_registration=False):
         """Crashes a host's worker; deletes its registration unless it is to be kept."""
-        worker = self.workers_by_host.pop(host_name)
+        vanished = self._vanished_by_host.pop(host_name, None)
+        worker = vanished or self.workers_by_host.pop(host_name)
         worker.close(self.timers.now())
         if not keeps_registration:
             key = names.WORKERS_PREFIX + worker.worker_id
@@ -233,24 +235,41 @@
             pool = self.pools_by_host[worker.host_name]
             self._start_worker(worker.host_name, pool, worker.port)
 
-    async def vanish_and_return(self, host_name, restart):
-        """Lets a worker vanish; one with its id, but no memory, takes its place.
+    def hosts_by_latest_start(self):
+        """Returns the hosts with workers; the one that got the latest start is last."""
+        latest_by_worker = {run.worker_id: run.started_at for run in self.history}
+        return sorted(
+            self.workers_by_host,
+            key=lambda host: latest_by_worker.get(
+                self.workers_by_host[host].worker_id, 0.0
+            ),
+        )
+
+    def restart_silently(self, host_name, restart):
+        """Lets a host's worker vanish; one with its id, but no memory, takes its place.
 
         Args:
             host_name: The host.
             restart: ``SilentRestart``.
         """
         former = self.workers_by_host[host_name]
+        IOLoop.current().add_callback(self._vanish_and_return, former, restart)
+
+    async def _vanish_and_return(self, former, restart):
+        host_name = former.host_name
         if restart.after_poll_s is not None:
             await former.await_long_poll()
             await gen.sleep(restart.after_poll_s)
         if former.is_closed:
             self._record("ended otherwise", former)
             return
-        del self.workers_by_host[host_name]
+        self._vanished_by_host[host_name] = self.workers_by_host.pop(host_name)
         former.vanish(self.timers.now())
         self._record("vanishes", former)
         await gen.sleep(restart.dark_s)
+        if self._vanished_by_host.pop(host_name, None) is not former:
+            self._record("ended otherwise", former)
+            return
         worker = StandInWorker(self, host_name, former.state.pool, former.port, former)
         self.workers_by_host[host_name] = worker
         self._record("returns", worker)
@@ -278,7 +297,7 @@
         The worker starts ``MOVE_DURATION_S`` later.
         """
         self.host_orders.append((self.timers.now(), kind, host_name, pool))
-        if host_name in self.workers_by_host:
+        if host_name in self.workers_by_host or host_name in self._vanished_by_host:
             self.crash(host_name)
         self.pools_by_host[host_name] = pool
         if not is_standby:
