--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -64,6 +64,32 @@
       | late-wide | 38    | 1     |
       | late-wide | 43    | 1     |
 
+    Examples: a worker is reborn and cut off, and its leader is lost
+      | case                           | first | seeds |
+      | cut-after-restart-and-takeover | 1     | 3     |
+
+    Examples: a worker is reborn and cut off before a list of it is applied
+      | case                           | first | seeds |
+      | cut-after-restart              | 1     | 12    |
+      | cut-after-restart-and-handover | 1     | 8     |
+      | cut-after-restart-and-takeover | 4     | 10    |
+      | cut-after-restart-late-calls   | 1     | 8     |
+      | cut-after-quick-restart        | 1     | 12    |
+
+    Examples: a poll opened to a dark worker is refused, and the next one forgets ends
+      | case              | first | seeds |
+      | opened-while-dark | 19    | 1     |
+      | opened-while-dark | 28    | 6     |
+
+    Examples: a late start and a late poll reach a reborn worker that is cut off
+      | case             | first | seeds |
+      | late-and-cut-off | 156   | 1     |
+
+    @known_red
+    Examples: a late start reaches a reborn worker that is cut off
+      | case             | first | seeds |
+      | late-and-cut-off | 33    | 1     |
+
   Scenario Outline: wide schedules of late calls, <seeds> seeds from <first>
     When <seeds> seeds from <first> of the wide schedules are played in virtual time
     Then no task had two runs at a time, nor a start after its noted end
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -38,6 +38,7 @@
     forget_run,
     has_incarnation_ended,
     is_later,
+    record_answered_start,
     record_start,
     remove_worker,
     restart_worker,
@@ -403,13 +404,22 @@
         }
         if reply.detail:
             fields["detail"] = reply.detail
+        if reply.clock_ms:
+            # By the clock of the incarnation that answered.
+            fields["granted_ms"] = round(run.deadline_ms - reply.clock_ms)
+            fields["sent_to_born"] = run.sent_to_born_ms
         logger.info(
             "run started" if not had_no_effect else "start refused", extra=fields
         )
         self.counters.count_start(reply.outcome.value)
         if reply.outcome is OrderOutcome.DONE:
-            run.answered_at = now
+            record_answered_start(run, reply.clock_ms, now)
             record_start(self.tables, task.job)
+            if not run.is_lease_known:
+                # Its worker has probably restarted; polls may hang on connections to
+                # the earlier incarnation.
+                self.counters.count_start_by_other_clock()
+                self.carry_out(AskWorker(run.worker_id))
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
             if task.is_done or not task.job.is_open:
@@ -419,8 +429,12 @@
             run.state = RunState.UNCERTAIN
             self.handle_unanswered_start(worker, run)
             return
-        forget_run(self.tables, run, EndProof(ProofKind.START_REFUSED, now), now)
-        if reply.outcome is OrderOutcome.FENCED:
+        is_sent = reply.outcome is not OrderOutcome.NOT_SENT
+        kind = ProofKind.START_REFUSED if is_sent else ProofKind.START_NOT_SENT
+        forget_run(self.tables, run, EndProof(kind, now), now)
+        if not is_sent and worker is not None:
+            self._doubt(worker)
+        elif reply.outcome is OrderOutcome.FENCED:
             self.handle_fenced(run.worker_id, run.token)
         elif reply.outcome is OrderOutcome.WRONG_INSTANCE and worker is not None:
             self.handle_replaced_worker(worker)
@@ -441,10 +455,16 @@
         waits until a list shows it, or the order's deadline has passed.
         """
         if worker is not None:
-            worker.failures += 1
+            self._doubt(worker)
         if not run.task.step.is_perpetual:
             self.carry_out(StopRun(run, "start without an answer"))
 
+    def _doubt(self, worker):
+        """Gives a worker no new runs until it has answered a question."""
+        worker.failures += 1
+        worker.doubted_at = self.timers.now()
+        self.carry_out(AskWorker(worker.worker_id))
+
     def drop_unsent_start(self, run, reason):
         """Forgets a run whose start was never sent."""
         now = self.timers.now()
@@ -786,4 +806,5 @@
     """
     if sent_at > worker.last_answer_at:
         return False
-    return is_later(worker.born_ms, view.born_ms)
+    is_known = view.born_ms in worker.earlier_births
+    return is_known or is_later(worker.born_ms, view.born_ms)
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -98,7 +98,7 @@
                 is_proven,
                 was_prompt=is_proven and is_prompt,
             )
-            suspects.append(CrashedTask(run.task, worker.worker_id, crash))
+            suspects.append(CrashedTask(run.task, run.number, worker.worker_id, crash))
     return tuple(suspects)
 
 
@@ -115,8 +115,9 @@
     if worker.is_draining or worker.is_reserved or worker.is_crash_recorded:
         return
     worker.is_crash_recorded = True
-    suspects = suspects_of(worker, next_life=next_life)
-    for crashed in (*worker.lapsed_suspects, *suspects):
+    for crashed in _with_lapsed(worker, suspects_of(worker, next_life=next_life)):
+        if crashed.key in next_life.listed:
+            continue
         task = crashed.task
         if not task.is_done and task.job.is_open:
             task.crashes = (*task.crashes, crashed.crash)
@@ -141,7 +142,17 @@
 
 def note_lapse(worker):
     """Keeps the suspects of a worker whose runs lapse, until its fate is known."""
-    worker.lapsed_suspects = (*worker.lapsed_suspects, *suspects_of(worker))
+    worker.lapsed_suspects = _with_lapsed(worker, suspects_of(worker))
+
+
+def _with_lapsed(worker, suspects):
+    """Returns a worker's lapsed suspects, and those of further tasks.
+
+    Runs of one worker may lapse at different times; the first lapse names all suspects.
+    """
+    named = {crashed.key for crashed in worker.lapsed_suspects}
+    others = [crashed for crashed in suspects if crashed.key not in named]
+    return (*worker.lapsed_suspects, *others)
 
 
 def settle_crashes(tables):
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -112,6 +112,9 @@
             intervals whether it is up, since its task may crash workers.
         lasted_before_s: How long it had lasted when this leader took it over, in
             seconds; infinite if an earlier leader started it at an unknown time.
+        is_lease_known: Whether it surely lapses by its worker's ``lease_until``: it is
+            on the incarnation whose clock sets the deadlines, or on one whose clock is
+            ahead.
     """
 
     task: "Task"
@@ -134,6 +137,7 @@
     ticket: str = ""
     is_isolated: bool = False
     lasted_before_s: float = 0.0
+    is_lease_known: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -186,12 +190,25 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class CrashedTask:
-    """A task under which a worker has, or may have, crashed."""
+    """A task under which a worker has, or may have, crashed.
+
+    Attributes:
+        task: The task.
+        run: Number of its run there.
+        worker_id: The worker.
+        crash: The crash, as it counts.
+    """
 
     task: Task
+    run: int
     worker_id: str
     crash: Crash
 
+    @property
+    def key(self):
+        """Name of the task and number of the run, as in ``Worker.runs_by_key``."""
+        return self.task.name, self.run
+
 
 @dataclass(slots=True, eq=False)
 class StepRow:
@@ -307,6 +324,7 @@
         is_draining: Whether it accepts no new runs.
         leaves_at: Clock at which it may be gone; None if it stays.
         born_ms: Start of the incarnation; None before the worker reported it.
+        earlier_births: Starts of its earlier incarnations that this leader knew.
         host: Name of its host; empty while unknown.
         other_address: Another address under which its id was registered; empty if none.
         clock_offset_ms: Its clock minus the node's, in milliseconds.
@@ -321,7 +339,11 @@
         discarded_end: Number of the last run end that the worker surely discarded.
         unclaimed_runs: ``UnclaimedRow`` of listed runs, by (task name, number).
         unclaimed_ends: ``UnclaimedRow`` of listed ends, by number of the end.
-        lease_until: Clock at which all its runs have lapsed if not renewed.
+        lease_until: Clock at which the runs of the known incarnation have lapsed if
+            they are not renewed.
+        longest_lease_until: Clock at which those of a later incarnation have lapsed:
+            its clock is another, so that it may grant the longest lease for any
+            deadline.
         last_answer_at: Clock of its last answer.
         last_answered_call_at: Clock when the latest call that it answered was sent; it
             was up then.
@@ -329,6 +351,8 @@
         first_view_clock_ms: The worker's clock in the first view applied.
         unresponsive_since: Clock of the first unanswered call since its last answer; 0
             if there is none.
+        doubted_at: Clock of the last start without an answer, if no list was requested
+            since; 0 otherwise. Meanwhile it gets no new runs.
         failures: Decaying count of runs that failed, stalled or were slow, and of
             starts that were not answered or refused as unhealthy.
         successes: Decaying count of runs that ended ``done``.
@@ -355,6 +379,7 @@
     is_draining: bool = False
     leaves_at: float | None = None
     born_ms: int | None = None
+    earlier_births: set[int] = field(default_factory=set)
     host: str = ""
     other_address: str = ""
     clock_offset_ms: float | None = None
@@ -368,11 +393,13 @@
     unclaimed_runs: dict[tuple[str, int], UnclaimedRow] = field(default_factory=dict)
     unclaimed_ends: dict[int, UnclaimedRow] = field(default_factory=dict)
     lease_until: float = 0.0
+    longest_lease_until: float = 0.0
     last_answer_at: float = 0.0
     last_answered_call_at: float = 0.0
     view_clock_ms: float = 0.0
     first_view_clock_ms: float = 0.0
     unresponsive_since: float = 0.0
+    doubted_at: float = 0.0
     failures: float = 0.0
     successes: float = 0.0
     usable_after: float = 0.0
@@ -390,6 +417,14 @@
         """Whether calls to it carry a token that earlier incarnations have seen."""
         return self.fenced_at == math.inf
 
+    @property
+    def accepts_earlier_calls(self):
+        """Whether it has restarted and not seen a token that its earlier calls lack.
+
+        Those without an answer may still be carried out.
+        """
+        return self.fenced_at > -math.inf and not self.has_seen_token
+
     @property
     def has_runs(self):
         """Whether it may run anything, also of jobs that are not known yet."""
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -11,7 +11,7 @@
     OrderOutcome,
     WorkerClient,
 )
-from sassafrasgrade.systems.task_placement import START_VALID_MS
+from sassafrasgrade.systems.run_updates import START_VALID_MS
 from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_tables import MS_PER_S, RunState
 from sassafrasgrade.worker_orders import StartOrder
@@ -135,13 +135,14 @@
         is_responsive = (
             worker.clock_offset_ms is not None and not worker.unresponsive_since
         )
-        if renews and is_responsive and lease_s:
-            deadline_ms = self._worker_clock(now) + lease_s * MS_PER_S
-            self._extend_lease(now, lease_s)
         may_long_poll = (
             renews and worker.has_seen_token and worker.unresponsive_since == 0
         )
         wait_s = LONG_POLL_WAIT_S if may_long_poll else 0
+        timeout_s = wait_s + ANSWER_TIMEOUT_S
+        if renews and is_responsive and lease_s:
+            deadline_ms = self._worker_clock(now) + lease_s * MS_PER_S
+            self._extend_lease(now, lease_s, timeout_s)
         discards = self._end_to_discard() if renews else 0
         born_ms = worker.born_ms
         token = self._dispatcher.worker_token
@@ -150,7 +151,7 @@
             discards,
             deadline_ms,
             wait_s,
-            wait_s + ANSWER_TIMEOUT_S,
+            timeout_s,
         )
         if self._is_closed:
             return False
@@ -163,11 +164,19 @@
             self._may_have_restarted = False
             return True
         if reply.outcome is OrderOutcome.FENCED:
+            # A refusal does not name its incarnation.
+            self._may_have_restarted = True
             return not self._dispatcher.handle_fenced(worker.worker_id, token)
         if reply.outcome is OrderOutcome.WRONG_INSTANCE:
             self._dispatcher.handle_replaced_worker(worker)
             return False
         self._may_have_restarted = True
+        if reply.outcome is OrderOutcome.HELD_BACK:
+            logger.info(
+                "acknowledgement of ends held back",
+                extra={"worker": worker.worker_id, "detail": reply.detail},
+            )
+            return True
         self._dispatcher.record_unresponsive(worker, reply.detail)
         return False
 
@@ -178,13 +187,18 @@
             return 0
         return worker.stored_end if worker.stored_end > worker.discarded_end else 0
 
-    def _extend_lease(self, now, lease_s):
+    def _extend_lease(self, now, lease_s, timeout_s):
         """Records a lease before it is sent: the call may arrive and still fail.
 
         ``ANSWER_TIMEOUT_S`` covers the age of the clock offset of a slow worker clock.
+        A call arrives before its timeout, after which its connection is reset.
         """
+        worker = self.worker
         lapses_at = now + ANSWER_TIMEOUT_S + lease_s * CLOCK_DRIFT
-        self.worker.lease_until = max(self.worker.lease_until, lapses_at)
+        worker.lease_until = max(worker.lease_until, lapses_at)
+        longest_s = self._dispatcher.tables.longest_lease_s * CLOCK_DRIFT
+        lapses_at = now + timeout_s + longest_s
+        worker.longest_lease_until = max(worker.longest_lease_until, lapses_at)
 
     def _worker_clock(self, now):
         return now * MS_PER_S + self.worker.clock_offset_ms
@@ -216,7 +230,6 @@
             now = self._timers.now()
             run.deadline_ms = self._worker_clock(now) + START_VALID_MS
             run.sent_at, run.sent_to_born_ms = now, self.worker.born_ms
-            self._extend_lease(now, START_VALID_MS / MS_PER_S)
             reply, _ = await self._send(
                 lambda token: self._start(run, token), lambda: not run.stopped_at
             )
@@ -225,9 +238,13 @@
         self._dispatcher.handle_start_reply(
             run, reply, reply.outcome in NO_EFFECT_OUTCOMES
         )
+        if not run.is_lease_known:
+            self._may_have_restarted = True
 
     async def _start(self, run, token):
         run.token = token
+        now = self._timers.now()
+        self._extend_lease(now, START_VALID_MS / MS_PER_S, ANSWER_TIMEOUT_S)
         task = run.task
         order = StartOrder(
             task.name,
@@ -259,7 +276,7 @@
             )
             if not is_overtaken or self._is_closed or not is_due():
                 break
-        if reply.outcome is OrderOutcome.UNKNOWN:
+        if reply.outcome in (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT):
             self._may_have_restarted = True
         return reply, token
 
