Let acknowledgements pass on kept connections, however late a busy node sends them

A kept connection leads to an incarnation that has answered; only the making of a new one is measured.

--- a/features/support/virtual/networks.py
+++ b/features/support/virtual/networks.py
@@ -2,6 +2,7 @@
 
 import io
 import itertools
+import socket
 from collections import Counter
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
@@ -198,17 +199,25 @@
 
     def __init__(self):
         self.info = object()
-        self._on_sent = None
+        self._on_socket = self._on_sent = None
 
     def setopt(self, option, value):
-        """Remembers what is to be called when a request is sent."""
+        """Remembers what is called when a socket is made, or a request is sent."""
         if option == pycurl.PREREQFUNCTION:
             self._on_sent = value
+        elif option == pycurl.SOCKOPTFUNCTION:
+            self._on_socket = value
 
     def getinfo(self, option):
         """Returns 0: answers arrive whole."""
         return 0
 
+    def connect(self):
+        """Tells the caller that a connection is being made."""
+        if self._on_socket is not None:
+            with socket.socket() as connection:
+                self._on_socket(connection.fileno(), pycurl.SOCKTYPE_IPCXN)
+
     def may_send(self):
         """Tells the caller of a request about to be sent; returns whether it may be."""
         if self._on_sent is None:
@@ -299,6 +308,8 @@
     def _connect(self, repeat_s=FIRST_REPEAT_S):
         network, world = self._network, self._world
         self._is_reused = False
+        if repeat_s == FIRST_REPEAT_S:
+            self._curl.connect()
         endpoint = network.endpoints_by_address.get(self.address)
         if endpoint is None or endpoint.is_dark:
             if endpoint is not None and endpoint.is_opened_later:
--- a/sassafrasgrade/http_clients.py
+++ b/sassafrasgrade/http_clients.py
@@ -48,17 +48,12 @@
     curl.setopt(pycurl.PROXY, "")
 
 
-def bypass_proxy_and_reset_on_close(curl):
-    """Prepares curl for calls that must not arrive after their timeout.
+def reset_on_close(descriptor, purpose):
+    """Makes a socket of curl reset its connection when it is closed.
 
-    Closing a connection resets it, so that bytes delayed by a network partition
-    are dropped instead of delivered when the partition ends.
+    Bytes that a network partition delays are then dropped instead of delivered when
+    the partition ends: the call does not arrive after its timeout.
     """
-    bypass_proxy(curl)
-    curl.setopt(pycurl.SOCKOPTFUNCTION, _reset_on_close)
-
-
-def _reset_on_close(descriptor, purpose):
     connection = socket.socket(fileno=descriptor)
     try:
         linger = struct.pack("ii", 1, 0)
--- a/sassafrasgrade/platform/calls.py
+++ b/sassafrasgrade/platform/calls.py
@@ -8,7 +8,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.ioloop import IOLoop
 
-from sassafrasgrade.http_clients import bypass_proxy_and_reset_on_close, fetch_response
+from sassafrasgrade.http_clients import bypass_proxy, fetch_response, reset_on_close
 
 HTTP_OK = 200
 # Time between two looks at the progress of a transfer, in seconds.
@@ -92,37 +92,45 @@
     to be dead; its answer or error then describes only the last copy.
 
     Args:
-        once_within_s: If set, the request is sent only once, and only within this time
-            of the begin of the call, in seconds.
+        once_within_s: If set, the request is sent only once, and on a connection that
+            was kept or is made within this time, in seconds.
 
     Attributes:
         loop: ``IOLoop`` whose time counts.
         copies: How often sending has begun.
-        is_held_back: Whether a copy was not sent for its lateness.
+        is_held_back: Whether a copy was not sent for ``once_within_s``.
     """
 
     def __init__(self, once_within_s=None):
         self.copies = 0
         self.is_held_back = False
         self.loop = IOLoop.current()
-        self._once_until = (
-            None if once_within_s is None else self.loop.time() + once_within_s
-        )
+        self._once_within_s = once_within_s
+        # When curl began to make a connection; None while it uses a kept one.
+        self._connecting_since = None
 
     def prepare(self, curl):
         """Installs the tracker on a curl handle."""
-        bypass_proxy_and_reset_on_close(curl)
+        bypass_proxy(curl)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._record_socket)
         curl.setopt(pycurl.PREREQFUNCTION, self._record_copy)
 
+    def _record_socket(self, descriptor, purpose):
+        self._connecting_since = self.loop.time()
+        return reset_on_close(descriptor, purpose)
+
     def _record_copy(self, *addresses):
-        if self._once_until is not None:
-            is_late = self.loop.time() > self._once_until
-            if self.copies or is_late:
-                self.is_held_back = True
-                return pycurl.PREREQFUNC_ABORT
+        if self._once_within_s is not None and (self.copies or self._connected_late()):
+            self.is_held_back = True
+            return pycurl.PREREQFUNC_ABORT
         self.copies += 1
         return pycurl.PREREQFUNC_OK
 
+    def _connected_late(self):
+        if self._connecting_since is None:
+            return False
+        return self.loop.time() - self._connecting_since > self._once_within_s
+
 
 def was_never_sent(response):
     """Whether a call failed before any part of it was sent."""
