End a worker's doubt soon, and give it a pause after a start that was not sent

The poll that is to end a doubt waited 1.2 s for an end if the question was lost, and a worker whose connections are refused at once got its next start at once.

--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -433,6 +433,7 @@
         kind = ProofKind.START_REFUSED if is_sent else ProofKind.START_NOT_SENT
         forget_run(self.tables, run, EndProof(kind, now), now)
         if not is_sent and worker is not None:
+            worker.usable_after = now + REFUSED_PAUSE_S
             self._doubt(worker)
         elif reply.outcome is OrderOutcome.FENCED:
             self.handle_fenced(run.worker_id, run.token)
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -136,7 +136,10 @@
             worker.clock_offset_ms is not None and not worker.unresponsive_since
         )
         may_long_poll = (
-            renews and worker.has_seen_token and worker.unresponsive_since == 0
+            renews
+            and worker.has_seen_token
+            and worker.unresponsive_since == 0
+            and worker.doubted_at == 0
         )
         wait_s = LONG_POLL_WAIT_S if may_long_poll else 0
         timeout_s = wait_s + ANSWER_TIMEOUT_S
