Suspect a restart until a poll that was sent later is answered

A late answer of the former incarnation, to a poll that was sent before the sign of a restart, let the next poll acknowledge its ends to the next incarnation. And any refused start counted as such a sign, so that a full worker's ends were not acknowledged.

--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -52,9 +52,10 @@
         self._is_closed = False
         self._stored = asyncio.Event()
         self._token_raised = asyncio.Event()
-        # Whether a call has had no answer since the last answered poll, so that the
-        # next one may reach a later incarnation.
+        # Whether the next poll may reach a later incarnation, and since when: no poll
+        # that was sent later has been answered.
         self._may_have_restarted = False
+        self._suspected_at = 0.0
 
     def start(self):
         """Starts polling the worker."""
@@ -164,16 +165,17 @@
                 self._record_clock_offset(reply.view, answered_at)
             if worker.born_ms == born_ms:
                 worker.discarded_end = max(worker.discarded_end, discards)
-            self._may_have_restarted = False
+            if now >= self._suspected_at:
+                self._may_have_restarted = False
             return True
         if reply.outcome is OrderOutcome.FENCED:
             # A refusal does not name its incarnation.
-            self._may_have_restarted = True
+            self._suspect_restart()
             return not self._dispatcher.handle_fenced(worker.worker_id, token)
         if reply.outcome is OrderOutcome.WRONG_INSTANCE:
             self._dispatcher.handle_replaced_worker(worker)
             return False
-        self._may_have_restarted = True
+        self._suspect_restart()
         if reply.outcome is OrderOutcome.HELD_BACK:
             logger.info(
                 "acknowledgement of ends held back",
@@ -183,6 +185,11 @@
         self._dispatcher.record_unresponsive(worker, reply.detail)
         return False
 
+    def _suspect_restart(self):
+        """Notes that the next poll may reach a later incarnation of the worker."""
+        self._may_have_restarted = True
+        self._suspected_at = self._timers.now()
+
     def _end_to_discard(self):
         """Returns the number up to which the next poll acknowledges ends."""
         worker = self.worker
@@ -241,8 +248,8 @@
         self._dispatcher.handle_start_reply(
             run, reply, reply.outcome in NO_EFFECT_OUTCOMES
         )
-        if not run.is_lease_known:
-            self._may_have_restarted = True
+        if reply.outcome is OrderOutcome.DONE and not run.is_lease_known:
+            self._suspect_restart()
 
     async def _start(self, run, token):
         run.token = token
@@ -280,7 +287,7 @@
             if not is_overtaken or self._is_closed or not is_due():
                 break
         if reply.outcome in (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT):
-            self._may_have_restarted = True
+            self._suspect_restart()
         return reply, token
 
     def _is_start_due(self, run):
