Raise the token of a worker whose start another clock has answered

A poll of the former incarnation's time that is carried out late renewed the leases of such a worker 2.2 s past the recorded one, if the worker was cut off before its first list: only a restart that a list showed made the leader wait for late calls. Now the answered start does, too, and its worker's token is raised at once. Runs that a list of the former incarnation has shown wait no longer than its lease.

--- a/features/other_incarnations.feature
+++ b/features/other_incarnations.feature
@@ -8,8 +8,9 @@
       | a start that was sent again |
 
     Examples: a poll of the former incarnation is carried out late, before a raised token
-      | calls                                    |
-      | a start and a poll, and late a lost poll |
+      | calls                                          |
+      | a start and a poll, and late a lost poll       |
+      | a start while polls hang, and late a lost poll |
 
   Scenario Outline: an unseen end is acknowledged by a poll that is sent again (<ends> ends, <copies> copies)
     Then a poll that acknowledges <ends> ends is sent <copies> times: <outcome>
@@ -19,14 +20,15 @@
       | 57   | 1      | held-back |
       | 0    | 2      | done      |
 
-  Scenario Outline: an unseen end is acknowledged by a poll that waited <seconds> s for its connection
-    Then a poll whose connection takes <seconds> s still acknowledges ends: <sent>
+  Scenario Outline: an unseen end is acknowledged by a poll that waited <seconds> s for a <kind> connection
+    Then a poll that is sent on a <kind> connection after <seconds> s still acknowledges ends: <sent>
 
-    Examples: the first packet is repeated after 1 s, and a later incarnation may accept it
-      | seconds | sent |
-      | 0.01    | yes  |
-      | 0.2     | yes  |
-      | 1.0     | no   |
+    Examples: the first packet is repeated after 1 s, and a later incarnation may accept it; a busy node is late on any
+      | kind | seconds | sent |
+      | new  | 0.01    | yes  |
+      | new  | 0.2     | yes  |
+      | new  | 1.0     | no   |
+      | kept | 1.0     | yes  |
 
   Scenario Outline: an unseen end is acknowledged after a poll with outcome <outcome>
     Then a poll with outcome "<outcome>" is repeated at once, without acknowledging
@@ -48,3 +50,12 @@
 
   Scenario: an end is acknowledged just after a start that a later incarnation has answered
     Then no end is acknowledged after a start that another clock has answered
+
+  Scenario: an end is acknowledged after a late answer of the former incarnation
+    Then no end is acknowledged after a late answer of the former incarnation
+
+  Scenario: ends of a worker that refuses starts are never acknowledged
+    Then stored ends are still acknowledged after a start that was refused
+
+  Scenario: a worker stays in doubt for as long as a poll waits there
+    Then the poll that ends a doubt waits for nothing
--- a/features/steps/other_incarnation_steps.py
+++ b/features/steps/other_incarnation_steps.py
@@ -27,9 +27,12 @@
     assert found == (copies, outcome), found
 
 
-@then("a poll whose connection takes {seconds:g} s still acknowledges ends: {sent}")
-def check_sent(context, seconds, sent):
-    found = asyncio.run(other_incarnations.is_sent_after(seconds))
+@then(
+    "a poll that is sent on a {kind} connection after {seconds:g} s still acknowledges "
+    "ends: {sent}"
+)
+def check_sent(context, kind, seconds, sent):
+    found = asyncio.run(other_incarnations.is_sent_after(seconds, kind == "kept"))
     assert found == (sent == "yes"), found
 
 
@@ -56,3 +59,21 @@
 def check_ignored(context):
     known_ms, present_ms = asyncio.run(other_incarnations.born_after_late_answer())
     assert known_ms == present_ms, (known_ms, present_ms)
+
+
+@then("no end is acknowledged after a late answer of the former incarnation")
+def check_after_late_answer(context):
+    found = asyncio.run(other_incarnations.acknowledged_after_late_answer())
+    assert not found, found
+
+
+@then("stored ends are still acknowledged after a start that was refused")
+def check_after_refusal(context):
+    found = asyncio.run(other_incarnations.acknowledged_after_refusal())
+    assert found == [57], found
+
+
+@then("the poll that ends a doubt waits for nothing")
+def check_wait_in_doubt(context):
+    found = asyncio.run(other_incarnations.wait_of_poll_in_doubt())
+    assert found == [0], found
--- a/features/support/granted_leases.py
+++ b/features/support/granted_leases.py
@@ -10,6 +10,7 @@
 from features.support.order_cases import settle
 from features.support.takeovers import Takeover, job_item, registration
 from features.support.work_tables import start_run
+from sassafrasgrade.dispatchers import REFUSED_PAUSE_S
 from sassafrasgrade.platform.messages import RunningRow, WorkerView
 from sassafrasgrade.platform.workers import OrderOutcome, WorkerReply
 from sassafrasgrade.systems.task_placement import is_usable
@@ -344,7 +345,7 @@
     await worker.start(JOBS[0])
     worker.client.hangs_polls = False
     if is_listed_later:
-        worker.timers.advance(CALL_DELAY_S)
+        worker.timers.advance(REFUSED_PAUSE_S)
         await worker.poll()
     task = worker.leader.tables.tasks_by_name[f"{JOBS[0]}.0.0.0"]
     return not task.runs_by_number, is_usable(row, worker.timers.now())
--- a/features/support/other_incarnations.py
+++ b/features/support/other_incarnations.py
@@ -170,17 +170,21 @@
     return len(read) - 1, reply.outcome.value
 
 
-async def is_sent_after(connecting_s):
-    """Returns whether a poll that acknowledges ends is sent on a late connection.
+async def is_sent_after(seconds, is_kept):
+    """Returns whether a poll that acknowledges ends is sent late.
 
     Args:
-        connecting_s: Time until it has a connection, in seconds.
+        seconds: Time until it can be sent, in seconds.
+        is_kept: Whether it is sent on a kept connection; else on a new one.
     """
     tracker = SendTracker(ACKNOWLEDGE_WITHIN_S)
     curl = FakeCurl()
     tracker.prepare(curl)
     began_at = tracker.loop.time()
-    tracker.loop = SimpleNamespace(time=lambda: began_at + connecting_s)
+    tracker.loop = SimpleNamespace(time=lambda: began_at)
+    if not is_kept:
+        curl.connect()
+    tracker.loop = SimpleNamespace(time=lambda: began_at + seconds)
     return curl.may_send()
 
 
@@ -297,3 +301,91 @@
     overtaken.set()
     await settle()
     return discarded
+
+
+async def after_late_poll_beside_hung_polls():
+    """The next incarnation answers a start and lists nothing; a poll comes late."""
+    worker = RestartedWorker()
+    await worker.poll()
+    await worker.restart()
+    worker.client.hangs_polls = True
+    await worker.start(JOBS[0])
+    worker.late_deadline_ms = worker.first_life.clock_ms() + LONGEST_LEASE_S * 1000
+    return worker
+
+
+CASES_BY_NAME["a start while polls hang, and late a lost poll"] = (
+    after_late_poll_beside_hung_polls
+)
+
+
+async def acknowledged_after_late_answer():
+    """A start is answered by another clock, and then an earlier poll by the former.
+
+    Returns:
+        Numbers that the next poll acknowledges.
+    """
+    worker = RestartedWorker()
+    client, row, arrives = worker.client, worker.session.worker, asyncio.Event()
+    await worker.poll()
+    poll_runs, acknowledged = client.poll_runs, []
+    worker.timers.advance(STEP_S)
+
+    async def poll_slowly(*arguments):
+        reply = await poll_runs(*arguments)
+        await arrives.wait()
+        return reply
+
+    client.poll_runs = poll_slowly
+    polling = asyncio.ensure_future(worker.session._poll_once())
+    await settle()
+    row.seen_end = row.stored_end = 58
+
+    async def poll(token, observed, *others):
+        acknowledged.append(observed)
+        return WorkerReply(OrderOutcome.UNKNOWN)
+
+    client.poll_runs = poll
+    await worker.restart()
+    await worker.start(JOBS[0])
+    arrives.set()
+    await polling
+    await worker.poll()
+    return [number for number in acknowledged if number]
+
+
+async def acknowledged_after_refusal():
+    """Returns what the poll after a start that was refused acknowledges."""
+    worker = RestartedWorker()
+    client, row = worker.client, worker.session.worker
+    await worker.poll()
+    row.seen_end = row.stored_end = 57
+    acknowledged = []
+
+    async def refuse(order, timeout_s):
+        return WorkerReply(OrderOutcome.NO_ROOM, worker.first_life.clock_ms())
+
+    async def poll(token, observed, *others):
+        acknowledged.append(observed)
+        return WorkerReply(OrderOutcome.UNKNOWN)
+
+    client.start, client.poll_runs = refuse, poll
+    await worker.start(JOBS[0])
+    await worker.poll()
+    return acknowledged
+
+
+async def wait_of_poll_in_doubt():
+    """Returns how long the poll that ends a doubt waits at its worker, in seconds."""
+    worker = RestartedWorker()
+    await worker.poll()
+    worker.session.worker.doubted_at = worker.timers.now()
+    waits = []
+
+    async def poll(token, observed, deadline_ms, wait_s, timeout_s):
+        waits.append(wait_s)
+        return WorkerReply(OrderOutcome.UNKNOWN)
+
+    worker.client.poll_runs = poll
+    await worker.poll()
+    return waits
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -419,6 +419,8 @@
                 # Its worker has probably restarted; polls may hang on connections to
                 # the earlier incarnation.
                 self.counters.count_start_by_other_clock()
+                if reply.clock_ms and worker is not None:
+                    self._fence(worker)
                 self.carry_out(AskWorker(run.worker_id))
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -215,7 +215,7 @@
     if run is None:
         return _adopt_run(tables, worker, row, now)
     commands = []
-    run.is_lease_known = True
+    run.is_lease_known = not worker.accepts_earlier_calls
     if run.state in UNANSWERED_STATES:
         commands.append(_describe_found(worker, run, now))
         run.state = RunState.RUNNING
@@ -264,7 +264,7 @@
         now,
         answered_at=now,
         lasted_before_s=math.inf,
-        is_lease_known=True,
+        is_lease_known=not worker.accepts_earlier_calls,
     )
     commands = []
     others = tuple(task.runs_by_number.values())
@@ -322,11 +322,11 @@
 
 def lapse_of(worker, run):
     """Returns the clock at which a run has lapsed if its worker stays silent."""
+    if run.is_lease_known:
+        return worker.lease_until
     longest_until = worker.longest_lease_until
     if worker.accepts_earlier_calls:
         longest_until += LATEST_ORDER_MS / MS_PER_S
-    elif run.is_lease_known:
-        return worker.lease_until
     return max(worker.lease_until, longest_until)
 
 
