--- a/features/support/granted_leases.py
+++ b/features/support/granted_leases.py
@@ -35,6 +35,12 @@
 # Time for which the leader is watched after the cut, and its steps, in seconds.
 WATCHED_S = 40.0
 STEP_S = 0.05
+# Outcomes of a start, by what became of it.
+OUTCOMES_BY_NAME = {
+    "that was answered": OrderOutcome.DONE,
+    "that was never sent": OrderOutcome.NOT_SENT,
+    "without an answer": OrderOutcome.UNKNOWN,
+}
 
 
 @dataclass
@@ -130,6 +136,8 @@
         leader: ``Takeover``.
         session: The real ``WorkerSession``.
         next_life: ``Incarnation`` after the restart.
+        late_deadline_ms: Deadline of a poll without an answer that is carried out late;
+            None for none.
     """
 
     def __init__(self):
@@ -147,6 +155,7 @@
         self.first_life = self._create_life(FIRST_BORN_MS, FIRST_CLOCK_MS)
         self.next_life = self._create_life(NEXT_BORN_MS, NEXT_CLOCK_MS)
         self.client.present = self.first_life
+        self.late_deadline_ms = None
 
     def _create_life(self, born_ms, clock_ms):
         now_ms = (self.timers.now() + DARK_S) * MS_PER_S
@@ -317,14 +326,6 @@
     }
 
 
-# Outcomes of a start, by what became of it.
-OUTCOMES_BY_NAME = {
-    "that was answered": OrderOutcome.DONE,
-    "that was never sent": OrderOutcome.NOT_SENT,
-    "without an answer": OrderOutcome.UNKNOWN,
-}
-
-
 async def after_start_to(outcome, is_listed_later):
     """Returns whether a start's task and its worker are free for another start.
 
--- a/features/support/other_incarnations.py
+++ b/features/support/other_incarnations.py
@@ -87,9 +87,21 @@
     return worker
 
 
+async def after_late_poll_beside_hung_polls():
+    """The next incarnation answers a start and lists nothing; a poll comes late."""
+    worker = RestartedWorker()
+    await worker.poll()
+    await worker.restart()
+    worker.client.hangs_polls = True
+    await worker.start(JOBS[0])
+    worker.late_deadline_ms = worker.first_life.clock_ms() + LONGEST_LEASE_S * 1000
+    return worker
+
+
 CASES_BY_NAME = {
     "a start that was sent again": after_repeated_start,
     "a start and a poll, and late a lost poll": after_late_poll,
+    "a start while polls hang, and late a lost poll": after_late_poll_beside_hung_polls,
 }
 
 
@@ -103,7 +115,7 @@
     assert life.rows and task.runs_by_number, "the next incarnation runs it"
     worker.client.present = None
     cut_at, freed_at = worker.timers.now(), None
-    late_deadline_ms = getattr(worker, "late_deadline_ms", None)
+    late_deadline_ms = worker.late_deadline_ms
     for _ in range(round(WATCHED_S / STEP_S)):
         await worker.poll()
         worker.leader.wait(STEP_S)
@@ -303,22 +315,6 @@
     return discarded
 
 
-async def after_late_poll_beside_hung_polls():
-    """The next incarnation answers a start and lists nothing; a poll comes late."""
-    worker = RestartedWorker()
-    await worker.poll()
-    await worker.restart()
-    worker.client.hangs_polls = True
-    await worker.start(JOBS[0])
-    worker.late_deadline_ms = worker.first_life.clock_ms() + LONGEST_LEASE_S * 1000
-    return worker
-
-
-CASES_BY_NAME["a start while polls hang, and late a lost poll"] = (
-    after_late_poll_beside_hung_polls
-)
-
-
 async def acknowledged_after_late_answer():
     """A start is answered by another clock, and then an earlier poll by the former.
 
