--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -419,6 +419,8 @@
                 # Its worker has probably restarted; polls may hang on connections to
                 # the earlier incarnation.
                 self.counters.count_start_by_other_clock()
+                if reply.clock_ms and worker is not None:
+                    self._fence(worker)
                 self.carry_out(AskWorker(run.worker_id))
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
@@ -433,6 +435,7 @@
         kind = ProofKind.START_REFUSED if is_sent else ProofKind.START_NOT_SENT
         forget_run(self.tables, run, EndProof(kind, now), now)
         if not is_sent and worker is not None:
+            worker.usable_after = now + REFUSED_PAUSE_S
             self._doubt(worker)
         elif reply.outcome is OrderOutcome.FENCED:
             self.handle_fenced(run.worker_id, run.token)
