Keep one clock for the suspicion that a worker has restarted

Cause: the session held a flag and a clock of which the flag follows; the steps of granted leases and the fields of worker-lapsed were written in two ways. Change: the clock alone, None without a suspicion; one function of the steps; one literal. No behaviour or assertion changes.

--- a/features/steps/granted_lease_steps.py
+++ b/features/steps/granted_lease_steps.py
@@ -7,10 +7,15 @@
 from features.support import granted_leases
 
 
+def _freed_after_s(calls):
+    """Returns how long after its lapse each run's task was freed, in seconds."""
+    return tuple(asyncio.run(granted_leases.play(calls)).values())
+
+
 @then('a worker that gets "{calls}" and is cut off keeps its tasks until they lapse')
 def check_kept(context, calls):
-    left_s_by_job = asyncio.run(granted_leases.play(calls))
-    assert min(left_s_by_job.values()) >= 0, left_s_by_job
+    after_s = _freed_after_s(calls)
+    assert min(after_s) >= 0, after_s
 
 
 @then(
@@ -18,8 +23,8 @@
     "{seconds:g} s after they lapse"
 )
 def check_freed(context, calls, seconds):
-    left_s_by_job = asyncio.run(granted_leases.play(calls))
-    assert 0 <= max(left_s_by_job.values()) <= seconds, left_s_by_job
+    after_s = _freed_after_s(calls)
+    assert 0 <= max(after_s) <= seconds, after_s
 
 
 @then('a leader that hands over after "{calls}" hands over all of the leases')
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -783,7 +783,7 @@
         fields = {
             "worker": worker.worker_id,
             "runs": len(lapsed),
+            "left": len(worker.runs_by_key),
         }
-        fields["left"] = len(worker.runs_by_key)
         commands.append(LogEvent("worker-lapsed", fields))
     return commands
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -52,10 +52,9 @@
         self._is_closed = False
         self._stored = asyncio.Event()
         self._token_raised = asyncio.Event()
-        # Whether the next poll may reach a later incarnation, and since when: no poll
-        # that was sent later has been answered.
-        self._may_have_restarted = False
-        self._suspected_at = 0.0
+        # Clock of the last sign that the next poll may reach a later incarnation, if no
+        # poll that was sent later has been answered; None otherwise.
+        self._suspected_at = None
 
     def start(self):
         """Starts polling the worker."""
@@ -165,8 +164,8 @@
                 self._record_clock_offset(reply.view, answered_at)
             if worker.born_ms == born_ms:
                 worker.discarded_end = max(worker.discarded_end, discards)
-            if now >= self._suspected_at:
-                self._may_have_restarted = False
+            if self._suspected_at is not None and now >= self._suspected_at:
+                self._suspected_at = None
             return True
         if reply.outcome is OrderOutcome.FENCED:
             # A refusal does not name its incarnation.
@@ -187,13 +186,12 @@
 
     def _suspect_restart(self):
         """Notes that the next poll may reach a later incarnation of the worker."""
-        self._may_have_restarted = True
         self._suspected_at = self._timers.now()
 
     def _end_to_discard(self):
         """Returns the number up to which the next poll acknowledges ends."""
         worker = self.worker
-        if self._may_have_restarted or worker.unresponsive_since:
+        if self._suspected_at is not None or worker.unresponsive_since:
             return 0
         return worker.stored_end if worker.stored_end > worker.discarded_end else 0
 
