Give fleets of each test process a loopback address of its own

Cause: its log says 'Address already in use'. Change: the address follows from the process number; ports cannot meet any more. A row for numbers at which the ranges overlapped.

--- a/features/nodes.feature
+++ b/features/nodes.feature
@@ -140,3 +140,13 @@
   Scenario: a node that stepped down campaigns again if no other takes its key
     When a node that became leader then steps down and no other takes its key
     Then it leads again under a new token
+
+  Scenario Outline: a killed node's port is taken by a fleet of another process (<other> processes later)
+    Then fleets of a process and of the one <other> later have loopback addresses of their own
+
+    Examples: the searches for free ports overlap for some numbers of processes
+      | other |
+      | 1     |
+      | 69    |
+      | 250   |
+      | 5000  |
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import http.client
+import ipaddress
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -29,6 +31,7 @@
     ADDRESS as LOOPBACK,
     QUEUE_HOST,
     QUEUE_PREFIX,
+    own_loopback_address,
 )
 from sassafrasgrade.tools.standins.worker_states import find_violations
 
@@ -438,3 +441,14 @@
 @then("it is not leader again")
 def check_not_leader_again(context):
     assert not context.is_leader and len(context.gained) == 1, context.gained
+
+
+@then(
+    "fleets of a process and of the one {other:d} later have loopback addresses of "
+    "their own"
+)
+def check_own_addresses(context, other):
+    first = os.getpid()
+    addresses = {own_loopback_address(first), own_loopback_address(first + other)}
+    assert len(addresses) == 2, addresses
+    assert all(ipaddress.ip_address(text).is_loopback for text in addresses), addresses
--- a/sassafrasgrade/tools/standins/fleets.py
+++ b/sassafrasgrade/tools/standins/fleets.py
@@ -25,7 +25,6 @@
 from sassafrasgrade.tools.standins.proxies import Lane
 from sassafrasgrade.tools.standins.store_handlers import StoreServer
 
-ADDRESS = "127.0.0.1"
 POOL = "pool-work"
 STANDBY = "pool-standby"
 QUEUE_HOST = "jobs.example"
@@ -35,6 +34,21 @@
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 PORTS_PER_PROCESS = 317
+# Numbers of a byte of an address that hosts use.
+HOST_BYTES = 250
+
+
+def own_loopback_address(process_id):
+    """Returns the loopback address of a process that runs fleets.
+
+    A killed node's port is free until the node starts again: another process on the
+    same address might take it meanwhile.
+    """
+    third, fourth = divmod(process_id % (HOST_BYTES * HOST_BYTES), HOST_BYTES)
+    return f"127.0.{third + 1}.{fourth + 1}"
+
+
+ADDRESS = own_loopback_address(os.getpid())
 
 
 def free_ports(count):
