Show the runs of each backend server when a pool ran too few requests

What callers saw: nothing in a deployment. Cause: not proven. Change: the check prints the runs of each server and the outcomes by class; its bound is the same.

--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -69,8 +69,15 @@
 @then("the pool ran at least {percent:d} percent of the requests that its slots allow")
 def check_completed_work(context, percent):
     reports = context.cluster.backend_reports()
-    runs = sum(r["runs"] for name, r in reports.items() if name.startswith("forms"))
-    assert runs * 100 >= percent * CAPACITY_PER_S * context.seconds, runs
+    runs_by_server = {
+        name: report["runs"]
+        for name, report in reports.items()
+        if name.startswith("forms")
+    }
+    runs = sum(runs_by_server.values())
+    # The runs of each server tell an unused server from a pause of all.
+    evidence = (runs, runs_by_server, context.result["classes"])
+    assert runs * 100 >= percent * CAPACITY_PER_S * context.seconds, evidence
 
 
 @then("no caller got a wrong or cut answer except from the killed entry host")
