Start all members of a gang with one saved value

Cause: each task kept the value that its own runs had reported last. What waits for the others saves nothing, so that a difference stayed for ever. A start also took the value of the moment it was sent at, and any report replaced the value, also an older one. Change: the members of a gang share one SavedProgress. A run's value is settled as it is placed. A value gives way only to one that goes as far: by number of the start, then ends before lists (stops first), then percent; a run that repeats its value says nothing new. Copies of a speculative step stay unordered, as they run beside each other.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -447,3 +447,59 @@
 
   Scenario: a step whose calls fail keeps the others from their turn
     Then steps with advice take turns while all calls fail
+
+  Scenario Outline: three <kind> start again with <values> after <reports>
+    Given three "<kind>" that save their progress have been started
+    When workers report "<reports>"
+    Then they start again with "<values>"
+
+    Examples: members of a gang were started with unequal values, and ended alone for ever
+      | kind              | values | reports                                                                                              |
+      | members of a gang | b b b  | 0.1 lists a 10; 1.1 lists a 10; 2.1 lists a 10; 0.1 lists b 20; 1.1 lists b 20; 2.1 crashes; 0.1 ends broken b; 1.1 ends broken b |
+      | members of a gang | b b b  | 0.1 lists a 10; 1.1 lists a 10; 2.1 lists a 10; 0.1 crashes; 2.1 ends broken b; 1.1 ends broken b |
+      | members of a gang | a a a  | 1.1 lists a 10; all crashes                                                                          |
+      | members of a gang | - - -  | 1.1 crashes; 0.1 ends broken -; 2.1 ends broken -                                                    |
+      | members of a gang | a a a  | 0.1 lists a 10; 1.1 crashes; 0.1 ends broken -; 2.1 ends broken -                                    |
+
+    Examples: a gang's value goes back to none that is older
+      | kind              | values | reports                                                                                              |
+      | members of a gang | b b b  | 0.1 lists b 20; 1.1 lists a 19; all crashes                                                          |
+      | members of a gang | b b b  | 0.1 lists a 10; 1.1 lists b 10; all crashes                                                          |
+      | members of a gang | b b b  | 0.1 lists a 10; 1.1 lists b 10; 0.1 lists a 10; all crashes                                          |
+      | members of a gang | b b b  | 0.1 ends broken b; 1.1 lists a 10; 1.1 crashes; 2.1 crashes                                          |
+      | members of a gang | b b b  | 0.1 ends stopped b; 1.1 ends broken a; 2.1 ends broken a                                             |
+      | members of a gang | b b b  | 1.1 lists a 10; 0.1 ends lapsed b; 1.1 ends broken a; 2.1 crashes                                    |
+
+    Examples: the newest start of a gang counts
+      | kind              | values | reports                                                                                              |
+      | members of a gang | b b b  | 0.1 lists a 10; all crashes; all starts; 2.2 lists b 20; all crashes                                 |
+      | members of a gang | b b b  | 0.1 lists a 10; all crashes; all starts; 2.2 lists b 5; all crashes                                  |
+      | members of a gang | b b b  | 0.1 lists a 10; 0.1 lapses; 1.1 crashes; 2.1 crashes; all starts; 1.2 lists b 20; 0.1 ends lapsed c; all crashes |
+      | members of a gang | c c c  | 0.1 lists a 10; 0.1 lapses; 1.1 crashes; 2.1 crashes; all starts; 0.1 ends lapsed c; 1.2 lists a 12; all crashes |
+
+    Examples: the leader changes
+      | kind              | values | reports                                                                                              |
+      | members of a gang | b b b  | 0.1 lists a 10; all is-inherited; 0.1 lists b 20; 1.1 lists a 12; 2.1 lists a 12; all crashes        |
+      | members of a gang | c c c  | all is-inherited; 2.1 ends broken c; 0.1 lists b 20; 1.1 lists a 12; 0.1 crashes; 1.1 crashes        |
+      | members of a gang | b b b  | 0.1 lists a 10; all is-handed-over; 2.1 lists b 20; all crashes                                      |
+      | members of a gang | a a a  | all is-inherited; 2.1 ends alone a; 1.1 ends alone -; 0.1 ends alone -                               |
+      | members of a gang | b b b  | all is-inherited; 2.1 lists b 20; 0.1 lists a 10; 0.1 ends alone a; 1.1 ends alone -; 2.1 ends alone b |
+
+    Examples: other tasks keep values of their own
+      | kind                        | values | reports                                                                                     |
+      | tasks of a step             | b - c  | 0.1 lists a 10; 2.1 lists c 30; 0.1 lists b 20; all crashes                                 |
+      | tasks of a step             | c - -  | 0.1 lists a 10; 0.1 ends stopped c; 1.1 ends failed -; 2.1 crashes                          |
+      | tasks of a step             | b - -  | 0.1 lapses; 1.1 crashes; 2.1 crashes; all starts; 0.2 lists b 20; 0.1 ends lapsed a; all crashes |
+      | tasks of a speculative step | c - -  | 0.1 lists a 10; 0.1 is-copied; 0.2 lists b 15; 0.1 lists c 30; all crashes                  |
+      | tasks of a speculative step | b - -  | 0.1 lists a 10; 0.1 is-copied; 0.2 lists b 15; 0.1 lists a 30; all crashes                  |
+
+  Scenario Outline: <kind> start again with <values>, though <late> comes between their starts
+    Given three "<kind>" that save their progress have been started
+    When workers report "0.1 lists a 10; 0.1 lapses; 1.1 crashes; 2.1 crashes"
+    Then they start again with "<values>", though "<late>" comes in between
+
+    Examples: the members of a gang are told to start at different moments
+      | kind              | late               | values |
+      | members of a gang | 0.1 ends lapsed b  | a a a  |
+      | members of a gang | 0.2 lists b 20     | a a a  |
+      | tasks of a step   | 0.1 ends lapsed b  | a - -  |
--- a/features/support/work_tables.py
+++ b/features/support/work_tables.py
@@ -83,7 +83,8 @@
         clock_ms=now * 1000 if clock_ms is None else clock_ms,
         running=tuple(RunningRow(*row) for row in running),
         ended=tuple(
-            EndedRow(number, task, run, RunEnd(end)) for number, task, run, end in ended
+            EndedRow(number, task, run, RunEnd(end), *saved)
+            for number, task, run, end, *saved in ended
         ),
     )
     return apply_view(tables, worker, view, now if sent_at is None else sent_at, now)
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -368,7 +368,7 @@
     def _record_durations(self, worker, view, now):
         for row in view.ended:
             run = worker.runs_by_key.get((row.task, row.run))
-            if run is None or row.how != "done" or run.task.saved:
+            if run is None or row.how != "done" or run.task.saved.value:
                 continue
             if run.task.step.is_perpetual:
                 continue
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -19,6 +19,7 @@
     EndedIncarnation,
     Run,
     RunState,
+    SaveReport,
     Task,
     UnclaimedRow,
     Worker,
@@ -241,8 +242,7 @@
 
 
 def _record_progress(run, row, now):
-    if row.saved:
-        run.task.saved = row.saved
+    _record_saved(run.task, run, row, SaveReport.LISTED, row.percent)
     if row.percent > run.percent or not run.changed_at:
         run.changed_at = now
     run.percent = row.percent
@@ -251,6 +251,29 @@
         run.at_work_at = now
 
 
+def _record_saved(task, run, row, report, percent=0.0):
+    """Records the saved value of a row, unless one that goes further is known.
+
+    A run that reports what it was started with, or has reported before, says nothing
+    new. Copies run beside each other, so that numbers say nothing: the last report of
+    any counts.
+
+    Args:
+        task: The task.
+        run: Its ``Run``, or None if it is not in the tables.
+        row: ``RunningRow`` or ``EndedRow``.
+        report: ``SaveReport``.
+        percent: Progress of the run; 0 for ends.
+    """
+    if not row.saved or (run is not None and run.saved == row.saved):
+        return
+    if run is not None:
+        run.saved = row.saved
+    may_have_copies = task.step.is_speculative and not task.step.is_gang
+    if may_have_copies or not task.saved.is_beyond(row.run, report, percent):
+        task.saved.replace(row.saved, row.run, report, percent)
+
+
 def _adopt_run(tables, worker, row, now):
     """Adds a run that was started under an earlier leadership."""
     task = find_task(tables, row.task)
@@ -444,8 +467,9 @@
     if run is None:
         _note_outcome(task)
     record_start(tables, task.job)
-    if row.saved:
-        task.saved = row.saved
+    is_stopped = row.how is RunEnd.STOPPED
+    report = SaveReport.STOPPED if is_stopped else SaveReport.ENDED
+    _record_saved(task, run, row, report)
     fields = {
         "job": task.job.job_id,
         "task": row.task,
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -447,8 +447,20 @@
 
 
 def create_run(task, worker, number, now):
-    """Adds a run whose start order is about to be sent."""
-    run = Run(task, number, worker.worker_id, RunState.STARTING, now, changed_at=now)
+    """Adds a run whose start order is about to be sent.
+
+    What it resumes from is settled here: orders to the members of a gang leave at
+    different moments, and a report may come in between.
+    """
+    run = Run(
+        task,
+        number,
+        worker.worker_id,
+        RunState.STARTING,
+        now,
+        changed_at=now,
+        saved=task.saved.value,
+    )
     task.last_number = number
     task.runs_by_number[number] = run
     worker.runs_by_key[(task.name, number)] = run
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -115,6 +115,8 @@
         is_lease_known: Whether it surely lapses by its worker's ``lease_until``: it is
             on the incarnation whose clock sets the deadlines, or on one whose clock is
             ahead.
+        saved: Saved progress that it was placed with, or has reported since; empty for
+            none.
     """
 
     task: "Task"
@@ -138,6 +140,47 @@
     is_isolated: bool = False
     lasted_before_s: float = 0.0
     is_lease_known: bool = False
+    saved: str = ""
+
+
+class SaveReport(IntEnum):
+    """What reported a saved value; of one run, the later kinds go further.
+
+    ``LISTED``: the run was listed with it. ``ENDED``: the run ended with it.
+    ``STOPPED``: the run was stopped, for which it saved once more.
+    """
+
+    LISTED = 0
+    ENDED = 1
+    STOPPED = 2
+
+
+@dataclass(slots=True, eq=False)
+class SavedProgress:
+    """The furthest progress known to be saved of a task, or of a whole gang.
+
+    The value is opaque: run, report and percent say how far it goes.
+
+    Attributes:
+        value: What a start carries; empty for none.
+        run: Number of the run that reported it.
+        report: What reported it.
+        percent: Progress of the run when it was listed with it; 0 for ends.
+    """
+
+    value: str = ""
+    run: int = 0
+    report: SaveReport = SaveReport.LISTED
+    percent: float = 0.0
+
+    def is_beyond(self, run, report, percent):
+        """Whether it goes further than a value that was reported so."""
+        return (self.run, self.report, self.percent) > (run, report, percent)
+
+    def replace(self, value, run, report, percent):
+        """Takes over a value."""
+        self.value, self.run = value, run
+        self.report, self.percent = report, percent
 
 
 @dataclass(slots=True, eq=False)
@@ -155,7 +198,7 @@
         failed_numbers: Numbers of runs that ended ``failed``. A set, since an end
             may be reported again to the next leader but counts once.
         runs_by_number: Runs not known to have ended.
-        saved: Last saved progress.
+        saved: Its saved progress; the members of a gang share one.
         last_number: Highest known run number.
         avoided_workers: Workers on which it failed, stalled or was slow; chosen
             last.
@@ -178,7 +221,7 @@
     is_done: bool = False
     failed_numbers: set[int] = field(default_factory=set)
     runs_by_number: dict[int, Run] = field(default_factory=dict)
-    saved: str = ""
+    saved: SavedProgress = field(default_factory=SavedProgress)
     last_number: int = 0
     avoided_workers: set[str] = field(default_factory=set)
     blocked_until: float = 0.0
@@ -576,6 +619,8 @@
         due_at = (request.first_ms + number * request.interval_ms) / MS_PER_S
     rows = []
     for step_number, step in enumerate(request.steps):
+        # The members of a gang work only if all resume from the same value.
+        shared = SavedProgress() if step.is_gang else None
         tasks = [
             Task(
                 f"{job.job_id}.{number}.{step_number}.{index}",
@@ -584,6 +629,7 @@
                 step_number,
                 index,
                 step,
+                saved=shared or SavedProgress(),
             )
             for index in range(step.count)
         ]
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -261,7 +261,7 @@
             task.job.request.spec,
             run.deadline_ms,
             token,
-            task.saved,
+            run.saved,
             run.ticket,
         )
         return await self._client.start(order, ANSWER_TIMEOUT_S)
