Start runs only by the registration of the incarnation that answers

Cause: the leader notes a restart from a worker's answer, but capacity, labels and pool stayed those of the former registration until a watch told of the next one. Both carry a birth, which nothing compared. A new leader that read a former registration, and a registration that came before the answer, had the same fault. Change: the row keeps the birth in the registration. A worker is usable only while that is the birth in its answers. While it is an earlier one, the leader reads the registrations itself each 0.5 s. A later one waits for an answer to a call that was sent since; if that still names the earlier birth, the registration's is wrong. An earlier one that is still listed after 6 s, while the store answers, is taken for the worker's, so that no worker stays out for good. Starts that were placed and not sent are forgotten as their worker restarts: they were sent after all if it was usable again in time. Tests: RestartedWorker of the late calls did not register after its restart, as every worker does, and was usable by the registration of its former life; it registers now, and all rows and assertions are as they were.

--- a/features/run_ends.feature
+++ b/features/run_ends.feature
@@ -122,6 +122,7 @@
       | is forgotten                                   | no   |
       | waits while its worker's clock becomes unknown | no   |
       | is told to stop                                | no   |
+      | waits while its worker is back and usable again | no  |
 
   Scenario Outline: a start that curl sent <copies> times and that was answered "<refusal>" had no effect: <proven>
     Then a start sent in <copies> copies and answered "<refusal>" has surely had no effect: "<proven>"
--- a/features/support/late_calls.py
+++ b/features/support/late_calls.py
@@ -43,17 +43,25 @@
     def __init__(self):
         self.leader = Takeover(epoch=1)
         self.leader.load()
-        self.leader.loader._apply_worker_changes([registration(WORKER, born=BORN_MS)])
+        self.born_ms = BORN_MS
+        self._register()
         self.leader.report(WORKER, born_ms=BORN_MS)
         self.revision = TOKEN
         self.commit()
         self.leader.wait(0.1)
         self.restart()
 
+    def _register(self):
+        """The present incarnation registers."""
+        self.leader.loader._apply_worker_changes(
+            [registration(WORKER, born=self.born_ms)]
+        )
+
     def restart(self):
-        """The worker starts again under its id, and answers."""
+        """The worker starts again under its id, registers and answers."""
         self.leader.wait(0.1)
-        self.born_ms = getattr(self, "born_ms", BORN_MS) + 1
+        self.born_ms += 1
+        self._register()
         self.leader.report(WORKER, born_ms=self.born_ms)
 
     def answer(self):
@@ -83,9 +91,7 @@
         remove_worker(tables, worker, proof, now, has_ended=False)
         self.leader.dispatcher._sessions_by_id.clear()
         self.born_ms += 1
-        self.leader.loader._apply_worker_changes(
-            [registration(WORKER, born=self.born_ms)]
-        )
+        self._register()
 
     @property
     def is_usable(self):
--- a/features/support/order_cases.py
+++ b/features/support/order_cases.py
@@ -19,7 +19,7 @@
 from sassafrasgrade.platform.stores import Put, StoreClient
 from sassafrasgrade.platform.workers import OrderOutcome, WorkerClient, WorkerReply
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
-from sassafrasgrade.systems.run_updates import forget_run
+from sassafrasgrade.systems.run_updates import forget_run, restart_worker
 from sassafrasgrade.timers import FakeTimerService
 from sassafrasgrade.work_tables import RunState
 from sassafrasgrade.worker_orders import StartOrder
@@ -103,6 +103,10 @@
         forget_run(tables, runs[2], EndProof(ProofKind.LEASE_LAPSED, NOW), NOW)
     elif event == "waits while its worker's clock becomes unknown":
         worker.clock_offset_ms = None
+    elif event == "waits while its worker is back and usable again":
+        view = WorkerView(clock_ms=1.0, born_ms=BORN_MS)
+        restart_worker(tables, worker, view, NOW)
+        worker.clock_offset_ms = 0.0
     elif event == "is told to stop":
         runs[2].stopped_at = NOW
     client.released.set()
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -44,6 +44,7 @@
     def __init__(self, timers, earlier_left_s):
         self._timers = timers
         self.earlier_leaders_until = timers.now() + earlier_left_s
+        self.answering_since = timers.now()
 
     @property
     def last_renewal_at(self):
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -642,6 +642,7 @@
         self.loader.remove_moved(now)
         self.loader.drop_missing(now)
         self.loader.reread_after_expiry(now)
+        self.loader.reread_earlier(now)
         if self._reaches_too_few_workers(now):
             self._is_releasing = True
             IOLoop.current().add_callback(
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -178,6 +178,11 @@
         """Returns the seconds since the store answered a renewal or a watch."""
         return self._timers.now() - self._store_answer_at
 
+    @property
+    def answering_since(self):
+        """Clock since when the store has answered without a longer pause."""
+        return self._answering_since
+
     def start(self):
         """Starts to renew the lease and to watch the members."""
         IOLoop.current().add_callback(self._renew_loop)
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -631,7 +631,8 @@
     that this one may have answered some of them. One without an answer may still be
     carried out: this incarnation has seen no token and no stop, and the order's
     deadline is of another clock. It is stopped here, too, or waited for until no order
-    can arrive any more.
+    can arrive any more. One that was not sent yet was placed by the capacity and labels
+    of the earlier incarnation, and is forgotten.
 
     Args:
         tables: The tables.
@@ -644,7 +645,10 @@
     """
     unanswered = [r for r in worker.runs_by_key.values() if is_unanswered(r)]
     commands = [_describe_restart(worker, view, unanswered)]
-    for run in worker.runs_by_key.values():
+    for run in list(worker.runs_by_key.values()):
+        if run.state is RunState.STARTING and not run.deadline_ms:
+            forget_run(tables, run, EndProof(ProofKind.START_NOT_SENT, now), now)
+            continue
         if run in unanswered:
             run.state = RunState.UNCERTAIN
             run.deadline_ms = view.clock_ms + LATEST_ORDER_MS
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -109,7 +109,11 @@
 
 
 def is_usable(worker: Worker, now):
-    """Whether a worker may get new runs."""
+    """Whether a worker may get new runs.
+
+    An incarnation may be of another kind, capacity or pool than the one before, so that
+    its own registration has to be known.
+    """
     return (
         worker.has_seen_token
         and not worker.is_draining
@@ -117,6 +121,8 @@
         and worker.unresponsive_since == 0
         and worker.doubted_at == 0
         and worker.missing_since == 0
+        and not worker.has_earlier_registration
+        and not worker.has_later_registration
         and now >= worker.usable_after
     )
 
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -18,7 +18,7 @@
     progress_of,
     split_key,
 )
-from sassafrasgrade.leaderships import LEASE_TTL_S
+from sassafrasgrade.leaderships import LEASE_TTL_S, MAX_RENEWAL_AGE_S
 from sassafrasgrade.node_messages import HandOver
 from sassafrasgrade.platform import names
 from sassafrasgrade.prefix_followers import PrefixFollower
@@ -26,6 +26,7 @@
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.occurrences import create_due
 from sassafrasgrade.systems.run_updates import (
+    STALE_REGISTRATION_S,
     adopt_handed_over_runs,
     claim_rows,
     remove_worker,
@@ -46,6 +47,9 @@
 # Time in seconds after which a worker that is neither listed nor answering is
 # removed.
 MISSING_WORKER_S = 2.5
+# Time for which a worker answers without its registration before the registrations are
+# read again, and between two such reads, in seconds. Mostly a watch tells of it sooner.
+REREAD_PERIOD_S = 0.5
 # Time after a takeover in which earlier leaders may still receive new jobs, in
 # seconds: until all nodes have noticed it, whose watches may hear nothing for a second.
 PREDECESSOR_ACCEPT_WINDOW_S = 3.0
@@ -77,6 +81,10 @@
         self.barrier_until = 0.0
         self._began_at = self._timers.now()
         self._has_jobs = self._has_workers = False
+        # Since when workers have answered under registrations of earlier incarnations,
+        # by worker id and births.
+        self._earlier_since_by_key = {}
+        self._reread_at = float("-inf")
         # All workers since the takeover, while the barrier stands.
         self._rows_by_worker_id = {}
         self._workers = PrefixFollower(
@@ -330,6 +338,45 @@
         if expired:
             self._workers.reread_range()
 
+    def reread_earlier(self, now):
+        """Reads registrations again while some are of earlier incarnations.
+
+        A watch may hear nothing for a while. What stays listed for longer than that of
+        an ended incarnation is the worker's own: its birth is wrong there.
+        """
+        self._note_earlier(now)
+        longest_s = now - min(self._earlier_since_by_key.values(), default=now)
+        if min(longest_s, now - self._reread_at) >= REREAD_PERIOD_S:
+            self._reread_at = now
+            self._workers.reread_range()
+
+    def _note_earlier(self, now):
+        """Notes since when workers have answered that have not registered yet."""
+        known, self._earlier_since_by_key = self._earlier_since_by_key, {}
+        for worker in self._tables.workers_by_id.values():
+            if not worker.has_earlier_registration or worker.unresponsive_since:
+                continue
+            key = worker.worker_id, worker.births
+            if key not in known:
+                _log_earlier("worker answers, but has not registered yet", worker)
+            since = known.get(key, now)
+            if self._has_stayed_listed(since):
+                worker.trusted_births = worker.births
+                _log_earlier("registration with another birth is used", worker)
+            else:
+                self._earlier_since_by_key[key] = since
+
+    def _has_stayed_listed(self, since):
+        """Whether a registration has stayed for longer than that of an ended worker.
+
+        While the store does not answer, none expires.
+        """
+        if self._leadership.store_answer_age_s() > MAX_RENEWAL_AGE_S:
+            return False
+        since = max(since, self._leadership.answering_since)
+        known_until = self._workers.confirmed_at - WATCH_SILENCE_S
+        return known_until - since > STALE_REGISTRATION_S
+
     def remove_moved(self, now):
         """Removes workers whose id is registered with another address, to read it."""
         moved = [w for w in self._tables.workers_by_id.values() if has_moved(w, now)]
@@ -361,6 +408,12 @@
                 self._dispatcher.sync_sessions()
 
 
+def _log_earlier(message, worker):
+    registered_ms, born_ms = worker.births
+    extra = {"worker": worker.worker_id, "born": born_ms}
+    logger.info(message, extra=extra | {"registered_born": registered_ms})
+
+
 def _log_skipped(job_id, error):
     logger.error(
         "job skipped; its stored record cannot be decoded",
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -325,6 +325,12 @@
         leaves_at: Clock at which it may be gone; None if it stays.
         born_ms: Start of the incarnation; None before the worker reported it.
         earlier_births: Starts of its earlier incarnations that this leader knew.
+        registered_born_ms: Start of the incarnation that its registration is of, which
+            its pool, capacity and labels are from; None if that is not known.
+        registered_at: Clock when its registration became one of that incarnation; 0 if
+            its first one was.
+        trusted_births: Starts of the incarnation registered and of the one that
+            answers, if they differ and the registration is still the worker's.
         host: Name of its host; empty while unknown.
         other_address: Another address under which its id was registered; empty if none.
         clock_offset_ms: Its clock minus the node's, in milliseconds.
@@ -380,6 +386,9 @@
     leaves_at: float | None = None
     born_ms: int | None = None
     earlier_births: set[int] = field(default_factory=set)
+    registered_born_ms: int | None = None
+    registered_at: float = 0.0
+    trusted_births: tuple[int, int] | None = None
     host: str = ""
     other_address: str = ""
     clock_offset_ms: float | None = None
@@ -425,6 +434,36 @@
         """
         return self.fenced_at > -math.inf and not self.has_seen_token
 
+    @property
+    def births(self):
+        """Starts of the incarnation registered and of the one that answers."""
+        return self.registered_born_ms, self.born_ms
+
+    @property
+    def has_earlier_registration(self):
+        """Whether its registration is of an incarnation before the one that answers.
+
+        That one may be of another kind, capacity or pool.
+        """
+        registered_ms, born_ms = self.births
+        if not self._is_registration_of_other or self.births == self.trusted_births:
+            return False
+        return registered_ms < born_ms or registered_ms in self.earlier_births
+
+    @property
+    def has_later_registration(self):
+        """Whether its registration may be of an incarnation that has not answered yet.
+
+        An answer to a call that was sent since then shows that there is none.
+        """
+        if not self._is_registration_of_other or self.has_earlier_registration:
+            return False
+        return self.last_answered_call_at < self.registered_at
+
+    @property
+    def _is_registration_of_other(self):
+        return None not in self.births and self.registered_born_ms != self.born_ms
+
     @property
     def has_runs(self):
         """Whether it may run anything, also of jobs that are not known yet."""
--- a/sassafrasgrade/worker_registrations.py
+++ b/sassafrasgrade/worker_registrations.py
@@ -156,6 +156,7 @@
         entry.capacity,
         entry.labels,
         born_ms=entry.born_ms,
+        registered_born_ms=entry.born_ms,
     )
     tables.workers_by_id[worker_id] = worker
     logger.info(
@@ -171,6 +172,9 @@
     worker.capacity = entry.capacity
     worker.labels = entry.labels
     worker.other_address = ""
+    if worker.registered_born_ms != entry.born_ms:
+        worker.registered_born_ms = entry.born_ms
+        worker.registered_at = now
     if not worker.has_seen_token:
         # A worker stays on its host; another writer's entry must not move it.
         worker.host = entry.host
