Count all runs that a worker lists against its capacity

Cause: a listed run took room through its row in the tables, and got one only if its task was there. Of a scheduled job that is no longer open a new leader creates no occurrence; the run was stopped by name and forgotten. The same held for occurrences that are done, deleted jobs and names of no task. Change: such runs are kept with the step that their name says, and take its room until a list is without them. Without a known step the worker gets nothing else meanwhile, as with runs of jobs that are not known yet. They are stopped by name with each list, as before; nothing else looks at them.

--- a/features/job_accounting.feature
+++ b/features/job_accounting.feature
@@ -51,6 +51,32 @@
       | running     | yes   | no     |
       | not there   | no    | yes    |
 
+    Examples: a new leader has no task for the run, and stops it under its name only
+      | state                                               | takes | starts |
+      | cancelled and scheduled                             | yes   | no     |
+      | cancelled and scheduled, of half the room           | half  | no     |
+      | cancelled and scheduled, of half the room, beside a task of half the room | half | yes |
+      | cancelled and scheduled, known after it was listed  | yes   | no     |
+      | scheduled, of an occurrence that is done            | yes   | no     |
+      | running, in a step that it does not have            | yes   | no     |
+      | not known                                           | yes   | no     |
+      | not known, under a name of no task                  | yes   | no     |
+      | cancelled and scheduled, and it has ended           | no    | yes    |
+      | not known, and it has ended                         | no    | yes    |
+      | cancelled and scheduled, and its worker is back without it | no | yes |
+
+  Scenario Outline: a listed run that is not in the tables, of a job that is <state>, is only stopped
+    Given a worker with room for one task, which lists a run of a job that is "<state>"
+    Then the list causes one stop of the run by its name, and nothing else
+    And another list without it causes nothing
+    And another list with its end causes nothing
+
+    Examples:
+      | state                                      |
+      | cancelled and scheduled                    |
+      | scheduled, of an occurrence that is done   |
+      | not known                                  |
+
   Scenario Outline: a start of a <kind> task that gets no answer is stopped: <stopped>
     Given a start of a "<kind>" task is sent
     When the reply to its start is "unknown"
--- a/features/steps/job_accounting_steps.py
+++ b/features/steps/job_accounting_steps.py
@@ -13,7 +13,6 @@
     add_simple_job,
     apply_worker_view,
     create_tables,
-    first_task,
 )
 from sassafrasgrade.job_records import (
     SubmittedJob,
@@ -24,19 +23,27 @@
     find_task,
     progress_of,
 )
-from sassafrasgrade.platform.messages import JobRequest, Step
+from sassafrasgrade.platform.messages import JobRequest, Step, WorkerView
 from sassafrasgrade.platform.workers import (
     NO_EFFECT_OUTCOMES,
     OrderOutcome,
     WorkerReply,
 )
 from sassafrasgrade.systems.learned_durations import LearnedDurations
-from sassafrasgrade.systems.run_updates import START_VALID_MS, cancel_job
+from sassafrasgrade.systems.run_updates import (
+    START_VALID_MS,
+    cancel_job,
+    claim_rows,
+    restart_worker,
+)
 from sassafrasgrade.systems.task_placement import place_tasks
+from sassafrasgrade.work_commands import LogEvent, StopUnknownRun
 from sassafrasgrade.work_tables import MS_PER_S, Crash
 
 JOB = "a" * 16
 TASK = f"{JOB}.0.0.0"
+LISTED_JOB = "b" * 16
+HALF_ROOM = 8_000
 FAILED = {1, 2, 3}
 CRASHES = (Crash("host-gone", True, True),)
 
@@ -163,18 +170,87 @@
     assert not most or all(count <= most for count in counts.values()), counts
 
 
+def add_scheduled_job(tables, cpu_millis=16_000):
+    """Adds a job of two occurrences, of which none is in the tables yet."""
+    step = Step(count=1, cpu_millis=cpu_millis, memory_mb=100, estimate_ms=500)
+    request = JobRequest(
+        spec="s", steps=(step,), repeats=2, first_ms=1000, interval_ms=1000
+    )
+    return add_job(tables, LISTED_JOB, SubmittedJob(QUEUE, NOW_UNIX, request))
+
+
+def add_listed_job(tables, state):
+    """Adds the job of a listed run."""
+    if state.startswith("not "):
+        return
+    if "scheduled" not in state:
+        job = add_simple_job(tables, LISTED_JOB, cpu_millis=16_000)
+    else:
+        cpu_millis = HALF_ROOM if "of half the room" in state else 16_000
+        job = add_scheduled_job(tables, cpu_millis)
+    if state.endswith("is done"):
+        job.done_occurrences.add(0)
+    if state.startswith("cancelled"):
+        cancel_job(tables, job)
+
+
+LISTED_TASK_BY_STATE = {
+    "running, in a step that it does not have": f"{LISTED_JOB}.0.7.0",
+    "not known, under a name of no task": "odd",
+}
+
+
 @given('a worker with room for one task, which lists a run of a job that is "{state}"')
 def list_run(context, state):
     context.tables = create_tables(workers=1)
-    tables = context.tables
-    if state != "not there":
-        job = add_simple_job(tables, "b" * 16, cpu_millis=16_000)
-        if state == "cancelled":
-            cancel_job(tables, job)
-        row = (first_task(job).name, 1, "", 10, 0)
-        worker = tables.workers_by_id["worker-0"]
-        apply_worker_view(tables, worker, NOW, running=[row])
-    add_simple_job(tables, cpu_millis=16_000)
+    context.worker = context.tables.workers_by_id["worker-0"]
+    context.listed = LISTED_TASK_BY_STATE.get(state, f"{LISTED_JOB}.0.0.0")
+    is_known_later = state.endswith("known after it was listed")
+    if not is_known_later:
+        # All stored jobs are in the tables.
+        context.tables.jobs_complete_at = NOW + 1
+        add_listed_job(context.tables, state)
+    rows = [(context.listed, 1, "", 10, 0)]
+    if state == "not there":
+        rows = []
+    context.commands = apply_worker_view(context.tables, context.worker, NOW, rows)
+    if is_known_later:
+        add_listed_job(context.tables, state)
+        job = context.tables.jobs_by_id[LISTED_JOB]
+        claim_rows(context.tables, job, NOW)
+    if state.endswith("it has ended"):
+        apply_worker_view(context.tables, context.worker, NOW + 1)
+    if state.endswith("is back without it"):
+        view = WorkerView(clock_ms=1.0, born_ms=7)
+        restart_worker(context.tables, context.worker, view, NOW)
+        context.worker.has_seen_token = True
+    is_small = state.endswith("beside a task of half the room")
+    add_simple_job(context.tables, cpu_millis=HALF_ROOM if is_small else 16_000)
+
+
+@then("the list causes one stop of the run by its name, and nothing else")
+def check_only_stopped(context):
+    found = [c for c in context.commands if not isinstance(c, LogEvent)]
+    assert found == [StopUnknownRun("worker-0", context.listed, 1)], found
+    assert context.listed not in context.tables.tasks_by_name
+    assert not context.worker.has_runs
+
+
+@then("another list without it causes nothing")
+def check_absence(context):
+    dirty_before = set(context.tables.dirty_job_ids)
+    assert apply_worker_view(context.tables, context.worker, NOW + 1) == []
+    assert context.tables.dirty_job_ids == dirty_before
+
+
+@then("another list with its end causes nothing")
+def check_end(context):
+    dirty_before = set(context.tables.dirty_job_ids)
+    ended = [(1, context.listed, 1, "stopped")]
+    commands = apply_worker_view(context.tables, context.worker, NOW + 2, ended=ended)
+    events = [c.event for c in commands if isinstance(c, LogEvent)]
+    assert len(events) == len(commands) and set(events) <= {"end-of-unknown-task"}
+    assert context.tables.dirty_job_ids == dirty_before
 
 
 @when("another task is placed")
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -29,6 +29,8 @@
 REQUEST = "request"
 PROGRESS = "progress"
 CANCEL = "cancel"
+# Positions of parts in the name of a task.
+OCCURRENCE_PART, STEP_PART = 1, 2
 
 
 class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
@@ -212,13 +214,28 @@
     return tables.tasks_by_name.get(name)
 
 
+def find_step(tables, task_name):
+    """Returns the step of a task that need not be in the tables, or None."""
+    job = tables.jobs_by_id.get(job_id_of(task_name))
+    if job is None:
+        return None
+    steps_by_name = {str(n): step for n, step in enumerate(job.request.steps)}
+    return steps_by_name.get(_part_of(task_name, STEP_PART))
+
+
 def job_id_of(task_name):
     """Returns the id of a task's job."""
     return task_name.partition(".")[0]
 
 
+def _part_of(task_name, position):
+    """Returns a part of a task's name, ``job.occurrence.step.index``, or nothing."""
+    parts = task_name.split(".")
+    return parts[position] if position < len(parts) else ""
+
+
 def _occurrence_number(task_name):
-    part = task_name.partition(".")[2].partition(".")[0]
+    part = _part_of(task_name, OCCURRENCE_PART)
     return int(part) if part.isascii() and part.isdigit() else None
 
 
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -3,7 +3,7 @@
 import math
 
 from sassafrasgrade.fleet_hosts import ENDING_STATES
-from sassafrasgrade.job_records import find_task, job_id_of
+from sassafrasgrade.job_records import find_step, find_task, job_id_of
 from sassafrasgrade.node_messages import HandedOverRun
 from sassafrasgrade.platform.messages import RunEnd, WorkerView
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind, log_forgotten_run
@@ -109,6 +109,7 @@
     """Applies the list of running tasks; keeps rows of jobs that are not known yet."""
     commands = []
     unclaimed, worker.unclaimed_runs = worker.unclaimed_runs, {}
+    worker.unknown_runs = {}
     for row in view.running:
         key = (row.task, row.run)
         seen_at = unclaimed[key].seen_at if key in unclaimed else now
@@ -252,9 +253,13 @@
 
 
 def _adopt_run(tables, worker, row, now):
-    """Adds a run that was started under an earlier leadership."""
+    """Adds a run that was started under an earlier leadership.
+
+    One of no task in the tables, whose job was cancelled, say, only takes room.
+    """
     task = find_task(tables, row.task)
     if task is None:
+        worker.unknown_runs[(row.task, row.run)] = find_step(tables, row.task)
         return [StopUnknownRun(worker.worker_id, row.task, row.run)]
     run = Run(
         task,
@@ -660,6 +665,7 @@
     worker.born_ms = view.born_ms
     worker.seen_end = worker.stored_end = worker.discarded_end = 0
     worker.unclaimed_runs, worker.unclaimed_ends = {}, {}
+    worker.unknown_runs = {}
     worker.view_clock_ms = 0.0
     worker.clock_offset_ms = None
     worker.has_seen_token = worker.has_shown_runs = False
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -94,7 +94,8 @@
 def candidate_of(worker: Worker):
     """Returns a worker as a candidate; its stopping runs still occupy capacity.
 
-    Nobody knows how much a run of an unknown job occupies.
+    So do listed runs of no task in the tables. Nobody knows how much a run of an
+    unknown job occupies.
     """
     capacity = worker.capacity
     candidate = Candidate(
@@ -104,6 +105,11 @@
         candidate.reserve(run.task.step)
         if run.is_isolated and not has_outlived_suspicion(worker, run):
             candidate.is_exclusive = True
+    for step in worker.unknown_runs.values():
+        if step is None:
+            candidate.is_exclusive = True
+        else:
+            candidate.reserve(step)
     candidate.is_exclusive = candidate.is_exclusive or bool(worker.unclaimed_runs)
     return candidate
 
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -345,6 +345,8 @@
         discarded_end: Number of the last run end that the worker surely discarded.
         unclaimed_runs: ``UnclaimedRow`` of listed runs, by (task name, number).
         unclaimed_ends: ``UnclaimedRow`` of listed ends, by number of the end.
+        unknown_runs: Steps of the listed runs of no task in the tables, by (task name,
+            number); None if the step is not known either. They take room.
         lease_until: Clock at which the runs of the known incarnation have lapsed if
             they are not renewed.
         longest_lease_until: Clock at which those of a later incarnation have lapsed:
@@ -401,6 +403,7 @@
     discarded_end: int = 0
     unclaimed_runs: dict[tuple[str, int], UnclaimedRow] = field(default_factory=dict)
     unclaimed_ends: dict[int, UnclaimedRow] = field(default_factory=dict)
+    unknown_runs: dict[tuple[str, int], Step | None] = field(default_factory=dict)
     lease_until: float = 0.0
     longest_lease_until: float = 0.0
     last_answer_at: float = 0.0
