--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -3,7 +3,7 @@
 import math
 
 from sassafrasgrade.fleet_hosts import ENDING_STATES
-from sassafrasgrade.job_records import find_task, job_id_of
+from sassafrasgrade.job_records import find_step, find_task, job_id_of
 from sassafrasgrade.node_messages import HandedOverRun
 from sassafrasgrade.platform.messages import RunEnd, WorkerView
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind, log_forgotten_run
@@ -110,6 +110,7 @@
     """Applies the list of running tasks; keeps rows of jobs that are not known yet."""
     commands = []
     unclaimed, worker.unclaimed_runs = worker.unclaimed_runs, {}
+    worker.unknown_runs = {}
     for row in view.running:
         key = (row.task, row.run)
         seen_at = unclaimed[key].seen_at if key in unclaimed else now
@@ -275,9 +276,13 @@
 
 
 def _adopt_run(tables, worker, row, now):
-    """Adds a run that was started under an earlier leadership."""
+    """Adds a run that was started under an earlier leadership.
+
+    One of no task in the tables, whose job was cancelled, say, only takes room.
+    """
     task = find_task(tables, row.task)
     if task is None:
+        worker.unknown_runs[(row.task, row.run)] = find_step(tables, row.task)
         return [StopUnknownRun(worker.worker_id, row.task, row.run)]
     run = Run(
         task,
@@ -655,7 +660,8 @@
     that this one may have answered some of them. One without an answer may still be
     carried out: this incarnation has seen no token and no stop, and the order's
     deadline is of another clock. It is stopped here, too, or waited for until no order
-    can arrive any more.
+    can arrive any more. One that was not sent yet was placed by the capacity and labels
+    of the earlier incarnation, and is forgotten.
 
     Args:
         tables: The tables.
@@ -668,7 +674,10 @@
     """
     unanswered = [r for r in worker.runs_by_key.values() if is_unanswered(r)]
     commands = [_describe_restart(worker, view, unanswered)]
-    for run in worker.runs_by_key.values():
+    for run in list(worker.runs_by_key.values()):
+        if run.state is RunState.STARTING and not run.deadline_ms:
+            forget_run(tables, run, EndProof(ProofKind.START_NOT_SENT, now), now)
+            continue
         if run in unanswered:
             run.state = RunState.UNCERTAIN
             run.deadline_ms = view.clock_ms + LATEST_ORDER_MS
@@ -680,6 +689,7 @@
     worker.born_ms = view.born_ms
     worker.seen_end = worker.stored_end = worker.discarded_end = 0
     worker.unclaimed_runs, worker.unclaimed_ends = {}, {}
+    worker.unknown_runs = {}
     worker.view_clock_ms = 0.0
     worker.clock_offset_ms = None
     worker.has_seen_token = worker.has_shown_runs = False
