Let lasting tasks of lost workers wait less once the former leader has ended

A worker of each service is lost for good, and 1.5 s later the leader's machine loses power for 1 s. The lasting tasks of the lost workers start 12.2 s after the next leader's takeover, about 15 s after they were lost. Cause: a successor waits until the former leader can surely send no more calls (its lease, 6 s) and then for the longest lease of a run (6 s). The answer of the former leader's next process, which proves the first, counted only before the campaign. Change: while that barrier stands, the new leader asks on new connections who is at the former leader's address. Another process of the same name shows that the former one has ended; its last call arrives within the timeout of a long poll, and the longest lease follows: 8.0 s after the answer. All other waits are as before, the 1.45 s of the known failure too. The end of authority is kept by leader; those known only from a successor's record are never shortened.

--- a/features/support/missed_leaderships.py
+++ b/features/support/missed_leaderships.py
@@ -26,11 +26,15 @@
         gained: Epochs under which it led.
         renewed: Epochs under which it wrote its vanished key again.
         lost: Reasons of losses.
+
+    Args:
+        store: ``MemoryStore``.
+        timers: ``FakeTimerService``; a new one by default.
     """
 
-    def __init__(self, store):
+    def __init__(self, store, timers=None):
         self.gained, self.renewed, self.lost = [], [], []
-        self.timers = FakeTimerService()
+        self.timers = timers or FakeTimerService()
         self.leadership = Leadership(
             store,
             self.timers,
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -98,6 +98,8 @@
         epoch: Number of the leadership.
         earlier_left_s: Time for which an earlier leader may still have authority.
         queues_by_name: Queues of configurations that the node has seen before.
+        leadership: Its ``Leadership``; one that is always valid by default.
+        timers: ``FakeTimerService``; a new one by default.
     """
 
     def __init__(
@@ -108,8 +110,10 @@
         epoch=EPOCH,
         earlier_left_s=0.0,
         queues_by_name=None,
+        leadership=None,
+        timers=None,
     ):
-        self.timers = FakeTimerService()
+        self.timers = timers or FakeTimerService()
         settings = check_node_settings(
             {"NODE_NAME": "node", "NODE_DATA_CENTRE": "z"}
         ).unwrap()
@@ -122,7 +126,7 @@
         self.counters = NodeCounters()
         self.dispatcher = Dispatcher(
             services,
-            FakeLeadership(self.timers, earlier_left_s),
+            leadership or FakeLeadership(self.timers, earlier_left_s),
             TOKEN,
             epoch,
             self.counters,
--- a/features/support/virtual/cases.py
+++ b/features/support/virtual/cases.py
@@ -268,6 +268,28 @@
     return _with_lost_leader(source, "node_kill", (-0.6, 6.0), 5.0)
 
 
+def cut_after_restart_and_return(source):
+    """n. The leader is killed as before; its next process answers in the barrier."""
+    return _with_lost_leader(source, "node_kill", (-0.6, 6.0), 2.0)
+
+
+def unreached_but_by_lost_leader(source):
+    """n. Only the leader reaches two workers; it is killed, and soon answers again.
+
+    One of them has just been reborn. Both outlive the barrier without a call.
+    """
+    reborn, other = source.sample("012", 2)
+    crash = _restart_unheard(source, reborn, RESTARTS_S[0])
+    killed_at = crash.at + crash.lasts_s + source.uniform(0.0, 2.5)
+    faults = [crash, Fault("node_kill", killed_at, source.uniform(1.4, 4.0))]
+    for worker in (reborn, other):
+        for whom in ("followers", "store"):
+            at = crash.at - source.uniform(0.0, 0.5)
+            options = {"from": whom}
+            faults.append(Fault("worker_cut", at, 25.0, worker, None, options))
+    return tuple(sorted(faults, key=lambda fault: fault.at))
+
+
 def cut_after_restart_and_handover(source):
     """n. The leader hands over the runs of the worker that is cut off."""
     return _with_lost_leader(source, "node_stop", (-2.0, 5.0), 8.0)
@@ -320,6 +342,8 @@
 CASES = {
     "cut-after-restart": Case(cut_after_restart, LONG),
     "cut-after-restart-and-takeover": Case(cut_after_restart_and_takeover, LONG),
+    "cut-after-restart-and-return": Case(cut_after_restart_and_return, LONG),
+    "unreached-but-by-lost-leader": Case(unreached_but_by_lost_leader, LONG),
     "cut-after-restart-and-handover": Case(cut_after_restart_and_handover, LONG),
     "cut-after-restart-late-calls": Case(cut_after_restart_late_calls, LONG),
     "cut-after-quick-restart": Case(cut_after_quick_restart, MIXED),
--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -68,6 +68,12 @@
       | case                           | first | seeds |
       | cut-after-restart-and-takeover | 1     | 3     |
 
+    Examples: its leader's next process answers while the successor holds tasks back
+      | case                         | first | seeds |
+      | cut-after-restart-and-return | 1     | 4     |
+      | unreached-but-by-lost-leader | 1     | 8     |
+      | unreached-but-by-lost-leader | 11    | 3     |
+
     Examples: a worker is reborn and cut off before a list of it is applied
       | case                           | first | seeds |
       | cut-after-restart              | 1     | 12    |
--- a/sassafrasgrade/leader_monitors.py
+++ b/sassafrasgrade/leader_monitors.py
@@ -1,11 +1,11 @@
-"""Decides when to replace the leader, by each node's last contact with it."""
+"""Decides when to replace the leader, and learns whether a replaced one has ended."""
 
 import asyncio
 import logging
 
 from tornado.ioloop import IOLoop
 
-from sassafrasgrade.node_links import ask_leader_silence
+from sassafrasgrade.node_links import ask_hello, ask_leader_silence
 from sassafrasgrade.node_messages import HandOverRequest
 from sassafrasgrade.rendezvous import rank_names
 
@@ -151,6 +151,45 @@
         return REACQUIRE_WAIT_S
 
 
+class PredecessorMonitor:
+    """Learns that the process of the replaced leader has ended, while that matters.
+
+    The process that accepts a new connection at that leader's address is the leader's
+    own, or one that was started after it had ended.
+
+    Args:
+        node: The ``Node``.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._is_asking = False
+
+    def check(self):
+        """Asks at the replaced leader's address; called with each heartbeat."""
+        leader = self._node.awaited_leader()
+        if leader is None or self._is_asking:
+            return
+        self._is_asking = True
+        IOLoop.current().add_callback(self.ask, leader)
+
+    async def ask(self, leader):
+        """Asks once.
+
+        Args:
+            leader: ``LeaderRecord`` of the replaced leader.
+        """
+        try:
+            hello = await ask_hello(leader.address)
+        finally:
+            self._is_asking = False
+        if hello is None or hello.node != leader.name:
+            # Another machine may have the address now, and the leader still run.
+            return
+        if hello.incarnation != leader.incarnation:
+            self._node.record_leader_death(leader.incarnation)
+
+
 def should_hand_over(store_answer_age_s, reports, now):
     """Whether a leader cut off from the store should hand over to another node.
 
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -35,6 +35,7 @@
 )
 from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.watchers import Backoff
+from sassafrasgrade.worker_sessions import ANSWER_TIMEOUT_S, LONG_POLL_WAIT_S
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +62,11 @@
 RETRY_PAUSE_S = 0.3
 # Longest time that one watch call waits for changes, in seconds.
 WATCH_WAIT_S = 1.3
+# Longest time from the sending of a leader's call to its arrival at a worker, in
+# seconds: the timeout of a long poll.
+LATEST_ARRIVAL_S = LONG_POLL_WAIT_S + ANSWER_TIMEOUT_S
+# Stands for leaders that are only known from the records of their successors.
+UNNAMED_LEADERS = ""
 
 
 class Leadership:
@@ -128,8 +134,13 @@
         self._renounced_revision = 0
         # Keeps its value when the leader's key vanishes.
         self.last_leader_revision = 0
-        # Clock until which some leader before the present one may have authority.
-        self.earlier_leaders_until = 0.0
+        # Last leader's record that was read, and its revision.
+        self._last_record = None
+        self._last_record_revision = 0
+        # Leader that this node replaced, if its record was read.
+        self.previous_leader = None
+        # Clock until which calls of replaced leaders may count, by incarnation.
+        self._replaced_until = {}
         self._leader_lease = 0
         self._next_campaign_at = 0.0
         self._renewed_at = 0.0
@@ -163,6 +174,11 @@
         """Clock when the last answered renewal of the leader's key was sent."""
         return self._led_at
 
+    @property
+    def earlier_leaders_until(self):
+        """Clock until which some leader before the present one may have authority."""
+        return max(self._replaced_until.values(), default=0.0)
+
     @property
     def other_records(self):
         """``NodeRecord`` values of live nodes, without the leader and this node."""
@@ -184,11 +200,15 @@
         IOLoop.current().add_callback(self._watch_loop)
 
     def record_leader_death(self, incarnation):
-        """Records proof that the leader's process has ended, and campaigns.
+        """Records proof that a leader's process has ended; campaigns to succeed it.
 
         Args:
             incarnation: Incarnation that has ended.
         """
+        if incarnation in self._replaced_until:
+            last_arrival_at = self._timers.now() + LATEST_ARRIVAL_S
+            until = min(self._replaced_until[incarnation], last_arrival_at)
+            self._replaced_until[incarnation] = until
         leader = self.leader
         if leader is None or leader.incarnation != incarnation or self.is_leader:
             return
@@ -382,17 +402,27 @@
         now = self._timers.now()
         is_stopped = self.leader_revision == self._stopped_revision
         if self._is_replaced_by(record, revision) and not is_stopped:
-            self._extend_earlier(now + LEASE_TTL_S * CLOCK_DRIFT)
-        if record is not None:
-            self._extend_earlier(now + record.earlier_left_s)
+            until = now + LEASE_TTL_S * CLOCK_DRIFT
+            self._extend_replaced(self.leader.incarnation, until)
+        if record is not None and record.incarnation != self.incarnation:
+            self._extend_replaced(UNNAMED_LEADERS, now + record.earlier_left_s)
 
     def _is_replaced_by(self, record, revision):
         if self.leader is None or revision == self.leader_revision:
             return False
         return record is None or record.incarnation != self.leader.incarnation
 
-    def _extend_earlier(self, until):
-        self.earlier_leaders_until = max(self.earlier_leaders_until, until)
+    def _extend_replaced(self, incarnation, until):
+        now = self._timers.now()
+        pending = {key: at for key, at in self._replaced_until.items() if at > now}
+        pending[incarnation] = max(pending.get(incarnation, 0.0), until)
+        self._replaced_until = pending
+
+    def _last_leader(self):
+        """Returns the record of the last leadership; None if that was not read."""
+        if self._last_record_revision == self.last_leader_revision:
+            return self._last_record
+        return None
 
     # Watch of the members.
 
@@ -485,6 +515,7 @@
             self._unreadable_revision = 0
             self._last_epoch = max(self._last_epoch, record.epoch)
             self.last_leader_revision = revision
+            self._last_record, self._last_record_revision = record, revision
             self._leader_lease = lease
         if (
             self.is_leader
@@ -549,7 +580,10 @@
             return
         epoch = self._last_epoch + 1
         if not is_predecessor_gone:
-            self._extend_earlier(self._timers.now() + LEASE_TTL_S * CLOCK_DRIFT)
+            last = self._last_leader()
+            incarnation = last.incarnation if last is not None else UNNAMED_LEADERS
+            until = self._timers.now() + LEASE_TTL_S * CLOCK_DRIFT
+            self._extend_replaced(incarnation, until)
         record = self._own_record(epoch)
         previous_lease = self._leader_lease if self.leader is not None else 0
         expected = self._unreadable_revision
@@ -647,6 +681,7 @@
         self._led_at = self._renewed_at
         self._epoch_revision = max(self._epoch_revision, revision)
         self.previous_leader_revision = self.last_leader_revision
+        self.previous_leader = self._last_leader()
         self._set_leader(record, revision, self.lease)
         self._on_gain(revision, record.epoch, is_predecessor_gone)
 
--- a/sassafrasgrade/node_links.py
+++ b/sassafrasgrade/node_links.py
@@ -21,8 +21,8 @@
 
 # Timeout of a question to the leader about a job or a route, in seconds.
 QUESTION_TIMEOUT_S = 0.3
-# Timeout of a question to another node about the leader, in seconds.
-SILENCE_QUESTION_TIMEOUT_S = 0.4
+# Timeout of a question to another node about the leader or itself, in seconds.
+NODE_QUESTION_TIMEOUT_S = 0.4
 # Time without a message from the leader after which the stream is reopened, in
 # seconds.
 RECONNECT_AFTER_S = 1.5
@@ -139,20 +139,40 @@
         Seconds, negative if the node has no stream to that leader, or None if it
         did not answer.
     """
+    reply = await _receive_first(address, HeardReply, HeardQuestion(incarnation))
+    return reply.silent_s if reply is not None else None
+
+
+async def ask_hello(address):
+    """Asks who serves an address now, on a connection of its own.
+
+    Args:
+        address: IP address and port of a node's streams.
+
+    Returns:
+        ``NodeHello`` of the process that accepted the connection, or None if none
+        answered.
+    """
+    return await _receive_first(address, NodeHello)
+
+
+async def _receive_first(address, reply_type, question=None):
+    """Returns the first message of a type on a new stream; None if none came."""
     future = Future()
 
     def handle(message):
-        if isinstance(message, HeardReply) and not future.done():
-            future.set_result(message.silent_s)
+        if isinstance(message, reply_type) and not future.done():
+            future.set_result(message)
 
     def ask(link):
-        link.send(HeardQuestion(incarnation))
+        if question is not None:
+            link.send(question)
 
     host, _, port = address.rpartition(":")
     link = Link(host, int(port), NodeMessage, ask, handle, lambda: None)
     link.start()
     try:
-        return await asyncio.wait_for(future, SILENCE_QUESTION_TIMEOUT_S)
+        return await asyncio.wait_for(future, NODE_QUESTION_TIMEOUT_S)
     except TimeoutError:
         return None
     finally:
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -25,6 +25,7 @@
 from sassafrasgrade.leader_monitors import (
     MAX_STORE_ANSWER_AGE_S,
     LeaderMonitor,
+    PredecessorMonitor,
     should_hand_over,
 )
 from sassafrasgrade.leaderships import Leadership
@@ -142,6 +143,7 @@
             lambda: self._leader_monitor.vacancy_delay_s(),
         )
         self._leader_monitor = LeaderMonitor(self)
+        self._predecessor_monitor = PredecessorMonitor(self)
         self._reports_by_stream = {}
         self.incarnation = self.leadership.incarnation
         self._dispatcher = None
@@ -423,12 +425,21 @@
     def record_leader_death(self, incarnation):
         """Records proof that a leader's process has ended."""
         self.leadership.record_leader_death(incarnation)
+        if self._dispatcher is not None:
+            self._dispatcher.loader.record_leader_death(incarnation)
+
+    def awaited_leader(self):
+        """Returns the replaced leader whose calls may still count; None for none."""
+        if self._dispatcher is None:
+            return None
+        return self._dispatcher.loader.awaited_leader
 
     def _send_heartbeats(self, now):
         if self._next_heartbeat_at:
             self.counters.observe_loop_lag(max(0.0, now - self._next_heartbeat_at))
         self._next_heartbeat_at = now + HEARTBEAT_PERIOD_S
         self._leader_monitor.check(now)
+        self._predecessor_monitor.check()
         if self._dispatcher is not None:
             reports = self._reports_by_stream.values()
             if should_hand_over(self.store_answer_age_s(), reports, now):
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -75,6 +75,9 @@
         self._is_predecessor_gone = is_predecessor_gone
         self.is_loaded = False
         self.barrier_until = 0.0
+        # Clock at which it ends for perpetual tasks of jobs that have started, if no
+        # worker that has not reported is registered.
+        self._lasting_until = 0.0
         self._began_at = self._timers.now()
         self._has_jobs = self._has_workers = False
         # All workers since the takeover, while the barrier stands.
@@ -104,12 +107,46 @@
             lapses_at = max(self._began_at, self._leadership.earlier_leaders_until)
             if not self._is_predecessor_gone:
                 lapses_at = max(lapses_at, self._began_at + LEASE_TTL_S * CLOCK_DRIFT)
-            longest_lease_s = self._settings.bounds_hold_most_ms / MS_PER_S
-            self.barrier_until = lapses_at + longest_lease_s * CLOCK_DRIFT
-            self._tables.held_pools = ALL_POOLS
+            self.barrier_until = lapses_at + self._longest_lease_s()
+            self._lasting_until = self.barrier_until
+            self._tables.held_pools = self._tables.held_lasting_pools = ALL_POOLS
         self._jobs.start()
         self._workers.start()
 
+    def _longest_lease_s(self):
+        return self._settings.bounds_hold_most_ms / MS_PER_S * CLOCK_DRIFT
+
+    @property
+    def awaited_leader(self):
+        """The replaced leader, if the barrier waits for it and it may still run."""
+        if not self.barrier_until or self._is_predecessor_gone:
+            return None
+        return self._leadership.previous_leader
+
+    def record_leader_death(self, incarnation):
+        """Shortens the barrier, as the replaced leader's process has surely ended.
+
+        That leader's last calls may yet arrive, and other earlier leaders act. Of the
+        calls, starts may be carried out late by a later incarnation of a worker: only
+        perpetual tasks of jobs that have started wait for less, and none beside a
+        registered worker, which is alive.
+
+        Args:
+            incarnation: Incarnation that has ended.
+        """
+        leader = self.awaited_leader
+        if leader is None or leader.incarnation != incarnation:
+            return
+        self._is_predecessor_gone = True
+        lapses_at = max(self._began_at, self._leadership.earlier_leaders_until)
+        until = min(self.barrier_until, lapses_at + self._longest_lease_s())
+        self._lasting_until = until
+        left_s = until - self._timers.now()
+        logger.info(
+            "previous leader has ended",
+            extra={"leader": leader.name, "left_s": round(left_s, 2)},
+        )
+
     def close(self):
         """Stops following the store."""
         self._workers.close()
@@ -296,27 +333,45 @@
         if not self.barrier_until or not self.is_loaded:
             return
         self._note_rows()
-        rows = tuple(self._rows_by_worker_id.values())
-        unreported = unreported_workers(self._tables, self._dispatcher.fleet, rows)
+        tables, rows = self._tables, tuple(self._rows_by_worker_id.values())
+        unreported = unreported_workers(tables, self._dispatcher.fleet, rows)
         if self._leadership.last_renewal_at > self.barrier_until:
             unreported = {}
         if unreported is None:
             return
-        held = frozenset(unreported.values())
-        if self._tables.held_pools is not ALL_POOLS:
-            # Workers that registered later have no runs of the previous leader.
-            held &= self._tables.held_pools
-        if held == self._tables.held_pools:
+        held = _pools_still_held(tables.held_pools, unreported)
+        holding = self._drop_unregistered(unreported)
+        held_lasting = _pools_still_held(tables.held_lasting_pools, holding)
+        if (held, held_lasting) == (tables.held_pools, tables.held_lasting_pools):
             return
-        self._tables.held_pools = held
+        tables.held_pools, tables.held_lasting_pools = held, held_lasting
         if not held:
             self.barrier_until = 0.0
             self._rows_by_worker_id.clear()
         logger.info(
-            "take-over", extra={"unheard": unreported, "held_pools": sorted(held)}
+            "take-over",
+            extra={
+                "unheard": unreported,
+                "held_pools": sorted(held),
+                "held_lasting_pools": sorted(held_lasting),
+            },
         )
         self._dispatcher.schedule_placement()
 
+    def _drop_unregistered(self, unreported):
+        """Returns the unreported workers that still hold started, perpetual work."""
+        if self._leadership.last_renewal_at <= self._lasting_until:
+            return unreported
+        return {
+            worker_id: pool
+            for worker_id, pool in unreported.items()
+            if self._is_registered(worker_id)
+        }
+
+    def _is_registered(self, worker_id):
+        worker = self._tables.workers_by_id.get(worker_id)
+        return worker is not None and not worker.missing_since
+
     def reread_after_expiry(self, now):
         """Reads registrations again once those of ended workers would have expired."""
         ended_incarnations = self._tables.ended_by_worker
@@ -361,6 +416,13 @@
                 self._dispatcher.sync_sessions()
 
 
+def _pools_still_held(held, unreported):
+    """Returns which of the held pools have unreported workers."""
+    pools = frozenset(unreported.values())
+    # Workers that registered later have no runs of the previous leader.
+    return pools if held is ALL_POOLS else pools & held
+
+
 def _log_skipped(job_id, error):
     logger.error(
         "job skipped; its stored record cannot be decoded",
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -477,6 +477,7 @@
         held_pools: Pools whose inherited tasks must not start, since one of their
             workers, which may run them for an earlier leader, has not reported yet;
             ``ALL_POOLS`` before that is known.
+        held_lasting_pools: The same for perpetual tasks of jobs that have started.
         queues_by_name: Queues of all known configurations, each by the newest one
             that has it.
         pools_by_queue: Pools that each queue has had in any known configuration.
@@ -504,6 +505,7 @@
     crashed_tasks: list[CrashedTask] = field(default_factory=list)
     loaded_suspects: list[Task] = field(default_factory=list)
     held_pools: frozenset[str] | None = frozenset()
+    held_lasting_pools: frozenset[str] | None = frozenset()
     pools_by_queue: dict[str, set[str]] = field(default_factory=dict)
     jobs_complete_at: float = float("-inf")
     refused_entries: RefusedValues = field(default_factory=RefusedValues)
@@ -525,10 +527,12 @@
         """
         if not task.job.is_inherited or task.is_new:
             return False
-        if self.held_pools is ALL_POOLS:
+        is_lasting = task.step.is_perpetual and task.job.has_started
+        held = self.held_lasting_pools if is_lasting else self.held_pools
+        if held is ALL_POOLS:
             return True
         pools = self.pools_by_queue.get(task.job.queue_name, ())
-        return not self.held_pools.isdisjoint(pools)
+        return not held.isdisjoint(pools)
 
     def queue_of(self, job):
         """Returns a job's ``Queue``, or None if nothing is known of it.
