Judge runs by the progress that their leader has watched

After each change of leader sound runs were stopped as `crawls` by the hundred; their workers became suspect, and pools idled while jobs waited.

A run's speed was its whole progress over the time since this leader had known it. Adopted, handed-over and resumed runs bring progress from before. Jobs of many times their estimate made sound workers look slow as well.

Progress counts from the start's answer, or from the first list that shows a run which may have begun before. Jobs that are long on sound workers say nothing of a worker, and a run at the usual speed is kept.

A long job alone on its worker may be moved once.

--- a/features/support/work_tables.py
+++ b/features/support/work_tables.py
@@ -13,7 +13,7 @@
     Step,
     WorkerView,
 )
-from sassafrasgrade.systems.run_updates import apply_view
+from sassafrasgrade.systems.run_updates import apply_view, record_answered_start
 from sassafrasgrade.systems.task_placement import create_run
 from sassafrasgrade.work_tables import RunState, Worker, WorkTables
 
@@ -70,8 +70,9 @@
     """Adds a run of a task to a worker."""
     run = create_run(task, worker, number, now)
     run.state = state
-    run.answered_at = now if state is RunState.RUNNING else 0.0
     run.deadline_ms = (now + 1.5) * 1000
+    if state is RunState.RUNNING:
+        record_answered_start(run, 0, now)
     return run
 
 
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -372,7 +372,10 @@
                 continue
             if run.task.step.is_perpetual:
                 continue
-            elapsed_s = now - run.started_at
+            elapsed_s = run.lasted_before_s + now - run.started_at
+            if math.isinf(elapsed_s):
+                # An earlier leader started it at an unknown time.
+                continue
             task = run.task
             self.learned_durations.record_run(
                 task.job.queue_name, task.step.estimate_ms, elapsed_s
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -243,7 +243,11 @@
 def _record_progress(run, row, now):
     if row.saved:
         run.task.saved = row.saved
-    if row.percent > run.percent or not run.changed_at:
+    if not run.watched_at or row.percent < run.percent:
+        # It may have begun long before, or anew on another incarnation of its worker.
+        run.watched_at, run.watched_percent = now, row.percent
+        run.changed_at = now
+    elif row.percent > run.percent:
         run.changed_at = now
     run.percent = row.percent
     run.load_metric = row.load_metric
@@ -315,6 +319,9 @@
         now: Current clock in seconds.
     """
     run.answered_at = now
+    if not run.watched_at and not run.task.saved:
+        # With a saved value it begins at a percentage that only a list shows.
+        run.watched_at = now
     least_ms = run.deadline_ms - START_VALID_MS - CLOCK_TOLERANCE_MS
     if clock_ms and clock_ms >= least_ms:
         run.is_lease_known = True
@@ -368,6 +375,7 @@
             RunState.RUNNING,
             now,
             answered_at=now,
+            changed_at=now,
             lasted_before_s=(
                 math.inf if handed_run.lasted_s is None else handed_run.lasted_s
             ),
@@ -650,6 +658,8 @@
             run.deadline_ms = view.clock_ms + LATEST_ORDER_MS
             commands.append(StopRun(run, "worker restarted before a start's answer"))
         run.stop_answered_at = 0.0
+        run.watched_at = 0.0
+        run.changed_at = now
         run.is_lease_known = False
     tables.tickets.forget_worker(worker.worker_id)
     worker.earlier_births.add(worker.born_ms)
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -4,6 +4,10 @@
 many times as long as on other workers.
 """
 
+import math
+from collections import defaultdict
+from dataclasses import dataclass
+
 from sassafrasgrade.systems.crash_records import is_start_held
 from sassafrasgrade.systems.task_placement import (
     SLOW_FACTOR,
@@ -17,7 +21,7 @@
     want_advice,
 )
 from sassafrasgrade.work_commands import StopRun
-from sassafrasgrade.work_tables import RunState
+from sassafrasgrade.work_tables import Job, RunState, Worker
 
 # Minimum time without progress after which a run counts as stalled, in seconds:
 # the longest long poll and a margin.
@@ -26,9 +30,24 @@
 STALL_FRACTION = 0.05
 # Total run time needed to estimate a worker's speed, in seconds.
 MIN_OBSERVED_S = 1.5
+# Total run time needed to compare a job's runs on a worker with others, in seconds.
+MIN_COMPARED_S = 0.3
+# Slowness from which a job counts as long if its workers are sound, and the largest
+# that a long job explains.
+LONG_FACTOR = 5.0
+MAX_TASK_FACTOR = 30.0
 # A run on a slow worker is restarted elsewhere if the rest of it would take this
 # much longer than the whole task on another worker, in seconds.
 MIN_RESTART_GAIN_S = 0.5
+# Number of other workers on which a job is as slow if it is long: two slow workers may
+# share a job.
+MIN_AGREEING_WORKERS = 2
+# Slowness up to which a run is as fast as others.
+USUAL_FACTOR = 1.25
+# Largest slowness that is told apart.
+MAX_SLOWNESS = 100.0
+# Least work by which speeds are divided, in seconds.
+MIN_DONE_S = 1e-9
 # Time within which a perpetual task must be at work, or it is moved, in seconds.
 MAX_START_UP_S = 4.0
 # Maximum age of a worker's last answer for its progress to be judged, in seconds.
@@ -39,47 +58,179 @@
 MAX_COPIES = 1
 
 
-def estimate_slowness(tables, learned_durations, now):
-    """Estimates how much slower than its pool each worker is.
+@dataclass(slots=True)
+class WatchedWork:
+    """Progress that this leader has watched.
 
-    Declared durations are far off for single tasks, so the progress of all runs
-    of a worker is compared with that of all runs of its pool.
+    Attributes:
+        done_s: Expected time of what was done, in seconds.
+        spent_s: Time that it took, in seconds.
+        since: Clock when the first of it began.
     """
-    done_by_worker, spent_by_worker = {}, {}
-    done_by_pool, spent_by_pool = {}, {}
+
+    done_s: float = 0.0
+    spent_s: float = 0.0
+    since: float = math.inf
+
+    def add(self, other):
+        """Adds other work."""
+        self.done_s += other.done_s
+        self.spent_s += other.spent_s
+        self.since = min(self.since, other.since)
+
+    def slowness(self, usual_speed):
+        """Returns how many times as long it took as at the usual speed."""
+        usual_s = self.spent_s * usual_speed
+        return usual_s / max(self.done_s, usual_s / MAX_SLOWNESS, MIN_DONE_S)
+
+
+def watched_work(worker, run, learned_durations):
+    """Returns the ``WatchedWork`` of a run as of its worker's last answer."""
+    if not run.watched_at:
+        return WatchedWork()
+    expected_s = learned_durations.task_s(run.task.job.queue_name, run.task.step)
+    done_s = expected_s * (run.percent - run.watched_percent) / 100
+    spent_s = max(0.0, worker.last_answer_at - run.watched_at)
+    return WatchedWork(done_s, spent_s, run.watched_at)
+
+
+@dataclass(slots=True)
+class PoolWork:
+    """Watched work of a pool.
+
+    Attributes:
+        by_place: ``WatchedWork`` by job and worker.
+        runs_by_worker: ``WatchedWork`` of single runs with their jobs, by worker.
+        usual_speed: Expected time done per time spent, without long jobs; 0 if it is
+            not known.
+    """
+
+    by_place: dict[Job, dict[Worker, WatchedWork]]
+    runs_by_worker: dict[Worker, list[tuple[Job, WatchedWork]]]
+    usual_speed: float = 0.0
+
+    def set_usual_speed(self):
+        """Computes the usual speed."""
+        total = WatchedWork()
+        for job, work_by_worker in self.by_place.items():
+            for work in work_by_worker.values():
+                if not job.is_long:
+                    total.add(work)
+        self.usual_speed = total.done_s / total.spent_s if total.spent_s else 0.0
+
+    def slownesses_elsewhere(self, job, worker):
+        """Returns the slowness of a job on other workers, as far as it is known."""
+        return [
+            work.slowness(self.usual_speed)
+            for other, work in self.by_place[job].items()
+            if other is not worker and work.spent_s >= MIN_COMPARED_S
+        ]
+
+
+def _watch_pools(tables, learned_durations):
+    works = {}
     for worker in tables.workers_by_id.values():
-        done = spent = 0.0
+        pool = works.setdefault(
+            worker.pool, PoolWork(defaultdict(dict), defaultdict(list))
+        )
         for run in worker.runs_by_key.values():
-            step = run.task.step
-            if run.state is not RunState.RUNNING or step.is_perpetual:
+            if run.state is not RunState.RUNNING or run.task.step.is_perpetual:
                 continue
-            expected_s = learned_durations.task_s(run.task.job.queue_name, step)
-            done += expected_s * run.percent / 100
-            spent += max(0.0, worker.last_answer_at - run.answered_at)
-        done_by_worker[worker.worker_id] = done
-        spent_by_worker[worker.worker_id] = spent
-        done_by_pool[worker.pool] = done_by_pool.get(worker.pool, 0.0) + done
-        spent_by_pool[worker.pool] = spent_by_pool.get(worker.pool, 0.0) + spent
-    for worker in tables.workers_by_id.values():
-        spent = spent_by_worker[worker.worker_id]
-        if spent < MIN_OBSERVED_S or not done_by_pool[worker.pool]:
-            continue
-        pool_speed = done_by_pool[worker.pool] / spent_by_pool[worker.pool]
-        own_speed = done_by_worker[worker.worker_id] / spent
-        worker.slowness = pool_speed / max(own_speed, pool_speed / 100)
+            work, job = watched_work(worker, run, learned_durations), run.task.job
+            pool.runs_by_worker[worker].append((job, work))
+            pool.by_place[job].setdefault(worker, WatchedWork()).add(work)
+    for pool in works.values():
+        pool.set_usual_speed()
+    return works
+
+
+def estimate_slowness(tables, learned_durations):
+    """Estimates how much slower than its pool each worker is.
+
+    Declared durations are far off for single tasks, so the progress of all runs
+    of a worker is compared with that of all runs of its pool. Jobs that are long
+    wherever they run say nothing of a worker.
+
+    Returns:
+        ``PoolWork`` by pool.
+    """
+    works = _watch_pools(tables, learned_durations)
+    for pool in works.values():
+        if pool.usual_speed:
+            _mark_long_jobs(pool)
+            pool.set_usual_speed()
+            for worker in pool.runs_by_worker:
+                _estimate_worker(pool, worker)
+    return works
+
+
+def _mark_long_jobs(pool):
+    """Marks the jobs whose tasks take far longer than declared on sound workers."""
+    for job, work_by_worker in pool.by_place.items():
+        job.is_long = job.is_long or any(
+            _is_long_itself(pool, job, worker, work)
+            for worker, work in work_by_worker.items()
+        )
+
+
+def _is_long_itself(pool, job, worker, work):
+    """Whether a job is slow on a worker for no fault of the worker.
+
+    It is as slow on several others, or the worker runs something else at usual speed
+    that began no earlier: no later slowdown of the worker explains that.
+    """
+    slowness = work.slowness(pool.usual_speed)
+    if work.spent_s < MIN_COMPARED_S or not _is_of_long_task(slowness):
+        return False
+    elsewhere = pool.slownesses_elsewhere(job, worker)
+    if not all(_is_of_long_task(other) for other in elsewhere):
+        return False
+    if len(elsewhere) >= MIN_AGREEING_WORKERS:
+        return True
+    return any(
+        other_job is not job
+        and other.spent_s >= MIN_COMPARED_S
+        and other.since >= work.since
+        and other.slowness(pool.usual_speed) * LONG_FACTOR <= slowness
+        for other_job, other in pool.runs_by_worker[worker]
+    )
+
+
+def _is_of_long_task(slowness):
+    return LONG_FACTOR < slowness <= MAX_TASK_FACTOR
+
+
+def _estimate_worker(pool, worker):
+    """Updates a worker's slowness if enough of its work was watched."""
+    total, is_certain = WatchedWork(), False
+    for job in {job for job, _ in pool.runs_by_worker[worker] if not job.is_long}:
+        work = pool.by_place[job][worker]
+        total.add(work)
+        slowness = work.slowness(pool.usual_speed)
+        for elsewhere in pool.slownesses_elsewhere(job, worker):
+            is_certain = is_certain or slowness > SLOW_FACTOR * elsewhere
+    if total.spent_s < MIN_OBSERVED_S or not pool.usual_speed:
+        return
+    slowness = total.slowness(pool.usual_speed)
+    has_long_jobs = any(job.is_long for job in pool.by_place)
+    if has_long_jobs and SLOW_FACTOR < slowness <= MAX_TASK_FACTOR and not is_certain:
+        # Its jobs may be long, too.
+        return
+    worker.slowness = slowness
 
 
 def stop_stalled(tables, learned_durations, now):
     """Stops stalled and slow runs, so that their tasks start on other workers."""
-    estimate_slowness(tables, learned_durations, now)
+    works = estimate_slowness(tables, learned_durations)
     commands = []
     for worker in tables.workers_by_id.values():
         if worker.unresponsive_since or now - worker.last_answer_at > MAX_ANSWER_AGE_S:
             continue
+        usual_speed = works[worker.pool].usual_speed
         for run in worker.runs_by_key.values():
             if run.state is not RunState.RUNNING or run.stopped_at:
                 continue
-            reason = _restart_reason(worker, run, learned_durations, now)
+            reason = _restart_reason(worker, run, learned_durations, usual_speed, now)
             if reason and _has_alternative(tables, worker, run.task, now):
                 worker.failures += 1
                 run.task.avoided_workers.add(worker.worker_id)
@@ -87,23 +238,45 @@
     return commands
 
 
-def _restart_reason(worker, run, learned_durations, now):
+def _restart_reason(worker, run, learned_durations, usual_speed, now):
     """Returns why a run should be restarted elsewhere, or an empty string."""
     step = run.task.step
-    age_s = now - run.answered_at
     if step.is_perpetual:
+        age_s = now - run.answered_at
         return "not at work" if not run.at_work_at and age_s > MAX_START_UP_S else ""
     if step.is_filler or run.pace < 100:
         return ""
     expected_s = learned_durations.task_s(run.task.job.queue_name, step)
     if now - run.changed_at > max(MIN_STALL_S, STALL_FRACTION * expected_s):
         return "stands still"
-    if worker.slowness > SLOW_FACTOR and run.percent > 0:
-        left_s = age_s * (100 - run.percent) / run.percent
-        elsewhere_s = left_s / (1 - run.percent / 100) / worker.slowness
-        if left_s > elsewhere_s + MIN_RESTART_GAIN_S:
-            return "crawls"
-    return ""
+    return "crawls" if _crawls(worker, run, learned_durations, usual_speed) else ""
+
+
+def _crawls(worker, run, learned_durations, usual_speed):
+    """Whether a slow run on a slow worker would end sooner if it started elsewhere."""
+    work = watched_work(worker, run, learned_durations)
+    gained = run.percent - run.watched_percent
+    if gained <= 0 or worker.slowness <= SLOW_FACTOR or run.task.job.is_long:
+        return False
+    if work.slowness(usual_speed) <= USUAL_FACTOR or _has_crawled_before(worker, run):
+        return False
+    left_s = work.spent_s * (100 - run.percent) / gained
+    elsewhere_s = work.spent_s * 100 / gained / worker.slowness
+    return left_s > elsewhere_s + MIN_RESTART_GAIN_S
+
+
+def _has_crawled_before(worker, run):
+    """Whether a task was moved before, and its worker runs nothing to compare it with.
+
+    What is slow on a second worker, too, is long.
+    """
+    is_moved = bool(run.task.avoided_workers - {worker.worker_id})
+    return is_moved and not any(
+        other.task.job is not run.task.job
+        and not other.task.job.is_long
+        and not other.task.step.is_perpetual
+        for other in worker.runs_by_key.values()
+    )
 
 
 def _has_alternative(tables, worker, task, now):
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -104,7 +104,10 @@
             thousandths of a core.
         at_work_at: When a perpetual task was first reported at work; 0 before.
         pace: Speed that it is limited to, in percent.
-        changed_at: When ``percent`` last increased.
+        changed_at: When ``percent`` last increased, or was first shown.
+        watched_at: Clock since when this leader has followed ``percent``; 0 before.
+            Progress from before it was made in a time that is not known.
+        watched_percent: ``percent`` at that clock.
         stopped_at: When a stop was last sent; 0 before the first.
         stop_answered_at: When the worker confirmed a stop; 0 before.
         ticket: Ticket of the advice service, if the queue needs one.
@@ -132,6 +135,8 @@
     at_work_at: float = 0.0
     pace: int = 100
     changed_at: float = 0.0
+    watched_at: float = 0.0
+    watched_percent: float = 0.0
     stopped_at: float = 0.0
     stop_answered_at: float = 0.0
     ticket: str = ""
@@ -262,6 +267,7 @@
         progress_revision: Store revision of its progress; 0 if none is stored.
         urgency: ``Urgency`` as of the last placement.
         is_inherited: Whether an earlier leader may have started its tasks.
+        is_long: Whether its tasks take far longer than declared on sound workers.
     """
 
     job_id: str
@@ -280,6 +286,7 @@
     progress_revision: int = 0
     urgency: Urgency = Urgency.IN_TIME
     is_inherited: bool = False
+    is_long: bool = False
 
     @property
     def is_open(self):
