Compare a job's workers only where that decides whether one is slow

What callers saw: nothing yet. Cause: the comparison was made for every worker, though it counts only for one that looks slow beside long jobs. Change: it is made only then; work is kept by worker and job, and single runs are looked at only for jobs that look long.

--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -99,22 +99,31 @@
     """Watched work of a pool.
 
     Attributes:
-        by_place: ``WatchedWork`` by job and worker.
-        runs_by_worker: ``WatchedWork`` of single runs with their jobs, by worker.
+        by_job: ``WatchedWork`` by job and worker.
+        by_worker: The same by worker and job.
         usual_speed: Expected time done per time spent, without long jobs; 0 if it is
             not known.
     """
 
-    by_place: dict[Job, dict[Worker, WatchedWork]]
-    runs_by_worker: dict[Worker, list[tuple[Job, WatchedWork]]]
+    by_job: dict[Job, dict[Worker, WatchedWork]]
+    by_worker: dict[Worker, dict[Job, WatchedWork]]
     usual_speed: float = 0.0
 
+    def work_of(self, job, worker):
+        """Returns the ``WatchedWork`` of a job on a worker, new if there is none."""
+        work = self.by_worker[worker].get(job)
+        if work is None:
+            work = self.by_worker[worker][job] = self.by_job[job][worker] = (
+                WatchedWork()
+            )
+        return work
+
     def set_usual_speed(self):
         """Computes the usual speed."""
         total = WatchedWork()
-        for job, work_by_worker in self.by_place.items():
-            for work in work_by_worker.values():
-                if not job.is_long:
+        for job, work_by_worker in self.by_job.items():
+            if not job.is_long:
+                for work in work_by_worker.values():
                     total.add(work)
         self.usual_speed = total.done_s / total.spent_s if total.spent_s else 0.0
 
@@ -122,23 +131,25 @@
         """Returns the slowness of a job on other workers, as far as it is known."""
         return [
             work.slowness(self.usual_speed)
-            for other, work in self.by_place[job].items()
+            for other, work in self.by_job[job].items()
             if other is not worker and work.spent_s >= MIN_COMPARED_S
         ]
 
 
+def _is_compared(run):
+    return run.state is RunState.RUNNING and not run.task.step.is_perpetual
+
+
 def _watch_pools(tables, learned_durations):
     works = {}
     for worker in tables.workers_by_id.values():
-        pool = works.setdefault(
-            worker.pool, PoolWork(defaultdict(dict), defaultdict(list))
-        )
+        if worker.pool not in works:
+            works[worker.pool] = PoolWork(defaultdict(dict), defaultdict(dict))
+        pool = works[worker.pool]
         for run in worker.runs_by_key.values():
-            if run.state is not RunState.RUNNING or run.task.step.is_perpetual:
-                continue
-            work, job = watched_work(worker, run, learned_durations), run.task.job
-            pool.runs_by_worker[worker].append((job, work))
-            pool.by_place[job].setdefault(worker, WatchedWork()).add(work)
+            if _is_compared(run):
+                work = pool.work_of(run.task.job, worker)
+                work.add(watched_work(worker, run, learned_durations))
     for pool in works.values():
         pool.set_usual_speed()
     return works
@@ -157,28 +168,30 @@
     works = _watch_pools(tables, learned_durations)
     for pool in works.values():
         if pool.usual_speed:
-            _mark_long_jobs(pool)
+            _mark_long_jobs(pool, learned_durations)
             pool.set_usual_speed()
-            for worker in pool.runs_by_worker:
-                _estimate_worker(pool, worker)
+            has_long_jobs = any(job.is_long for job in pool.by_job)
+            for worker in pool.by_worker:
+                _estimate_worker(pool, worker, has_long_jobs)
     return works
 
 
-def _mark_long_jobs(pool):
+def _mark_long_jobs(pool, learned_durations):
     """Marks the jobs whose tasks take far longer than declared on sound workers."""
-    for job, work_by_worker in pool.by_place.items():
+    for job, work_by_worker in pool.by_job.items():
         job.is_long = job.is_long or any(
-            _is_long_itself(pool, job, worker, work)
-            for worker, work in work_by_worker.items()
+            _is_long_itself(pool, job, worker, learned_durations)
+            for worker in work_by_worker
         )
 
 
-def _is_long_itself(pool, job, worker, work):
+def _is_long_itself(pool, job, worker, learned_durations):
     """Whether a job is slow on a worker for no fault of the worker.
 
     It is as slow on several others, or the worker runs something else at usual speed
     that began no earlier: no later slowdown of the worker explains that.
     """
+    work = pool.by_job[job][worker]
     slowness = work.slowness(pool.usual_speed)
     if work.spent_s < MIN_COMPARED_S or not _is_of_long_task(slowness):
         return False
@@ -187,12 +200,16 @@
         return False
     if len(elsewhere) >= MIN_AGREEING_WORKERS:
         return True
+    others = [
+        watched_work(worker, run, learned_durations)
+        for run in worker.runs_by_key.values()
+        if run.task.job is not job and _is_compared(run)
+    ]
     return any(
-        other_job is not job
-        and other.spent_s >= MIN_COMPARED_S
+        other.spent_s >= MIN_COMPARED_S
         and other.since >= work.since
         and other.slowness(pool.usual_speed) * LONG_FACTOR <= slowness
-        for other_job, other in pool.runs_by_worker[worker]
+        for other in others
     )
 
 
@@ -200,23 +217,29 @@
     return LONG_FACTOR < slowness <= MAX_TASK_FACTOR
 
 
-def _estimate_worker(pool, worker):
+def _estimate_worker(pool, worker, has_long_jobs):
     """Updates a worker's slowness if enough of its work was watched."""
-    total, is_certain = WatchedWork(), False
-    for job in {job for job, _ in pool.runs_by_worker[worker] if not job.is_long}:
-        work = pool.by_place[job][worker]
-        total.add(work)
-        slowness = work.slowness(pool.usual_speed)
-        for elsewhere in pool.slownesses_elsewhere(job, worker):
-            is_certain = is_certain or slowness > SLOW_FACTOR * elsewhere
+    total = WatchedWork()
+    for job, work in pool.by_worker[worker].items():
+        if not job.is_long:
+            total.add(work)
     if total.spent_s < MIN_OBSERVED_S or not pool.usual_speed:
         return
     slowness = total.slowness(pool.usual_speed)
-    has_long_jobs = any(job.is_long for job in pool.by_place)
-    if has_long_jobs and SLOW_FACTOR < slowness <= MAX_TASK_FACTOR and not is_certain:
-        # Its jobs may be long, too.
-        return
-    worker.slowness = slowness
+    # Beside long jobs, those of a slow worker may be long, too.
+    is_doubtful = has_long_jobs and SLOW_FACTOR < slowness <= MAX_TASK_FACTOR
+    if not is_doubtful or _is_slower_than_others(pool, worker):
+        worker.slowness = slowness
+
+
+def _is_slower_than_others(pool, worker):
+    """Whether some job is slower on a worker than on another one."""
+    return any(
+        work.slowness(pool.usual_speed) > SLOW_FACTOR * elsewhere
+        for job, work in pool.by_worker[worker].items()
+        if not job.is_long
+        for elsewhere in pool.slownesses_elsewhere(job, worker)
+    )
 
 
 def stop_stalled(tables, learned_durations, now):
