--- a/features/support/work_tables.py
+++ b/features/support/work_tables.py
@@ -13,7 +13,7 @@
     Step,
     WorkerView,
 )
-from sassafrasgrade.systems.run_updates import apply_view
+from sassafrasgrade.systems.run_updates import apply_view, record_answered_start
 from sassafrasgrade.systems.task_placement import create_run
 from sassafrasgrade.work_tables import RunState, Worker, WorkTables
 
@@ -70,8 +70,9 @@
     """Adds a run of a task to a worker."""
     run = create_run(task, worker, number, now)
     run.state = state
-    run.answered_at = now if state is RunState.RUNNING else 0.0
     run.deadline_ms = (now + 1.5) * 1000
+    if state is RunState.RUNNING:
+        record_answered_start(run, 0, now)
     return run
 
 
@@ -83,7 +84,8 @@
         clock_ms=now * 1000 if clock_ms is None else clock_ms,
         running=tuple(RunningRow(*row) for row in running),
         ended=tuple(
-            EndedRow(number, task, run, RunEnd(end)) for number, task, run, end in ended
+            EndedRow(number, task, run, RunEnd(end), *saved)
+            for number, task, run, end, *saved in ended
         ),
     )
     return apply_view(tables, worker, view, now if sent_at is None else sent_at, now)
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -368,11 +368,14 @@
     def _record_durations(self, worker, view, now):
         for row in view.ended:
             run = worker.runs_by_key.get((row.task, row.run))
-            if run is None or row.how != "done" or run.task.saved:
+            if run is None or row.how != "done" or run.task.saved.value:
                 continue
             if run.task.step.is_perpetual:
                 continue
-            elapsed_s = now - run.started_at
+            elapsed_s = run.lasted_before_s + now - run.started_at
+            if math.isinf(elapsed_s):
+                # An earlier leader started it at an unknown time.
+                continue
             task = run.task
             self.learned_durations.record_run(
                 task.job.queue_name, task.step.estimate_ms, elapsed_s
@@ -642,6 +645,7 @@
         self.loader.remove_moved(now)
         self.loader.drop_missing(now)
         self.loader.reread_after_expiry(now)
+        self.loader.reread_earlier(now)
         if self._reaches_too_few_workers(now):
             self._is_releasing = True
             IOLoop.current().add_callback(
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -3,7 +3,7 @@
 import math
 
 from sassafrasgrade.fleet_hosts import ENDING_STATES
-from sassafrasgrade.job_records import find_task, job_id_of
+from sassafrasgrade.job_records import find_step, find_task, job_id_of
 from sassafrasgrade.node_messages import HandedOverRun
 from sassafrasgrade.platform.messages import RunEnd, WorkerView
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind, log_forgotten_run
@@ -19,6 +19,7 @@
     EndedIncarnation,
     Run,
     RunState,
+    SaveReport,
     Task,
     UnclaimedRow,
     Worker,
@@ -109,6 +110,7 @@
     """Applies the list of running tasks; keeps rows of jobs that are not known yet."""
     commands = []
     unclaimed, worker.unclaimed_runs = worker.unclaimed_runs, {}
+    worker.unknown_runs = {}
     for row in view.running:
         key = (row.task, row.run)
         seen_at = unclaimed[key].seen_at if key in unclaimed else now
@@ -241,9 +243,12 @@
 
 
 def _record_progress(run, row, now):
-    if row.saved:
-        run.task.saved = row.saved
-    if row.percent > run.percent or not run.changed_at:
+    _record_saved(run.task, run, row, SaveReport.LISTED, row.percent)
+    if not run.watched_at or row.percent < run.percent:
+        # It may have begun long before, or anew on another incarnation of its worker.
+        run.watched_at, run.watched_percent = now, row.percent
+        run.changed_at = now
+    elif row.percent > run.percent:
         run.changed_at = now
     run.percent = row.percent
     run.load_metric = row.load_metric
@@ -251,10 +256,37 @@
         run.at_work_at = now
 
 
+def _record_saved(task, run, row, report, percent=0.0):
+    """Records the saved value of a row, unless one that goes further is known.
+
+    A run that reports what it was started with, or has reported before, says nothing
+    new. Copies run beside each other, so that numbers say nothing: the last report of
+    any counts.
+
+    Args:
+        task: The task.
+        run: Its ``Run``, or None if it is not in the tables.
+        row: ``RunningRow`` or ``EndedRow``.
+        report: ``SaveReport``.
+        percent: Progress of the run; 0 for ends.
+    """
+    if not row.saved or (run is not None and run.saved == row.saved):
+        return
+    if run is not None:
+        run.saved = row.saved
+    may_have_copies = task.step.is_speculative and not task.step.is_gang
+    if may_have_copies or not task.saved.is_beyond(row.run, report, percent):
+        task.saved.replace(row.saved, row.run, report, percent)
+
+
 def _adopt_run(tables, worker, row, now):
-    """Adds a run that was started under an earlier leadership."""
+    """Adds a run that was started under an earlier leadership.
+
+    One of no task in the tables, whose job was cancelled, say, only takes room.
+    """
     task = find_task(tables, row.task)
     if task is None:
+        worker.unknown_runs[(row.task, row.run)] = find_step(tables, row.task)
         return [StopUnknownRun(worker.worker_id, row.task, row.run)]
     run = Run(
         task,
@@ -315,6 +347,9 @@
         now: Current clock in seconds.
     """
     run.answered_at = now
+    if not run.watched_at and not run.saved:
+        # With a saved value it begins at a percentage that only a list shows.
+        run.watched_at = now
     least_ms = run.deadline_ms - START_VALID_MS - CLOCK_TOLERANCE_MS
     if clock_ms and clock_ms >= least_ms:
         run.is_lease_known = True
@@ -368,6 +403,7 @@
             RunState.RUNNING,
             now,
             answered_at=now,
+            changed_at=now,
             lasted_before_s=(
                 math.inf if handed_run.lasted_s is None else handed_run.lasted_s
             ),
@@ -444,8 +480,9 @@
     if run is None:
         _note_outcome(task)
     record_start(tables, task.job)
-    if row.saved:
-        task.saved = row.saved
+    is_stopped = row.how is RunEnd.STOPPED
+    report = SaveReport.STOPPED if is_stopped else SaveReport.ENDED
+    _record_saved(task, run, row, report)
     fields = {
         "job": task.job.job_id,
         "task": row.task,
@@ -631,7 +668,8 @@
     that this one may have answered some of them. One without an answer may still be
     carried out: this incarnation has seen no token and no stop, and the order's
     deadline is of another clock. It is stopped here, too, or waited for until no order
-    can arrive any more.
+    can arrive any more. One that was not sent yet was placed by the capacity and labels
+    of the earlier incarnation, and is forgotten.
 
     Args:
         tables: The tables.
@@ -644,18 +682,24 @@
     """
     unanswered = [r for r in worker.runs_by_key.values() if is_unanswered(r)]
     commands = [_describe_restart(worker, view, unanswered)]
-    for run in worker.runs_by_key.values():
+    for run in list(worker.runs_by_key.values()):
+        if run.state is RunState.STARTING and not run.deadline_ms:
+            forget_run(tables, run, EndProof(ProofKind.START_NOT_SENT, now), now)
+            continue
         if run in unanswered:
             run.state = RunState.UNCERTAIN
             run.deadline_ms = view.clock_ms + LATEST_ORDER_MS
             commands.append(StopRun(run, "worker restarted before a start's answer"))
         run.stop_answered_at = 0.0
+        run.watched_at = 0.0
+        run.changed_at = now
         run.is_lease_known = False
     tables.tickets.forget_worker(worker.worker_id)
     worker.earlier_births.add(worker.born_ms)
     worker.born_ms = view.born_ms
     worker.seen_end = worker.stored_end = worker.discarded_end = 0
     worker.unclaimed_runs, worker.unclaimed_ends = {}, {}
+    worker.unknown_runs = {}
     worker.view_clock_ms = 0.0
     worker.clock_offset_ms = None
     worker.has_seen_token = worker.has_shown_runs = False
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -94,7 +94,8 @@
 def candidate_of(worker: Worker):
     """Returns a worker as a candidate; its stopping runs still occupy capacity.
 
-    Nobody knows how much a run of an unknown job occupies.
+    So do listed runs of no task in the tables. Nobody knows how much a run of an
+    unknown job occupies.
     """
     capacity = worker.capacity
     candidate = Candidate(
@@ -104,12 +105,21 @@
         candidate.reserve(run.task.step)
         if run.is_isolated and not has_outlived_suspicion(worker, run):
             candidate.is_exclusive = True
+    for step in worker.unknown_runs.values():
+        if step is None:
+            candidate.is_exclusive = True
+        else:
+            candidate.reserve(step)
     candidate.is_exclusive = candidate.is_exclusive or bool(worker.unclaimed_runs)
     return candidate
 
 
 def is_usable(worker: Worker, now):
-    """Whether a worker may get new runs."""
+    """Whether a worker may get new runs.
+
+    An incarnation may be of another kind, capacity or pool than the one before, so that
+    its own registration has to be known.
+    """
     return (
         worker.has_seen_token
         and not worker.is_draining
@@ -117,6 +127,8 @@
         and worker.unresponsive_since == 0
         and worker.doubted_at == 0
         and worker.missing_since == 0
+        and not worker.has_earlier_registration
+        and not worker.has_later_registration
         and now >= worker.usable_after
     )
 
@@ -447,8 +459,20 @@
 
 
 def create_run(task, worker, number, now):
-    """Adds a run whose start order is about to be sent."""
-    run = Run(task, number, worker.worker_id, RunState.STARTING, now, changed_at=now)
+    """Adds a run whose start order is about to be sent.
+
+    What it resumes from is settled here: orders to the members of a gang leave at
+    different moments, and a report may come in between.
+    """
+    run = Run(
+        task,
+        number,
+        worker.worker_id,
+        RunState.STARTING,
+        now,
+        changed_at=now,
+        saved=task.saved.value,
+    )
     task.last_number = number
     task.runs_by_number[number] = run
     worker.runs_by_key[(task.name, number)] = run
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -18,7 +18,7 @@
     progress_of,
     split_key,
 )
-from sassafrasgrade.leaderships import LEASE_TTL_S
+from sassafrasgrade.leaderships import LEASE_TTL_S, MAX_RENEWAL_AGE_S
 from sassafrasgrade.node_messages import HandOver
 from sassafrasgrade.platform import names
 from sassafrasgrade.prefix_followers import PrefixFollower
@@ -26,6 +26,7 @@
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.occurrences import create_due
 from sassafrasgrade.systems.run_updates import (
+    STALE_REGISTRATION_S,
     adopt_handed_over_runs,
     claim_rows,
     remove_worker,
@@ -46,6 +47,9 @@
 # Time in seconds after which a worker that is neither listed nor answering is
 # removed.
 MISSING_WORKER_S = 2.5
+# Time for which a worker answers without its registration before the registrations are
+# read again, and between two such reads, in seconds. Mostly a watch tells of it sooner.
+REREAD_PERIOD_S = 0.5
 # Time after a takeover in which earlier leaders may still receive new jobs, in
 # seconds: until all nodes have noticed it, whose watches may hear nothing for a second.
 PREDECESSOR_ACCEPT_WINDOW_S = 3.0
@@ -75,8 +79,15 @@
         self._is_predecessor_gone = is_predecessor_gone
         self.is_loaded = False
         self.barrier_until = 0.0
+        # Clock at which it ends for perpetual tasks of jobs that have started, if no
+        # worker that has not reported is registered.
+        self._lasting_until = 0.0
         self._began_at = self._timers.now()
         self._has_jobs = self._has_workers = False
+        # Since when workers have answered under registrations of earlier incarnations,
+        # by worker id and births.
+        self._earlier_since_by_key = {}
+        self._reread_at = float("-inf")
         # All workers since the takeover, while the barrier stands.
         self._rows_by_worker_id = {}
         self._workers = PrefixFollower(
@@ -104,12 +115,46 @@
             lapses_at = max(self._began_at, self._leadership.earlier_leaders_until)
             if not self._is_predecessor_gone:
                 lapses_at = max(lapses_at, self._began_at + LEASE_TTL_S * CLOCK_DRIFT)
-            longest_lease_s = self._settings.bounds_hold_most_ms / MS_PER_S
-            self.barrier_until = lapses_at + longest_lease_s * CLOCK_DRIFT
-            self._tables.held_pools = ALL_POOLS
+            self.barrier_until = lapses_at + self._longest_lease_s()
+            self._lasting_until = self.barrier_until
+            self._tables.held_pools = self._tables.held_lasting_pools = ALL_POOLS
         self._jobs.start()
         self._workers.start()
 
+    def _longest_lease_s(self):
+        return self._settings.bounds_hold_most_ms / MS_PER_S * CLOCK_DRIFT
+
+    @property
+    def awaited_leader(self):
+        """The replaced leader, if the barrier waits for it and it may still run."""
+        if not self.barrier_until or self._is_predecessor_gone:
+            return None
+        return self._leadership.previous_leader
+
+    def record_leader_death(self, incarnation):
+        """Shortens the barrier, as the replaced leader's process has surely ended.
+
+        That leader's last calls may yet arrive, and other earlier leaders act. Of the
+        calls, starts may be carried out late by a later incarnation of a worker: only
+        perpetual tasks of jobs that have started wait for less, and none beside a
+        registered worker, which is alive.
+
+        Args:
+            incarnation: Incarnation that has ended.
+        """
+        leader = self.awaited_leader
+        if leader is None or leader.incarnation != incarnation:
+            return
+        self._is_predecessor_gone = True
+        lapses_at = max(self._began_at, self._leadership.earlier_leaders_until)
+        until = min(self.barrier_until, lapses_at + self._longest_lease_s())
+        self._lasting_until = until
+        left_s = until - self._timers.now()
+        logger.info(
+            "previous leader has ended",
+            extra={"leader": leader.name, "left_s": round(left_s, 2)},
+        )
+
     def close(self):
         """Stops following the store."""
         self._workers.close()
@@ -296,27 +341,45 @@
         if not self.barrier_until or not self.is_loaded:
             return
         self._note_rows()
-        rows = tuple(self._rows_by_worker_id.values())
-        unreported = unreported_workers(self._tables, self._dispatcher.fleet, rows)
+        tables, rows = self._tables, tuple(self._rows_by_worker_id.values())
+        unreported = unreported_workers(tables, self._dispatcher.fleet, rows)
         if self._leadership.last_renewal_at > self.barrier_until:
             unreported = {}
         if unreported is None:
             return
-        held = frozenset(unreported.values())
-        if self._tables.held_pools is not ALL_POOLS:
-            # Workers that registered later have no runs of the previous leader.
-            held &= self._tables.held_pools
-        if held == self._tables.held_pools:
+        held = _pools_still_held(tables.held_pools, unreported)
+        holding = self._drop_unregistered(unreported)
+        held_lasting = _pools_still_held(tables.held_lasting_pools, holding)
+        if (held, held_lasting) == (tables.held_pools, tables.held_lasting_pools):
             return
-        self._tables.held_pools = held
+        tables.held_pools, tables.held_lasting_pools = held, held_lasting
         if not held:
             self.barrier_until = 0.0
             self._rows_by_worker_id.clear()
         logger.info(
-            "take-over", extra={"unheard": unreported, "held_pools": sorted(held)}
+            "take-over",
+            extra={
+                "unheard": unreported,
+                "held_pools": sorted(held),
+                "held_lasting_pools": sorted(held_lasting),
+            },
         )
         self._dispatcher.schedule_placement()
 
+    def _drop_unregistered(self, unreported):
+        """Returns the unreported workers that still hold started, perpetual work."""
+        if self._leadership.last_renewal_at <= self._lasting_until:
+            return unreported
+        return {
+            worker_id: pool
+            for worker_id, pool in unreported.items()
+            if self._is_registered(worker_id)
+        }
+
+    def _is_registered(self, worker_id):
+        worker = self._tables.workers_by_id.get(worker_id)
+        return worker is not None and not worker.missing_since
+
     def reread_after_expiry(self, now):
         """Reads registrations again once those of ended workers would have expired."""
         ended_incarnations = self._tables.ended_by_worker
@@ -330,6 +393,45 @@
         if expired:
             self._workers.reread_range()
 
+    def reread_earlier(self, now):
+        """Reads registrations again while some are of earlier incarnations.
+
+        A watch may hear nothing for a while. What stays listed for longer than that of
+        an ended incarnation is the worker's own: its birth is wrong there.
+        """
+        self._note_earlier(now)
+        longest_s = now - min(self._earlier_since_by_key.values(), default=now)
+        if min(longest_s, now - self._reread_at) >= REREAD_PERIOD_S:
+            self._reread_at = now
+            self._workers.reread_range()
+
+    def _note_earlier(self, now):
+        """Notes since when workers have answered that have not registered yet."""
+        known, self._earlier_since_by_key = self._earlier_since_by_key, {}
+        for worker in self._tables.workers_by_id.values():
+            if not worker.has_earlier_registration or worker.unresponsive_since:
+                continue
+            key = worker.worker_id, worker.births
+            if key not in known:
+                _log_earlier("worker answers, but has not registered yet", worker)
+            since = known.get(key, now)
+            if self._has_stayed_listed(since):
+                worker.trusted_births = worker.births
+                _log_earlier("registration with another birth is used", worker)
+            else:
+                self._earlier_since_by_key[key] = since
+
+    def _has_stayed_listed(self, since):
+        """Whether a registration has stayed for longer than that of an ended worker.
+
+        While the store does not answer, none expires.
+        """
+        if self._leadership.store_answer_age_s() > MAX_RENEWAL_AGE_S:
+            return False
+        since = max(since, self._leadership.answering_since)
+        known_until = self._workers.confirmed_at - WATCH_SILENCE_S
+        return known_until - since > STALE_REGISTRATION_S
+
     def remove_moved(self, now):
         """Removes workers whose id is registered with another address, to read it."""
         moved = [w for w in self._tables.workers_by_id.values() if has_moved(w, now)]
@@ -361,6 +463,19 @@
                 self._dispatcher.sync_sessions()
 
 
+def _log_earlier(message, worker):
+    registered_ms, born_ms = worker.births
+    extra = {"worker": worker.worker_id, "born": born_ms}
+    logger.info(message, extra=extra | {"registered_born": registered_ms})
+
+
+def _pools_still_held(held, unreported):
+    """Returns which of the held pools have unreported workers."""
+    pools = frozenset(unreported.values())
+    # Workers that registered later have no runs of the previous leader.
+    return pools if held is ALL_POOLS else pools & held
+
+
 def _log_skipped(job_id, error):
     logger.error(
         "job skipped; its stored record cannot be decoded",
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -104,7 +104,10 @@
             thousandths of a core.
         at_work_at: When a perpetual task was first reported at work; 0 before.
         pace: Speed that it is limited to, in percent.
-        changed_at: When ``percent`` last increased.
+        changed_at: When ``percent`` last increased, or was first shown.
+        watched_at: Clock since when this leader has followed ``percent``; 0 before.
+            Progress from before it was made in a time that is not known.
+        watched_percent: ``percent`` at that clock.
         stopped_at: When a stop was last sent; 0 before the first.
         stop_answered_at: When the worker confirmed a stop; 0 before.
         ticket: Ticket of the advice service, if the queue needs one.
@@ -115,6 +118,8 @@
         is_lease_known: Whether it surely lapses by its worker's ``lease_until``: it is
             on the incarnation whose clock sets the deadlines, or on one whose clock is
             ahead.
+        saved: Saved progress that it was placed with, or has reported since; empty for
+            none.
     """
 
     task: "Task"
@@ -132,12 +137,55 @@
     at_work_at: float = 0.0
     pace: int = 100
     changed_at: float = 0.0
+    watched_at: float = 0.0
+    watched_percent: float = 0.0
     stopped_at: float = 0.0
     stop_answered_at: float = 0.0
     ticket: str = ""
     is_isolated: bool = False
     lasted_before_s: float = 0.0
     is_lease_known: bool = False
+    saved: str = ""
+
+
+class SaveReport(IntEnum):
+    """What reported a saved value; of one run, the later kinds go further.
+
+    ``LISTED``: the run was listed with it. ``ENDED``: the run ended with it.
+    ``STOPPED``: the run was stopped, for which it saved once more.
+    """
+
+    LISTED = 0
+    ENDED = 1
+    STOPPED = 2
+
+
+@dataclass(slots=True, eq=False)
+class SavedProgress:
+    """The furthest progress known to be saved of a task, or of a whole gang.
+
+    The value is opaque: run, report and percent say how far it goes.
+
+    Attributes:
+        value: What a start carries; empty for none.
+        run: Number of the run that reported it.
+        report: What reported it.
+        percent: Progress of the run when it was listed with it; 0 for ends.
+    """
+
+    value: str = ""
+    run: int = 0
+    report: SaveReport = SaveReport.LISTED
+    percent: float = 0.0
+
+    def is_beyond(self, run, report, percent):
+        """Whether it goes further than a value that was reported so."""
+        return (self.run, self.report, self.percent) > (run, report, percent)
+
+    def replace(self, value, run, report, percent):
+        """Takes over a value."""
+        self.value, self.run = value, run
+        self.report, self.percent = report, percent
 
 
 @dataclass(slots=True, eq=False)
@@ -155,7 +203,7 @@
         failed_numbers: Numbers of runs that ended ``failed``. A set, since an end
             may be reported again to the next leader but counts once.
         runs_by_number: Runs not known to have ended.
-        saved: Last saved progress.
+        saved: Its saved progress; the members of a gang share one.
         last_number: Highest known run number.
         avoided_workers: Workers on which it failed, stalled or was slow; chosen
             last.
@@ -178,7 +226,7 @@
     is_done: bool = False
     failed_numbers: set[int] = field(default_factory=set)
     runs_by_number: dict[int, Run] = field(default_factory=dict)
-    saved: str = ""
+    saved: SavedProgress = field(default_factory=SavedProgress)
     last_number: int = 0
     avoided_workers: set[str] = field(default_factory=set)
     blocked_until: float = 0.0
@@ -262,6 +310,7 @@
         progress_revision: Store revision of its progress; 0 if none is stored.
         urgency: ``Urgency`` as of the last placement.
         is_inherited: Whether an earlier leader may have started its tasks.
+        is_long: Whether its tasks take far longer than declared on sound workers.
     """
 
     job_id: str
@@ -280,6 +329,7 @@
     progress_revision: int = 0
     urgency: Urgency = Urgency.IN_TIME
     is_inherited: bool = False
+    is_long: bool = False
 
     @property
     def is_open(self):
@@ -325,6 +375,12 @@
         leaves_at: Clock at which it may be gone; None if it stays.
         born_ms: Start of the incarnation; None before the worker reported it.
         earlier_births: Starts of its earlier incarnations that this leader knew.
+        registered_born_ms: Start of the incarnation that its registration is of, which
+            its pool, capacity and labels are from; None if that is not known.
+        registered_at: Clock when its registration became one of that incarnation; 0 if
+            its first one was.
+        trusted_births: Starts of the incarnation registered and of the one that
+            answers, if they differ and the registration is still the worker's.
         host: Name of its host; empty while unknown.
         other_address: Another address under which its id was registered; empty if none.
         clock_offset_ms: Its clock minus the node's, in milliseconds.
@@ -339,6 +395,8 @@
         discarded_end: Number of the last run end that the worker surely discarded.
         unclaimed_runs: ``UnclaimedRow`` of listed runs, by (task name, number).
         unclaimed_ends: ``UnclaimedRow`` of listed ends, by number of the end.
+        unknown_runs: Steps of the listed runs of no task in the tables, by (task name,
+            number); None if the step is not known either. They take room.
         lease_until: Clock at which the runs of the known incarnation have lapsed if
             they are not renewed.
         longest_lease_until: Clock at which those of a later incarnation have lapsed:
@@ -380,6 +438,9 @@
     leaves_at: float | None = None
     born_ms: int | None = None
     earlier_births: set[int] = field(default_factory=set)
+    registered_born_ms: int | None = None
+    registered_at: float = 0.0
+    trusted_births: tuple[int, int] | None = None
     host: str = ""
     other_address: str = ""
     clock_offset_ms: float | None = None
@@ -392,6 +453,7 @@
     discarded_end: int = 0
     unclaimed_runs: dict[tuple[str, int], UnclaimedRow] = field(default_factory=dict)
     unclaimed_ends: dict[int, UnclaimedRow] = field(default_factory=dict)
+    unknown_runs: dict[tuple[str, int], Step | None] = field(default_factory=dict)
     lease_until: float = 0.0
     longest_lease_until: float = 0.0
     last_answer_at: float = 0.0
@@ -425,6 +487,36 @@
         """
         return self.fenced_at > -math.inf and not self.has_seen_token
 
+    @property
+    def births(self):
+        """Starts of the incarnation registered and of the one that answers."""
+        return self.registered_born_ms, self.born_ms
+
+    @property
+    def has_earlier_registration(self):
+        """Whether its registration is of an incarnation before the one that answers.
+
+        That one may be of another kind, capacity or pool.
+        """
+        registered_ms, born_ms = self.births
+        if not self._is_registration_of_other or self.births == self.trusted_births:
+            return False
+        return registered_ms < born_ms or registered_ms in self.earlier_births
+
+    @property
+    def has_later_registration(self):
+        """Whether its registration may be of an incarnation that has not answered yet.
+
+        An answer to a call that was sent since then shows that there is none.
+        """
+        if not self._is_registration_of_other or self.has_earlier_registration:
+            return False
+        return self.last_answered_call_at < self.registered_at
+
+    @property
+    def _is_registration_of_other(self):
+        return None not in self.births and self.registered_born_ms != self.born_ms
+
     @property
     def has_runs(self):
         """Whether it may run anything, also of jobs that are not known yet."""
@@ -477,6 +569,7 @@
         held_pools: Pools whose inherited tasks must not start, since one of their
             workers, which may run them for an earlier leader, has not reported yet;
             ``ALL_POOLS`` before that is known.
+        held_lasting_pools: The same for perpetual tasks of jobs that have started.
         queues_by_name: Queues of all known configurations, each by the newest one
             that has it.
         pools_by_queue: Pools that each queue has had in any known configuration.
@@ -504,6 +597,7 @@
     crashed_tasks: list[CrashedTask] = field(default_factory=list)
     loaded_suspects: list[Task] = field(default_factory=list)
     held_pools: frozenset[str] | None = frozenset()
+    held_lasting_pools: frozenset[str] | None = frozenset()
     pools_by_queue: dict[str, set[str]] = field(default_factory=dict)
     jobs_complete_at: float = float("-inf")
     refused_entries: RefusedValues = field(default_factory=RefusedValues)
@@ -525,10 +619,12 @@
         """
         if not task.job.is_inherited or task.is_new:
             return False
-        if self.held_pools is ALL_POOLS:
+        is_lasting = task.step.is_perpetual and task.job.has_started
+        held = self.held_lasting_pools if is_lasting else self.held_pools
+        if held is ALL_POOLS:
             return True
         pools = self.pools_by_queue.get(task.job.queue_name, ())
-        return not self.held_pools.isdisjoint(pools)
+        return not held.isdisjoint(pools)
 
     def queue_of(self, job):
         """Returns a job's ``Queue``, or None if nothing is known of it.
@@ -576,6 +672,8 @@
         due_at = (request.first_ms + number * request.interval_ms) / MS_PER_S
     rows = []
     for step_number, step in enumerate(request.steps):
+        # The members of a gang work only if all resume from the same value.
+        shared = SavedProgress() if step.is_gang else None
         tasks = [
             Task(
                 f"{job.job_id}.{number}.{step_number}.{index}",
@@ -584,6 +682,7 @@
                 step_number,
                 index,
                 step,
+                saved=shared or SavedProgress(),
             )
             for index in range(step.count)
         ]
