Judge loaded crashes only once all workers of the pool have reported

A lasting task with two stored crashes could be given up, its job shown as failed, 8.0 s after a takeover, though its worker reports the end of its last run before 12.2 s. Cause: the verdict asked whether the task may start.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -182,6 +182,19 @@
       | 0       | are lost twice before two crashes        | given up |
       | 0       | hand over before three prompt crashes    | isolated |
 
+  # It may start again before all workers have reported, but not be given up: the end of
+  # its last run may be listed until then.
+  Scenario Outline: a lasting task with 2 conclusive crashes is <outcome> after leaders that <ends>
+    Given a lasting task with 2 conclusive crashes stored beside other runs
+    When leaders follow one another that "<ends>"
+    Then the verdict on it is "<outcome>"
+
+    Examples:
+      | ends                                  | outcome  |
+      | are lost                              | given up |
+      | are lost as a worker lists its end    | isolated |
+      | are lost as a worker has not reported | isolated |
+
   Scenario Outline: crashes stored <evidence> are <outcome> by the next one
     Given a task with 3 crashes stored <evidence>
     When the next leader loads the job and another worker crashes under the task
--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -429,9 +429,9 @@
 
 
 @given("a task and {workers:d} workers")
-def make_task(context, workers):
+def make_task(context, workers, is_lasting=False):
     context.tables = create_tables(workers=workers)
-    context.job = add_simple_job(context.tables)
+    context.job = add_simple_job(context.tables, is_perpetual=is_lasting)
     context.task = first_task(context.job)
 
 
@@ -561,7 +561,7 @@
 def load_job(context):
     """Loads the stored progress of the job into the tables of the next leader."""
     progress = decode_progress(encode(progress_of(context.job)))
-    make_task(context, 8)
+    make_task(context, 8, context.task.step.is_perpetual)
     apply_progress(context.tables, context.job, progress)
 
 
@@ -659,12 +659,18 @@
     assert len(place(context, NOW + 5)) == started
 
 
+@given("a lasting task with {count:d} conclusive crashes stored beside other runs")
+def make_lasting_stored_beside(context, count):
+    make_stored_beside(context, count, is_lasting=True)
+
+
 @given("a task with {count:d} crashes stored beside other runs")
-def make_stored_beside(context, count):
-    make_task(context, 8)
+def make_stored_beside(context, count, is_lasting=False):
+    make_task(context, 8, is_lasting)
     record_start(context.tables, context.job)
     context.task.crashes = tuple(
-        Crash(f"host-gone-{number}", False, True, True) for number in range(count)
+        Crash(f"host-gone-{number}", is_lasting, True, True, was_prompt=is_lasting)
+        for number in range(count)
     )
 
 
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -166,9 +166,9 @@
     commands = [_describe_crash(crashed) for crashed in crashed_tasks]
     tasks = [crashed.task for crashed in crashed_tasks]
     for task in loaded:
-        # A worker that has not reported may still run it.
-        waiting = tables.loaded_suspects if tables.is_held(task) else tasks
-        waiting.append(task)
+        # A worker that has not reported may still run it, or list how its run ended.
+        waits = tables.may_be_reported(task)
+        (tables.loaded_suspects if waits else tasks).append(task)
     for task in dict.fromkeys(tasks):
         if task.job.is_open and is_convicted(task):
             commands += _give_up(tables, task)
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -613,14 +613,19 @@
         record_queues(self.queues_by_name, self.pools_by_queue, configuration)
 
     def is_held(self, task):
-        """Whether an earlier leader's run of a task may exist on an unreported worker.
+        """Whether a task must not start, as an unreported worker may still run it."""
+        is_lasting = task.step.is_perpetual and task.job.has_started
+        held = self.held_lasting_pools if is_lasting else self.held_pools
+        return self._is_in(held, task)
 
-        A run stays on a worker of the pool that its queue had when it started.
-        """
+    def may_be_reported(self, task):
+        """Whether an unreported worker may yet list a run of a task or its end."""
+        return self._is_in(self.held_pools, task)
+
+    def _is_in(self, held, task):
+        # A run stays on a worker of the pool that its queue had when it started.
         if not task.job.is_inherited or task.is_new:
             return False
-        is_lasting = task.step.is_perpetual and task.job.has_started
-        held = self.held_lasting_pools if is_lasting else self.held_pools
         if held is ALL_POOLS:
             return True
         pools = self.pools_by_queue.get(task.job.queue_name, ())
