--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -570,6 +570,9 @@
             workers, which may run them for an earlier leader, has not reported yet;
             ``ALL_POOLS`` before that is known.
         held_lasting_pools: The same for perpetual tasks of jobs that have started.
+        speeds_estimated_at: Clock of the last estimate of how fast runs progress.
+        usual_speeds_by_pool: Expected time done per time spent, by that estimate; 0
+            if it is not known.
         queues_by_name: Queues of all known configurations, each by the newest one
             that has it.
         pools_by_queue: Pools that each queue has had in any known configuration.
@@ -598,6 +601,8 @@
     loaded_suspects: list[Task] = field(default_factory=list)
     held_pools: frozenset[str] | None = frozenset()
     held_lasting_pools: frozenset[str] | None = frozenset()
+    speeds_estimated_at: float = float("-inf")
+    usual_speeds_by_pool: dict[str, float] = field(default_factory=dict)
     pools_by_queue: dict[str, set[str]] = field(default_factory=dict)
     jobs_complete_at: float = float("-inf")
     refused_entries: RefusedValues = field(default_factory=RefusedValues)
@@ -613,14 +618,19 @@
         record_queues(self.queues_by_name, self.pools_by_queue, configuration)
 
     def is_held(self, task):
-        """Whether an earlier leader's run of a task may exist on an unreported worker.
+        """Whether a task must not start, as an unreported worker may still run it."""
+        is_lasting = task.step.is_perpetual and task.job.has_started
+        held = self.held_lasting_pools if is_lasting else self.held_pools
+        return self._is_in(held, task)
 
-        A run stays on a worker of the pool that its queue had when it started.
-        """
+    def may_be_reported(self, task):
+        """Whether an unreported worker may yet list a run of a task or its end."""
+        return self._is_in(self.held_pools, task)
+
+    def _is_in(self, held, task):
+        # A run stays on a worker of the pool that its queue had when it started.
         if not task.job.is_inherited or task.is_new:
             return False
-        is_lasting = task.step.is_perpetual and task.job.has_started
-        held = self.held_lasting_pools if is_lasting else self.held_pools
         if held is ALL_POOLS:
             return True
         pools = self.pools_by_queue.get(task.job.queue_name, ())
