End leases with their leader's authority, so that a takeover waits once

Cause: the wait was a sum of two maxima, the former leader's authority (6 s) and the longest lease that its last call may have given (6 s). Nothing kept a leader from giving a full lease or from starting a task in the last moment of its authority.

Now a lease ends with its giver's authority, tasks are started only within 2.0 s of an answered renewal, and a poll carries no deadline while its worker may have restarted. Leases still outlive an outage of the store that a majority of the nodes reports; nodes say in their heartbeats when they last reported one, so that a successor knows the last moment at which any earlier leader had such a majority.

The stand-in of the row "no end is acknowledged after a start that another clock has answered" told the question from the poll after it by its missing deadline. That poll has none now, either: the first call is the question, and the row checks besides that it is asked.

--- a/features/other_incarnations.feature
+++ b/features/other_incarnations.feature
@@ -51,6 +51,9 @@
   Scenario: an end is acknowledged just after a start that a later incarnation has answered
     Then no end is acknowledged after a start that another clock has answered
 
+  Scenario: a poll by the clock of a former incarnation gives the next one the longest lease
+    Then a poll renews nothing after a start that another clock has answered
+
   Scenario: an end is acknowledged after a late answer of the former incarnation
     Then no end is acknowledged after a late answer of the former incarnation
 
--- a/features/steps/other_incarnation_steps.py
+++ b/features/steps/other_incarnation_steps.py
@@ -77,3 +77,12 @@
 def check_wait_in_doubt(context):
     found = asyncio.run(other_incarnations.wait_of_poll_in_doubt())
     assert found == [0], found
+
+
+@then("a poll renews nothing after a start that another clock has answered")
+def check_deadlines(context):
+    question_ms, poll_ms, next_ms = asyncio.run(
+        other_incarnations.deadlines_after_start()
+    )
+    assert question_ms is None and poll_ms is None, (question_ms, poll_ms)
+    assert next_ms is not None, "once its lists are known, its runs are renewed"
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -23,6 +23,7 @@
 from sassafrasgrade.leader_monitors import is_leader_lost, should_hand_over
 from sassafrasgrade.node_messages import HandedOverRun
 from sassafrasgrade.node_settings import check_node_settings
+from sassafrasgrade.outage_reports import OutageReport
 from sassafrasgrade.platform.messages import Wave, WorkerView
 from sassafrasgrade.systems.host_planning import plan_hosts
 from sassafrasgrade.systems.run_updates import (
@@ -311,10 +312,10 @@
 
 
 REPORTS_BY_CASE = {
-    "a report of a recent store answer": [(NOW - 0.2, 0.1)],
-    "a report of an old store answer": [(NOW - 0.2, 3.0)],
-    "an old report of a recent store answer": [(NOW - 3.0, 0.1)],
-    "a report of an answer soon after its own": [(NOW - 0.2, 0.7)],
+    "a report of a recent store answer": [OutageReport(NOW - 0.2, 0.1)],
+    "a report of an old store answer": [OutageReport(NOW - 0.2, 3.0)],
+    "an old report of a recent store answer": [OutageReport(NOW - 3.0, 0.1)],
+    "a report of an answer soon after its own": [OutageReport(NOW - 0.2, 0.7)],
     "no report": [],
 }
 
--- a/features/steps/virtual_time_steps.py
+++ b/features/steps/virtual_time_steps.py
@@ -116,7 +116,7 @@
     def __init__(self, tables):
         self.tables = tables
         self.timers = SimpleNamespace(now=lambda: NOW)
-        self._leadership = SimpleNamespace(has_authority=lambda: True)
+        self._leadership = SimpleNamespace(has_start_authority=lambda: True)
 
     def handle_start_reply(self, run, reply, had_no_effect):
         """Ignores a reply."""
--- a/features/support/missed_leaderships.py
+++ b/features/support/missed_leaderships.py
@@ -55,10 +55,15 @@
         await asyncio.sleep(0)
 
 
-def lead(store, name, epoch, earlier_left_s=0.0):
+def lead(store, name, epoch, earlier_left_s=0.0, bounds_leases=False):
     """Makes another node leader."""
     record = LeaderRecord(
-        name, f"incarnation-{name}", "127.0.0.1:1", epoch, earlier_left_s
+        name,
+        f"incarnation-{name}",
+        "127.0.0.1:1",
+        epoch,
+        earlier_left_s,
+        bounds_leases,
     )
     store.put_all({LEADER_KEY: encode_record(record), EPOCH_KEY: str(epoch).encode()})
 
--- a/features/support/other_incarnations.py
+++ b/features/support/other_incarnations.py
@@ -295,9 +295,11 @@
     await worker.poll()
     row.seen_end = row.stored_end = 57
     poll_runs, discarded, overtaken = client.poll_runs, [], asyncio.Event()
+    questions = []
 
     async def poll(token, observed, deadline_ms, *others):
-        if deadline_ms is None:
+        if not questions:
+            questions.append(observed)
             await overtaken.wait()
         elif observed:
             discarded.extend(started.task for started in worker.next_life.rows)
@@ -308,6 +310,7 @@
     await worker.start(JOBS[0])
     (run,) = row.runs_by_key.values()
     assert run.answered_at and not run.is_lease_known
+    assert questions == [0], "the worker is asked at once"
     # Its end is number 1 there by the time that the poll arrives.
     await worker.poll()
     overtaken.set()
@@ -315,6 +318,34 @@
     return discarded
 
 
+async def deadlines_after_start():
+    """A start is answered by another clock, and the question after it is slow.
+
+    Returns:
+        Deadlines of the question, of the poll that overtakes it, and of the next one.
+    """
+    worker = RestartedWorker()
+    client, deadlines, overtaken = worker.client, [], asyncio.Event()
+    await worker.poll()
+    poll_runs = client.poll_runs
+
+    async def poll(token, observed, deadline_ms, *others):
+        deadlines.append(deadline_ms)
+        if len(deadlines) == 1:
+            await overtaken.wait()
+        return await poll_runs(token, observed, deadline_ms, *others)
+
+    client.poll_runs = poll
+    await worker.restart()
+    await worker.start(JOBS[0])
+    await worker.poll()
+    overtaken.set()
+    await settle()
+    worker.timers.advance(STEP_S)
+    await worker.poll()
+    return deadlines
+
+
 async def acknowledged_after_late_answer():
     """A start is answered by another clock, and then an earlier poll by the former.
 
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -8,6 +8,7 @@
 from features.support.work_tables import CAPACITY, NOW_UNIX, POOL, QUEUE
 from sassafrasgrade.dispatchers import Dispatcher
 from sassafrasgrade.job_records import REQUEST, SubmittedJob, encode, job_key
+from sassafrasgrade.leaderships import LEASE_MARGIN_S, LEASE_TTL_S
 from sassafrasgrade.node_counters import NodeCounters
 from sassafrasgrade.node_settings import check_node_settings
 from sassafrasgrade.platform import names
@@ -55,10 +56,22 @@
         """Always true."""
         return True
 
+    def has_start_authority(self):
+        """Always true."""
+        return True
+
     def has_host_authority(self):
         """Always true."""
         return True
 
+    def authority_left_s(self):
+        """As after a renewal that was just answered."""
+        return LEASE_TTL_S - LEASE_MARGIN_S
+
+    def earlier_leases_until(self):
+        """Nothing is known of the leases that earlier leaders gave."""
+        return None
+
     def store_answer_age_s(self):
         """The store has just answered."""
         return 0.0
--- a/features/support/virtual/cases.py
+++ b/features/support/virtual/cases.py
@@ -290,6 +290,45 @@
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
+def _unreached_but_by_replaced_leader(source, kind, lasts_s, options):
+    """Only the leader reaches two workers; it acts on after it has been replaced.
+
+    One of them has just been reborn, in half of the draws. Both outlive the barrier
+    without a call.
+    """
+    reborn, other = source.sample("012", 2)
+    crash = _restart_unheard(source, reborn, RESTARTS_S[0])
+    struck_at = crash.at + crash.lasts_s + source.uniform(0.0, 2.5)
+    faults = [Fault(kind, struck_at, lasts_s, "leader", None, options)]
+    if source.random() < 0.5:
+        faults.append(crash)
+    for worker in (reborn, other):
+        for whom in ("followers", "store"):
+            at = struck_at - source.uniform(0.1, 0.5)
+            cut = {"from": whom}
+            faults.append(Fault("worker_cut", at, 25.0, worker, None, cut))
+    return tuple(sorted(faults, key=lambda fault: fault.at))
+
+
+def unreached_but_by_cut_leader(source):
+    """o. The leader is cut off from the store and the nodes, not from the workers."""
+    options = {"from": "core"}
+    return _unreached_but_by_replaced_leader(source, "node_cut", 25.0, options)
+
+
+def unreached_but_by_frozen_leader(source):
+    """o. The leader is frozen, and goes on as the one that it was."""
+    lasts_s = source.uniform(1.8, 5.0)
+    return _unreached_but_by_replaced_leader(source, "node_freeze", lasts_s, {})
+
+
+def cut_leader_after_outage(source):
+    """o. The leader is cut off with a node that reports an outage, or after one."""
+    faults = unreached_but_by_cut_leader(source)
+    at = faults[0].at - source.uniform(0.0, 3.0)
+    return (Fault("store_down", at, source.uniform(1.0, 3.0)), *faults)
+
+
 def cut_after_restart_and_handover(source):
     """n. The leader hands over the runs of the worker that is cut off."""
     return _with_lost_leader(source, "node_stop", (-2.0, 5.0), 8.0)
@@ -344,6 +383,9 @@
     "cut-after-restart-and-takeover": Case(cut_after_restart_and_takeover, LONG),
     "cut-after-restart-and-return": Case(cut_after_restart_and_return, LONG),
     "unreached-but-by-lost-leader": Case(unreached_but_by_lost_leader, LONG),
+    "unreached-but-by-cut-leader": Case(unreached_but_by_cut_leader, LONG),
+    "unreached-but-by-frozen-leader": Case(unreached_but_by_frozen_leader, LONG),
+    "cut-leader-after-outage": Case(cut_leader_after_outage, LONG),
     "cut-after-restart-and-handover": Case(cut_after_restart_and_handover, LONG),
     "cut-after-restart-late-calls": Case(cut_after_restart_late_calls, LONG),
     "cut-after-quick-restart": Case(cut_after_quick_restart, MIXED),
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -11,6 +11,7 @@
 from sassafrasgrade.fleet_hosts import ENDING_STATES
 from sassafrasgrade.host_controllers import HostController
 from sassafrasgrade.job_sweeps import JobSweeper
+from sassafrasgrade.outage_reports import OUTAGE_ANSWER_AGE_S
 from sassafrasgrade.platform.workers import OrderOutcome
 from sassafrasgrade.progress_writers import ProgressWriter
 from sassafrasgrade.systems.crash_records import (
@@ -50,6 +51,7 @@
     step_key_of,
 )
 from sassafrasgrade.table_loaders import TableLoader
+from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_commands import (
     AskWorker,
     LogEvent,
@@ -72,9 +74,6 @@
 # Normal lease of runs, in seconds: long enough for runs to survive a change of
 # leader, short enough to restart the work of an unresponsive worker soon.
 WORKER_LEASE_S = 4.5
-# Time without an answer from the store, in seconds, after which leases are
-# extended to the longest that the settings allow.
-STORE_UNRESPONSIVE_S = 1.0
 # Delay before a placement, in seconds, which batches changes.
 PLACEMENT_DELAY_S = 0.003
 # Minimum delay before the next placement, as a multiple of the time that the last
@@ -261,18 +260,25 @@
         return self._fences.token
 
     def lease_s(self):
-        """Returns the current lease of runs in seconds; 0 if none may be given."""
-        if not self._leadership.has_authority():
-            return 0.0
-        if self._leadership.store_answer_age_s() > STORE_UNRESPONSIVE_S:
-            return self.settings.bounds_hold_most_ms / MS_PER_S
-        return WORKER_LEASE_S
+        """Returns the current lease of runs in seconds; 0 if none may be given.
+
+        It ends with this leader's authority, so that a successor need not wait for
+        both. Only in an outage that most nodes report do runs outlive it.
+        """
+        leadership = self._leadership
+        left_s = leadership.authority_left_s() / CLOCK_DRIFT
+        if leadership.store_answer_age_s() <= OUTAGE_ANSWER_AGE_S:
+            return min(WORKER_LEASE_S, left_s)
+        longest_s = self.settings.bounds_hold_most_ms / MS_PER_S
+        if left_s and leadership.is_outage_confirmed():
+            return longest_s
+        return min(longest_s, left_s)
 
     def may_start(self, run):
         """Whether a start may still be sent."""
         worker = self.tables.workers_by_id.get(run.worker_id)
         return (
-            self._leadership.has_authority()
+            self._leadership.has_start_authority()
             and worker is not None
             and is_usable(worker, self.timers.now())
             and run.task.job.is_open
@@ -599,7 +605,7 @@
         self._is_placement_scheduled = False
         if self._is_closed or not self.is_loaded:
             return
-        if not self._leadership.has_authority():
+        if not self._leadership.has_start_authority():
             return
         now, now_unix = self.timers.now(), self.timers.wall_time()
         began = time.monotonic()
--- a/sassafrasgrade/leader_monitors.py
+++ b/sassafrasgrade/leader_monitors.py
@@ -7,6 +7,7 @@
 
 from sassafrasgrade.node_links import ask_hello, ask_leader_silence
 from sassafrasgrade.node_messages import HandOverRequest
+from sassafrasgrade.outage_reports import MAX_REPORT_AGE_S
 from sassafrasgrade.rendezvous import rank_names
 
 logger = logging.getLogger(__name__)
@@ -26,11 +27,11 @@
 # one to the leader, in seconds: more than a renewal period, by which the last answers
 # differ when the store is lost for all nodes.
 MIN_ANSWER_LEAD_S = 0.9
+# Greatest age of the leader's last message at which it counts as responsive, in
+# seconds.
+RESPONSIVE_S = 0.7
 # Greatest number of nodes that one node asks about a silent leader.
 MAX_ASKED_NODES = 9
-# Greatest age at which a node's report counts, and at which the leader's last
-# message shows that it is responsive, in seconds.
-MAX_REPORT_AGE_S = 0.7
 
 
 def is_leader_lost(silences, own_silence_s, others):
@@ -145,7 +146,7 @@
         Also asks a responsive leader to hand over if it has lost the store.
         """
         link = self._node.link
-        if link is None or link.silent_s(self._node.timers.now()) > MAX_REPORT_AGE_S:
+        if link is None or link.silent_s(self._node.timers.now()) > RESPONSIVE_S:
             return 0.0
         link.send(HandOverRequest(self._node.leadership.last_leader_revision))
         return REACQUIRE_WAIT_S
@@ -195,16 +196,16 @@
 
     Args:
         store_answer_age_s: Seconds since the store last answered the leader.
-        reports: Pairs of (time of receipt, seconds since the store last answered
-            that node).
+        reports: ``OutageReport`` of the other nodes.
         now: Current time in seconds.
     """
     if store_answer_age_s < HANDOVER_AFTER_S:
         return False
     own_answer_at = now - store_answer_age_s
     return any(
-        now - reported_at < MAX_REPORT_AGE_S
-        and answer_age_s < MAX_STORE_ANSWER_AGE_S
-        and reported_at - answer_age_s - own_answer_at > MIN_ANSWER_LEAD_S
-        for reported_at, answer_age_s in reports
+        now - report.received_at < MAX_REPORT_AGE_S
+        and report.store_answer_age_s < MAX_STORE_ANSWER_AGE_S
+        and report.received_at - report.store_answer_age_s - own_answer_at
+        > MIN_ANSWER_LEAD_S
+        for report in reports
     )
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -27,13 +27,18 @@
     decode_node,
     encode_record,
 )
+from sassafrasgrade.outage_reports import (
+    MAX_REPORT_AGE_S,
+    MAX_REPORT_DELAY_S,
+    OutageReports,
+)
 from sassafrasgrade.platform.stores import Put
 from sassafrasgrade.systems.successions import (
     CAMPAIGN_STEP_S,
     campaign_wait_s,
     rank_successors,
 )
-from sassafrasgrade.timers import CLOCK_DRIFT
+from sassafrasgrade.timers import CLOCK_DRIFT, MS_PER_S
 from sassafrasgrade.watchers import Backoff
 from sassafrasgrade.worker_sessions import ANSWER_TIMEOUT_S, LONG_POLL_WAIT_S
 
@@ -55,6 +60,10 @@
 # Greatest age of the last renewal at which hosts may be given orders, in seconds.
 # Hosts check no token, so a successor waits that long and for pending calls.
 MAX_HOST_ORDER_RENEWAL_AGE_S = 1.2
+# Greatest age of the last renewal at which tasks may be started, in seconds: three
+# renewals. An incarnation of a worker that its leader does not know of gives a start
+# the longest lease; so no start may come long after a successor took over.
+MAX_START_RENEWAL_AGE_S = 2.0
 # Suspension of the host up to which a leader still has authority, in seconds;
 # after a longer one it has none until a renewal is answered.
 MAX_SUSPEND_S = 0.3
@@ -65,6 +74,12 @@
 # Longest time from the sending of a leader's call to its arrival at a worker, in
 # seconds: the timeout of a long poll.
 LATEST_ARRIVAL_S = LONG_POLL_WAIT_S + ANSWER_TIMEOUT_S
+# Longest time by which the members that one node knows of lag behind those that another
+# one does, in seconds: an authority whose watch hears nothing, and a watch call.
+MEMBERS_LAG_S = LEASE_TTL_S * CLOCK_DRIFT + WATCH_WAIT_S
+# Time for which a node that has left is remembered, in seconds: a leader that is
+# replaced while it has authority may still count it.
+LEFT_S = MEMBERS_LAG_S + LEASE_TTL_S * CLOCK_DRIFT
 # Stands for leaders that are only known from the records of their successors.
 UNNAMED_LEADERS = ""
 
@@ -119,6 +134,10 @@
         self._epoch_revision = 0
         self._lease_until = 0.0
         self._records_by_name = {}
+        # Clock when this node first knew of a live node, and when it last left.
+        self._joined_at_by_name = {}
+        self._left_at_by_name = {}
+        self.outage_reports = OutageReports(timers)
         self._revision = None
         self._is_withdrawn = False
         self._is_closed = False
@@ -141,6 +160,11 @@
         self.previous_leader = None
         # Clock until which calls of replaced leaders may count, by incarnation.
         self._replaced_until = {}
+        # The same of those whose leases may outlive their authority.
+        self._unbounded_until = 0.0
+        self._took_over_at = 0.0
+        # Clock when the replaced leader's lease had surely ended; None if unknown.
+        self._previous_lease_ended_at = None
         self._leader_lease = 0
         self._next_campaign_at = 0.0
         self._renewed_at = 0.0
@@ -160,6 +184,21 @@
             return False
         return _suspended_s() - self._suspended_at_renewal_s < MAX_SUSPEND_S
 
+    def authority_left_s(self):
+        """Returns for how long the lease is certainly valid, in seconds; 0 if not."""
+        return self._lease_until - self._timers.now() if self.has_authority() else 0.0
+
+    def has_start_authority(self):
+        """Whether tasks may be started: the store is away for all, or has renewed."""
+        age_s = self._timers.now() - self._renewed_at
+        is_fresh = age_s < MAX_START_RENEWAL_AGE_S
+        return self.has_authority() and (is_fresh or self.is_outage_confirmed())
+
+    def is_outage_confirmed(self):
+        """Whether most nodes, with this one, report that the store is away."""
+        others = self._records_by_name.keys() - {self._settings.node_name}
+        return self.outage_reports.is_outage_confirmed(others)
+
     def has_host_authority(self):
         """Whether the last renewal is recent enough to give orders to hosts."""
         is_fresh = self._timers.now() - self._renewed_at < MAX_HOST_ORDER_RENEWAL_AGE_S
@@ -179,6 +218,44 @@
         """Clock until which some leader before the present one may have authority."""
         return max(self._replaced_until.values(), default=0.0)
 
+    def earlier_leases_until(self):
+        """Returns the clock at which the leases that earlier leaders gave have ended.
+
+        They end with the authority of these leaders, unless a majority of the nodes
+        reports an outage. Only a start may give more, to an incarnation of its worker
+        that its leader does not know of.
+
+        Returns:
+            Clock in seconds, or None if it is not known.
+        """
+        ended_at, previous = self._previous_lease_ended_at, self.previous_leader
+        if not self.is_leader or ended_at is None or previous is None:
+            return None
+        if not previous.bounds_leases or self._unbounded_until > self._took_over_at:
+            return None
+        majority_at = self._last_outage_majority_at(previous.name)
+        if majority_at is None:
+            return None
+        until = ended_at + LEASE_TTL_S * CLOCK_DRIFT
+        until = max(until, self.earlier_leaders_until)
+        until += MAX_START_RENEWAL_AGE_S * CLOCK_DRIFT + ANSWER_TIMEOUT_S
+        counts_s = MAX_REPORT_DELAY_S + MAX_REPORT_AGE_S
+        lease_s = self._settings.bounds_hold_most_ms / MS_PER_S * CLOCK_DRIFT
+        return max(until, majority_at + counts_s + ANSWER_TIMEOUT_S + lease_s)
+
+    def _last_outage_majority_at(self, previous_name):
+        """Returns the clock after which no earlier leader had a majority's reports."""
+        known_by_all_at = self._took_over_at - MEMBERS_LAG_S
+        left = [n for n, at in self._left_at_by_name.items() if at > known_by_all_at]
+        own = self._settings.node_name
+        members = {own, previous_name, *self._records_by_name, *left}
+        voters = [
+            name
+            for name, joined_at in self._joined_at_by_name.items()
+            if joined_at <= known_by_all_at and name != previous_name
+        ]
+        return self.outage_reports.last_majority_at(own, voters, len(members))
+
     @property
     def other_records(self):
         """``NodeRecord`` values of live nodes, without the leader and this node."""
@@ -395,7 +472,12 @@
     def _own_record(self, epoch):
         left_s = max(0.0, self.earlier_leaders_until - self._timers.now())
         return LeaderRecord(
-            self._settings.node_name, self.incarnation, self.address, epoch, left_s
+            self._settings.node_name,
+            self.incarnation,
+            self.address,
+            epoch,
+            left_s,
+            bounds_leases=True,
         )
 
     def _record_succession(self, record, revision):
@@ -409,6 +491,8 @@
         if self._is_replaced_by(record, revision) and not is_stopped:
             until = now + LEASE_TTL_S * CLOCK_DRIFT
             self._extend_replaced(self.leader.incarnation, until)
+            if not self.leader.bounds_leases:
+                self._unbounded_until = until
         if record is not None and record.incarnation != self.incarnation:
             self._extend_replaced(UNNAMED_LEADERS, now + record.earlier_left_s)
 
@@ -451,8 +535,10 @@
             if isinstance(found, Failure):
                 return found
             items, self._revision = found.unwrap()
-            self._records_by_name = {}
             keys = {item.key for item in items}
+            for name in list(self._records_by_name):
+                if NODES_PREFIX + name not in keys:
+                    self._remove_member(name)
             if LEADER_KEY not in keys:
                 self._unreadable_revision = 0
                 self._set_leader(None, 0)
@@ -507,9 +593,19 @@
             name = item.key.removeprefix(NODES_PREFIX)
             record = decode_node(item)
             if record is None:
-                self._records_by_name.pop(name, None)
+                self._remove_member(name)
             else:
                 self._records_by_name[name] = record
+                self._joined_at_by_name.setdefault(name, self._timers.now())
+                self._left_at_by_name.pop(name, None)
+
+    def _remove_member(self, name):
+        now = self._timers.now()
+        self._joined_at_by_name.pop(name, None)
+        left = {n: at for n, at in self._left_at_by_name.items() if now - at < LEFT_S}
+        if self._records_by_name.pop(name, None) is not None:
+            left[name] = now
+        self._left_at_by_name = left
 
     def _set_leader(self, record, revision, lease=0):
         changed = record != self.leader
@@ -590,7 +686,11 @@
             until = self._timers.now() + LEASE_TTL_S * CLOCK_DRIFT
             self._extend_replaced(incarnation, until)
         record = self._own_record(epoch)
-        previous_lease = self._leader_lease if self.leader is not None else 0
+        # The key vanishes with its lease, or by another writer.
+        is_vanished = self.leader is None and is_predecessor_gone
+        previous_lease = 0 if is_vanished else self._leader_lease
+        if previous_lease == self.lease:
+            previous_lease = 0
         expected = self._unreadable_revision
         if self.leader is not None:
             expected = self.leader_revision
@@ -609,9 +709,12 @@
             },
         )
         if not isinstance(result, Failure):
-            self._become_leader(record, result.unwrap(), is_predecessor_gone)
+            token = result.unwrap()
+            self._become_leader(record, token, is_predecessor_gone)
             if previous_lease:
                 await self._end_previous_lease(previous_lease)
+            if self.token == token:
+                self._previous_lease_ended_at = self._timers.now()
         elif isinstance(result.failure(), RevisionConflict):
             self._apply_items(result.failure().items)
         elif isinstance(result.failure(), PlatformUnavailable):
@@ -682,6 +785,8 @@
         if self.is_leader or self._is_withdrawn or revision < self.leader_revision:
             return
         self.token = revision
+        self._took_over_at = self._timers.now()
+        self._previous_lease_ended_at = None
         self._key_lease = self.lease
         self._led_at = self._renewed_at
         self._epoch_revision = max(self._epoch_revision, revision)
--- a/sassafrasgrade/member_records.py
+++ b/sassafrasgrade/member_records.py
@@ -53,6 +53,9 @@
         epoch: Number of leaderships so far.
         earlier_left_s: Longest time for which an earlier leader may still have had
             authority when this one took over, in seconds.
+        bounds_leases: Whether the leases that it gives end with its authority, unless
+            most nodes report an outage of the store. Leaders of earlier versions do
+            not say.
     """
 
     name: str
@@ -60,6 +63,7 @@
     address: StreamAddress
     epoch: Whole
     earlier_left_s: LeftSeconds = 0.0
+    bounds_leases: bool = False
 
 
 _node_decoder = msgspec.msgpack.Decoder(NodeRecord)
--- a/sassafrasgrade/node_links.py
+++ b/sassafrasgrade/node_links.py
@@ -9,7 +9,6 @@
 from sassafrasgrade.node_messages import (
     HeardQuestion,
     HeardReply,
-    NodeBeat,
     NodeHello,
     NodeMessage,
     RouteReply,
@@ -93,11 +92,7 @@
             logger.info("dependency lost", extra={"dependency": "leader stream"})
             self._stream_active_at = now
             self._link.reset()
-        self.send(
-            NodeBeat(
-                self._node.configuration_version(), self._node.store_answer_age_s()
-            )
-        )
+        self.send(self._node.create_heartbeat())
 
     def _send_hello(self, link):
         self._stream_active_at = self._node.timers.now()
--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -91,10 +91,20 @@
 
 
 class NodeBeat(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Heartbeat of a node: configuration version, seconds without a store answer."""
+    """Heartbeat of a node, sent to the leader.
+
+    Attributes:
+        configuration_version: Version of the node's configuration.
+        store_answer_age_s: Seconds since the store last answered it.
+        node: Its name; empty from nodes of earlier versions.
+        outage_age_s: Seconds since its last heartbeat to any leader that reported an
+            outage of the store; None from nodes of earlier versions.
+    """
 
     configuration_version: int
     store_answer_age_s: float
+    node: str = ""
+    outage_age_s: Quantity | None = None
 
 
 class HandedOverRun(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -144,7 +144,6 @@
         )
         self._leader_monitor = LeaderMonitor(self)
         self._predecessor_monitor = PredecessorMonitor(self)
-        self._reports_by_stream = {}
         self.incarnation = self.leadership.incarnation
         self._dispatcher = None
         self.link = None
@@ -326,6 +325,16 @@
         """Asks the store for a newer configuration; waits for it up to a time."""
         await self._operator_keys.check(timeout_s)
 
+    def create_heartbeat(self):
+        """Returns the ``NodeBeat`` to send to the leader now."""
+        age_s = self.store_answer_age_s()
+        return NodeBeat(
+            self.configuration_version(),
+            age_s,
+            self.settings.node_name,
+            self.leadership.outage_reports.note_sent(age_s),
+        )
+
     def store_answer_age_s(self):
         """Returns the seconds since the store last answered."""
         return self.leadership.store_answer_age_s()
@@ -394,7 +403,7 @@
             handover,
             is_predecessor_gone,
         )
-        self._reports_by_stream.clear()
+        self.leadership.outage_reports.clear()
         self._dispatcher.start(
             self.configuration, self._queues_by_name, self._pools_by_queue
         )
@@ -438,10 +447,11 @@
         if self._next_heartbeat_at:
             self.counters.observe_loop_lag(max(0.0, now - self._next_heartbeat_at))
         self._next_heartbeat_at = now + HEARTBEAT_PERIOD_S
+        self.leadership.outage_reports.note_running()
         self._leader_monitor.check(now)
         self._predecessor_monitor.check()
         if self._dispatcher is not None:
-            reports = self._reports_by_stream.values()
+            reports = self.leadership.outage_reports.values
             if should_hand_over(self.store_answer_age_s(), reports, now):
                 self._hand_over_leadership(
                     "the store answers other nodes but not this one"
@@ -536,9 +546,10 @@
 
     @handle_node_message.register
     def _(self, message: NodeBeat, stream):
-        self._reports_by_stream[id(stream)] = (
-            self.timers.now(),
+        self.leadership.outage_reports.record(
+            message.node or id(stream),
             message.store_answer_age_s,
+            message.outage_age_s,
         )
         self._reread_if_outdated(message.configuration_version)
 
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -50,6 +50,9 @@
 # Time for which a worker answers without its registration before the registrations are
 # read again, and between two such reads, in seconds. Mostly a watch tells of it sooner.
 REREAD_PERIOD_S = 0.5
+# Least time by which a report shortens the barrier, in seconds: later ones differ by
+# their delays.
+MIN_SHORTENING_S = 0.1
 # Time after a takeover in which earlier leaders may still receive new jobs, in
 # seconds: until all nodes have noticed it, whose watches may hear nothing for a second.
 PREDECESSOR_ACCEPT_WINDOW_S = 3.0
@@ -147,14 +150,31 @@
             return
         self._is_predecessor_gone = True
         lapses_at = max(self._began_at, self._leadership.earlier_leaders_until)
-        until = min(self.barrier_until, lapses_at + self._longest_lease_s())
-        self._lasting_until = until
-        left_s = until - self._timers.now()
+        self._shorten(lapses_at + self._longest_lease_s())
+        left_s = self._lasting_until - self._timers.now()
         logger.info(
             "previous leader has ended",
             extra={"leader": leader.name, "left_s": round(left_s, 2)},
         )
 
+    def _shorten(self, until):
+        self._lasting_until = min(self._lasting_until, until)
+
+    def _shorten_to_bounded_leases(self):
+        """Shortens the barrier if earlier leaders' leases end with their authority.
+
+        As with the proof that a leader has ended, only perpetual tasks of jobs that
+        have started wait for less.
+        """
+        until = self._leadership.earlier_leases_until()
+        if until is None or self._lasting_until - until < MIN_SHORTENING_S:
+            return
+        self._shorten(until)
+        logger.info(
+            "leases of earlier leaders are bounded",
+            extra={"left_s": round(self._lasting_until - self._timers.now(), 2)},
+        )
+
     def close(self):
         """Stops following the store."""
         self._workers.close()
@@ -340,6 +360,7 @@
         """
         if not self.barrier_until or not self.is_loaded:
             return
+        self._shorten_to_bounded_leases()
         self._note_rows()
         tables, rows = self._tables, tuple(self._rows_by_worker_id.values())
         unreported = unreported_workers(tables, self._dispatcher.fleet, rows)
--- a/sassafrasgrade/worker_sessions.py
+++ b/sassafrasgrade/worker_sessions.py
@@ -131,12 +131,17 @@
         deadline_ms = None
         lease_s = self._dispatcher.lease_s()
         # An unresponsive worker is polled without renewing its leases, so that its
-        # runs lapse and their tasks can start elsewhere.
+        # runs lapse and their tasks can start elsewhere. One that may have restarted is
+        # only asked: by the clock of its earlier incarnation it would give the longest
+        # lease.
         is_responsive = (
-            worker.clock_offset_ms is not None and not worker.unresponsive_since
+            worker.clock_offset_ms is not None
+            and not worker.unresponsive_since
+            and self._suspected_at is None
         )
         may_long_poll = (
             renews
+            and self._suspected_at is None
             and worker.has_seen_token
             and worker.unresponsive_since == 0
             and worker.doubted_at == 0
