Campaign at once when the wait left is below the clock's resolution

A node leaves a campaign to fitter nodes for a time from the store's return. If that time came due to within the rounding of its clock, the rest was a few 1e-13 s: it was scheduled again and again without the clock moving on. A rest of less than 1 ms now counts as over.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -115,6 +115,10 @@
       | 10   | 0.2   | 0.4  |
       | 10   | 9.0   | 0.0  |
 
+    Examples: a wait below the resolution of the clock never passes
+      | rank | since  | wait |
+      | 1    | 0.0595 | 0.0  |
+
   Scenario Outline: under an overload of <jobs> jobs, ordering by value earns no less than by <policy>
     When <jobs> jobs of mixed sizes arrive within 3 seconds at 4 workers, seed <seed>
     Then ordering by value earns at least as much value as "<policy>"
--- a/sassafrasgrade/systems/successions.py
+++ b/sassafrasgrade/systems/successions.py
@@ -12,6 +12,9 @@
 LEADER_LINK_MBPS = 50.0
 # Delay between the campaigns of nodes of neighbouring rank, in seconds.
 CAMPAIGN_STEP_S = 0.06
+# Least wait, in seconds. A shorter one may be lost in the rounding of the clock, so that
+# the campaign would come due again at once.
+LEAST_WAIT_S = 0.001
 
 
 def rank_successors(records_by_name, previous_name, epoch):
@@ -41,4 +44,5 @@
         answering_since: Clock since when the store has answered the node.
         now: Current clock in seconds.
     """
-    return max(0.0, answering_since + rank * CAMPAIGN_STEP_S - now)
+    wait_s = answering_since + rank * CAMPAIGN_STEP_S - now
+    return wait_s if wait_s > LEAST_WAIT_S else 0.0
