--- a/features/support/virtual/cases.py
+++ b/features/support/virtual/cases.py
@@ -290,16 +290,20 @@
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
-def _unreached_but_by_replaced_leader(source, kind, lasts_s, options):
-    """Only the leader reaches two workers; it acts on after it has been replaced.
+def unreached_but_by_cut_leader(source):
+    """o. The leader is cut off from the store, the nodes and one worker, and acts on.
 
-    One of them has just been reborn, in half of the draws. Both outlive the barrier
-    without a call.
+    Only it reaches the two others; one of them has just been reborn, in half of the
+    draws. Both outlive the barrier without a call of its successor.
     """
-    reborn, other = source.sample("012", 2)
+    reborn, other, reached = source.sample("012", 3)
     crash = _restart_unheard(source, reborn, RESTARTS_S[0])
     struck_at = crash.at + crash.lasts_s + source.uniform(0.0, 2.5)
-    faults = [Fault(kind, struck_at, lasts_s, "leader", None, options)]
+    faults = [
+        Fault("node_cut", struck_at, 25.0, "leader", None, {"from": "core"}),
+        # A worker that both reach would tell it of its successor's token.
+        Fault("worker_cut", struck_at, 25.0, reached, None, {"from": "leader"}),
+    ]
     if source.random() < 0.5:
         faults.append(crash)
     for worker in (reborn, other):
@@ -310,23 +314,23 @@
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
-def unreached_but_by_cut_leader(source):
-    """o. The leader is cut off from the store and the nodes, not from the workers."""
-    options = {"from": "core"}
-    return _unreached_but_by_replaced_leader(source, "node_cut", 25.0, options)
+def _struck_at(faults):
+    return next(fault.at for fault in faults if fault.kind == "node_cut")
 
 
 def unreached_but_by_frozen_leader(source):
-    """o. The leader is frozen, and goes on as the one that it was."""
-    lasts_s = source.uniform(1.8, 5.0)
-    return _unreached_but_by_replaced_leader(source, "node_freeze", lasts_s, {})
+    """o. The leader is frozen besides, and then goes on as the one that it was."""
+    faults = unreached_but_by_cut_leader(source)
+    frozen = Fault("node_freeze", _struck_at(faults), source.uniform(1.8, 5.0))
+    return (*faults, frozen)
 
 
 def cut_leader_after_outage(source):
-    """o. The leader is cut off with a node that reports an outage, or after one."""
+    """o. An outage of the store comes just before."""
     faults = unreached_but_by_cut_leader(source)
-    at = faults[0].at - source.uniform(0.0, 3.0)
-    return (Fault("store_down", at, source.uniform(1.0, 3.0)), *faults)
+    lasts_s = source.uniform(1.0, 3.0)
+    at = _struck_at(faults) - lasts_s - source.uniform(-0.5, 1.0)
+    return (Fault("store_down", at, lasts_s), *faults)
 
 
 def cut_after_restart_and_handover(source):
--- a/features/virtual_time.feature
+++ b/features/virtual_time.feature
@@ -74,6 +74,16 @@
       | unreached-but-by-lost-leader | 1     | 8     |
       | unreached-but-by-lost-leader | 11    | 3     |
 
+    Examples: a replaced leader acts on; its successor waits for leases no longer than they last
+      | case                           | first | seeds |
+      | unreached-but-by-cut-leader    | 6     | 3     |
+      | unreached-but-by-frozen-leader | 6     | 4     |
+      | cut-leader-after-outage        | 25    | 4     |
+
+    Examples: a campaign came due to the very moment, again and again
+      | case                        | first | seeds |
+      | unreached-but-by-cut-leader | 17    | 1     |
+
     Examples: a worker is reborn and cut off before a list of it is applied
       | case                           | first | seeds |
       | cut-after-restart              | 1     | 12    |
