Log when a leader stops starting tasks, and when an outage is confirmed

On-call engineers had no line for the two decisions that end leases with the leader's authority: that nothing is started as the last answered renewal is over 2.0 s old, and that leases outlive the authority as most nodes report an outage.

--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -64,6 +64,10 @@
         """Always true."""
         return True
 
+    def is_outage_confirmed(self):
+        """No node reports an outage."""
+        return False
+
     def authority_left_s(self):
         """As after a renewal that was just answered."""
         return LEASE_TTL_S - LEASE_MARGIN_S
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -138,6 +138,8 @@
         self._periodic = None
         self._began_at = self.timers.now()
         self._pools_logged_at = 0.0
+        # Whether tasks may be started, and whether most nodes report an outage.
+        self._logged_authority = True, False
         self._is_releasing = False
         self._fences = WorkerFences(
             services.store, token, self._note_raised_token, self._step_down
@@ -265,15 +267,35 @@
         It ends with this leader's authority, so that a successor need not wait for
         both. Only in an outage that most nodes report do runs outlive it.
         """
-        leadership = self._leadership
-        left_s = leadership.authority_left_s() / CLOCK_DRIFT
-        if leadership.store_answer_age_s() <= OUTAGE_ANSWER_AGE_S:
+        left_s = self._leadership.authority_left_s() / CLOCK_DRIFT
+        if not self._is_store_unresponsive():
             return min(WORKER_LEASE_S, left_s)
         longest_s = self.settings.bounds_hold_most_ms / MS_PER_S
-        if left_s and leadership.is_outage_confirmed():
+        if left_s and self._leadership.is_outage_confirmed():
             return longest_s
         return min(longest_s, left_s)
 
+    def _is_store_unresponsive(self):
+        return self._leadership.store_answer_age_s() > OUTAGE_ANSWER_AGE_S
+
+    def _log_authority(self):
+        """Logs when starts stop or go on, and when leases outlive the authority."""
+        may_start = self._leadership.has_start_authority()
+        is_outage = self._is_store_unresponsive()
+        is_outage = is_outage and self._leadership.is_outage_confirmed()
+        if (may_start, is_outage) == self._logged_authority:
+            return
+        self._logged_authority = may_start, is_outage
+        logger.info(
+            "authority changed",
+            extra={
+                "may_start": may_start,
+                "outage_confirmed": is_outage,
+                "left_s": round(self._leadership.authority_left_s(), 2),
+                "store_answer_age_s": round(self._leadership.store_answer_age_s(), 2),
+            },
+        )
+
     def may_start(self, run):
         """Whether a start may still be sent."""
         worker = self.tables.workers_by_id.get(run.worker_id)
@@ -631,6 +653,7 @@
     def _tick(self, now):
         if self._is_closed or not self.is_loaded:
             return
+        self._log_authority()
         decay_outcome_counts(self.tables, TICK_S)
         forget_done(self.tables)
         self._carry_out_all(create_due(self.tables, self.timers.wall_time()))
--- a/sassafrasgrade/systems/successions.py
+++ b/sassafrasgrade/systems/successions.py
@@ -12,8 +12,8 @@
 LEADER_LINK_MBPS = 50.0
 # Delay between the campaigns of nodes of neighbouring rank, in seconds.
 CAMPAIGN_STEP_S = 0.06
-# Least wait, in seconds. A shorter one may be lost in the rounding of the clock, so that
-# the campaign would come due again at once.
+# Least wait, in seconds. A shorter one may be lost in the rounding of the clock, so
+# that the campaign would come due again at once.
 LEAST_WAIT_S = 0.001
 
 
