Give the members that a node knows a module of their own

The leadership kept three tables of nodes beside its lease, its campaigns and what it knows of earlier leaders. `Members` holds them now, with the two questions that a successor asks: whom all nodes knew at the takeover, and whom any may have counted. LEASE_TTL_S and WATCH_WAIT_S moved with it. No decision changes: the rows of leader_barriers, other_incarnations, late_calls, granted_leases, scheduling, run_ends and odd_entries pass as before.

--- a/features/support/other_incarnations.py
+++ b/features/support/other_incarnations.py
@@ -21,7 +21,8 @@
 from features.support.takeovers import TOKEN, Takeover, job_item
 from features.support.virtual.networks import FakeCurl
 from sassafrasgrade.http_clients import create_http_client
-from sassafrasgrade.leaderships import LEASE_MARGIN_S, LEASE_TTL_S
+from sassafrasgrade.leaderships import LEASE_MARGIN_S
+from sassafrasgrade.members import LEASE_TTL_S
 from sassafrasgrade.platform.calls import SendTracker
 from sassafrasgrade.platform.workers import (
     ACKNOWLEDGE_WITHIN_S,
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -8,7 +8,8 @@
 from features.support.work_tables import CAPACITY, NOW_UNIX, POOL, QUEUE
 from sassafrasgrade.dispatchers import Dispatcher
 from sassafrasgrade.job_records import REQUEST, SubmittedJob, encode, job_key
-from sassafrasgrade.leaderships import LEASE_MARGIN_S, LEASE_TTL_S
+from sassafrasgrade.leaderships import LEASE_MARGIN_S
+from sassafrasgrade.members import LEASE_TTL_S
 from sassafrasgrade.node_counters import NodeCounters
 from sassafrasgrade.node_settings import check_node_settings
 from sassafrasgrade.platform import names
--- a/sassafrasgrade/leaderships.py
+++ b/sassafrasgrade/leaderships.py
@@ -27,6 +27,7 @@
     decode_node,
     encode_record,
 )
+from sassafrasgrade.members import LEASE_TTL_S, WATCH_WAIT_S, Members
 from sassafrasgrade.outage_reports import (
     MAX_REPORT_AGE_S,
     MAX_REPORT_DELAY_S,
@@ -44,9 +45,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Time to live of a node's lease, in seconds: the leader stays leader through
-# store outages of that length. A lost leader is replaced sooner, on suspicion.
-LEASE_TTL_S = 6.0
 # Time between renewals, and timeout of one renewal, in seconds.
 RENEWAL_PERIOD_S = 0.6
 RENEWAL_TIMEOUT_S = 0.5
@@ -69,17 +67,9 @@
 MAX_SUSPEND_S = 0.3
 # Pause before the previous leader's lease is ended again, in seconds.
 RETRY_PAUSE_S = 0.3
-# Longest time that one watch call waits for changes, in seconds.
-WATCH_WAIT_S = 1.3
 # Longest time from the sending of a leader's call to its arrival at a worker, in
 # seconds: the timeout of a long poll.
 LATEST_ARRIVAL_S = LONG_POLL_WAIT_S + ANSWER_TIMEOUT_S
-# Longest time by which the members that one node knows of lag behind those that another
-# one does, in seconds: an authority whose watch hears nothing, and a watch call.
-MEMBERS_LAG_S = LEASE_TTL_S * CLOCK_DRIFT + WATCH_WAIT_S
-# Time for which a node that has left is remembered, in seconds: a leader that is
-# replaced while it has authority may still count it.
-LEFT_S = MEMBERS_LAG_S + LEASE_TTL_S * CLOCK_DRIFT
 # Stands for leaders that are only known from the records of their successors.
 UNNAMED_LEADERS = ""
 
@@ -133,10 +123,7 @@
         # it: a condition on it sees leaders that came and went unnoticed.
         self._epoch_revision = 0
         self._lease_until = 0.0
-        self._records_by_name = {}
-        # Clock when this node first knew of a live node, and when it last left.
-        self._joined_at_by_name = {}
-        self._left_at_by_name = {}
+        self._members = Members(timers)
         self.outage_reports = OutageReports(timers)
         self._revision = None
         self._is_withdrawn = False
@@ -196,7 +183,7 @@
 
     def is_outage_confirmed(self):
         """Whether most nodes, with this one, report that the store is away."""
-        others = self._records_by_name.keys() - {self._settings.node_name}
+        others = self._members.records_by_name.keys() - {self._settings.node_name}
         return self.outage_reports.is_outage_confirmed(others)
 
     def has_host_authority(self):
@@ -239,22 +226,16 @@
         until = ended_at + LEASE_TTL_S * CLOCK_DRIFT
         until = max(until, self.earlier_leaders_until)
         until += MAX_START_RENEWAL_AGE_S * CLOCK_DRIFT + ANSWER_TIMEOUT_S
-        counts_s = MAX_REPORT_DELAY_S + MAX_REPORT_AGE_S
+        majority_until = majority_at + MAX_REPORT_DELAY_S + MAX_REPORT_AGE_S
         lease_s = self._settings.bounds_hold_most_ms / MS_PER_S * CLOCK_DRIFT
-        return max(until, majority_at + counts_s + ANSWER_TIMEOUT_S + lease_s)
+        return max(until, majority_until + ANSWER_TIMEOUT_S + lease_s)
 
     def _last_outage_majority_at(self, previous_name):
         """Returns the clock after which no earlier leader had a majority's reports."""
-        known_by_all_at = self._took_over_at - MEMBERS_LAG_S
-        left = [n for n, at in self._left_at_by_name.items() if at > known_by_all_at]
-        own = self._settings.node_name
-        members = {own, previous_name, *self._records_by_name, *left}
-        voters = [
-            name
-            for name, joined_at in self._joined_at_by_name.items()
-            if joined_at <= known_by_all_at and name != previous_name
-        ]
-        return self.outage_reports.last_majority_at(own, voters, len(members))
+        own, at = self._settings.node_name, self._took_over_at
+        counted = self._members.known_to_any_at(at) | {own, previous_name}
+        voters = self._members.known_to_all_at(at) - {previous_name}
+        return self.outage_reports.last_majority_at(own, voters, len(counted))
 
     @property
     def other_records(self):
@@ -263,7 +244,7 @@
         own = self._settings.node_name
         return [
             record
-            for name, record in self._records_by_name.items()
+            for name, record in self._members.records_by_name.items()
             if name not in (own, leader)
         ]
 
@@ -536,9 +517,7 @@
                 return found
             items, self._revision = found.unwrap()
             keys = {item.key for item in items}
-            for name in list(self._records_by_name):
-                if NODES_PREFIX + name not in keys:
-                    self._remove_member(name)
+            self._members.keep_only({key.removeprefix(NODES_PREFIX) for key in keys})
             if LEADER_KEY not in keys:
                 self._unreadable_revision = 0
                 self._set_leader(None, 0)
@@ -593,19 +572,9 @@
             name = item.key.removeprefix(NODES_PREFIX)
             record = decode_node(item)
             if record is None:
-                self._remove_member(name)
+                self._members.remove(name)
             else:
-                self._records_by_name[name] = record
-                self._joined_at_by_name.setdefault(name, self._timers.now())
-                self._left_at_by_name.pop(name, None)
-
-    def _remove_member(self, name):
-        now = self._timers.now()
-        self._joined_at_by_name.pop(name, None)
-        left = {n: at for n, at in self._left_at_by_name.items() if now - at < LEFT_S}
-        if self._records_by_name.pop(name, None) is not None:
-            left[name] = now
-        self._left_at_by_name = left
+                self._members.add(name, record)
 
     def _set_leader(self, record, revision, lease=0):
         changed = record != self.leader
@@ -654,7 +623,8 @@
     def _rank(self):
         """Returns this node's rank among live nodes; the fittest comes first."""
         previous = self.leader.name if self.leader is not None else ""
-        ranked = rank_successors(self._records_by_name, previous, self._last_epoch)
+        records_by_name = self._members.records_by_name
+        ranked = rank_successors(records_by_name, previous, self._last_epoch)
         own = self._settings.node_name
         return ranked.index(own) if own in ranked else len(ranked)
 
--- a/sassafrasgrade/table_loaders.py
+++ b/sassafrasgrade/table_loaders.py
@@ -18,7 +18,8 @@
     progress_of,
     split_key,
 )
-from sassafrasgrade.leaderships import LEASE_TTL_S, MAX_RENEWAL_AGE_S
+from sassafrasgrade.leaderships import MAX_RENEWAL_AGE_S
+from sassafrasgrade.members import LEASE_TTL_S
 from sassafrasgrade.node_messages import HandOver
 from sassafrasgrade.platform import names
 from sassafrasgrade.prefix_followers import PrefixFollower
