--- a/features/support/bounded_leases.py
+++ b/features/support/bounded_leases.py
@@ -1,9 +1,9 @@
 """A leader whose renewals get no answer, and what the other nodes report to it."""
 
 from features.support.memory_stores import MemoryStore
-from features.support.missed_leaderships import Candidate, create_leader
+from features.support.missed_leaderships import create_leader, register
 from features.support.takeovers import Takeover
-from sassafrasgrade.member_records import NODES_PREFIX, NodeRecord, encode_record
+from sassafrasgrade.member_records import NODES_PREFIX
 from sassafrasgrade.nodes import HEARTBEAT_PERIOD_S
 from sassafrasgrade.outage_reports import LONGEST_OUTAGE_AGE_S, OutageReports
 from sassafrasgrade.platform.stores import Item
@@ -32,7 +32,7 @@
         reports: What the other nodes report.
     """
     candidate = await create_leader(MemoryStore())
-    _register(candidate, *OTHER_NODES)
+    register(candidate.leadership, *OTHER_NODES)
     leader = Takeover(leadership=candidate.leadership, timers=candidate.timers)
     names_ = OTHER_NODES[: REPORTING_BY_REPORTS[reports]]
     quiet_s = 1.0 if "1 s before" in reports else 0.0
@@ -49,13 +49,6 @@
     return leader.dispatcher.lease_s(), candidate.leadership.has_start_authority()
 
 
-def _register(candidate: Candidate, *names_):
-    for name in names_:
-        record = NodeRecord(name, f"incarnation-{name}", "127.0.0.1:1", 2.0)
-        item = Item(NODES_PREFIX + name, encode_record(record), 1)
-        candidate.leadership._apply_item(item)
-
-
 def _run_for(candidate, seconds):
     until = candidate.timers.now() + seconds
     while candidate.timers.now() < until - HEARTBEAT_PERIOD_S:
--- a/features/support/missed_leaderships.py
+++ b/features/support/missed_leaderships.py
@@ -10,10 +10,13 @@
 from sassafrasgrade.member_records import (
     EPOCH_KEY,
     LEADER_KEY,
+    NODES_PREFIX,
     LeaderRecord,
+    NodeRecord,
     encode_record,
 )
 from sassafrasgrade.node_settings import check_node_settings
+from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.timers import FakeTimerService
 
 TURNS = 50
@@ -68,6 +71,14 @@
     store.put_all({LEADER_KEY: encode_record(record), EPOCH_KEY: str(epoch).encode()})
 
 
+def register(leadership, *names):
+    """Applies the records of nodes, as a watch reports them."""
+    for name in names:
+        record = NodeRecord(name, f"incarnation-{name}", "127.0.0.1:1", 2.0)
+        item = Item(NODES_PREFIX + name, encode_record(record), 1)
+        leadership._apply_item(item)
+
+
 async def create_leader(store):
     """Returns a ``Candidate`` that leads."""
     candidate = Candidate(store)
--- a/features/support/replaced_leaders.py
+++ b/features/support/replaced_leaders.py
@@ -6,17 +6,17 @@
 from tornado.netutil import bind_sockets
 
 from features.support.memory_stores import MemoryStore
-from features.support.missed_leaderships import Candidate, lead, take_turns
+from features.support.missed_leaderships import (
+    Candidate,
+    lead,
+    register,
+    take_turns,
+)
 from features.support.takeovers import Takeover, job_item
 from sassafrasgrade import leader_monitors
 from sassafrasgrade.leader_monitors import PredecessorMonitor
 from sassafrasgrade.leaderships import RENEWAL_PERIOD_S
-from sassafrasgrade.member_records import (
-    LEADER_KEY,
-    NODES_PREFIX,
-    NodeRecord,
-    encode_record,
-)
+from sassafrasgrade.member_records import LEADER_KEY
 from sassafrasgrade.node_links import ask_hello
 from sassafrasgrade.node_messages import NodeHello, NodeMessage
 from sassafrasgrade.outage_reports import LONGEST_OUTAGE_AGE_S
@@ -143,18 +143,12 @@
         """Registers this node and others, some time before the takeover."""
         leadership = self.leadership
         known = OTHER_NODES[:1] if "joined" in self._history else OTHER_NODES
-        self._register("node", *known)
+        register(leadership, "node", *known)
         self._advance(KNOWN_S)
-        self._register(*OTHER_NODES)
+        register(leadership, *OTHER_NODES)
         if "this node reported" in self._reports:
             leadership.outage_reports.note_sent(OUTAGE_AGE_S)
 
-    def _register(self, *names_):
-        for name in names_:
-            record = NodeRecord(name, f"incarnation-{name}", "127.0.0.1:1", 2.0)
-            item = Item(NODES_PREFIX + name, encode_record(record), 1)
-            self.leadership._apply_item(item)
-
     def _advance(self, seconds):
         until = self._timers.now() + seconds
         while self._timers.now() < until:
