--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -32,12 +32,13 @@
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.host_planning import plan_hosts
+from sassafrasgrade.systems.job_ranks import order_jobs
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.occurrences import create_due, forget_done
 from sassafrasgrade.systems.pacing import pace_fillers
 from sassafrasgrade.systems.run_updates import remove_worker
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs, stop_stalled
-from sassafrasgrade.systems.task_placement import order_jobs, place_tasks
+from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_commands import MoveHost, StopRun
 from sassafrasgrade.worker_registrations import apply_item
 
--- a/features/support/removed_routes.py
+++ b/features/support/removed_routes.py
@@ -34,10 +34,10 @@
 from sassafrasgrade.queue_routers import QueueRouter
 from sassafrasgrade.route_lookups import RouteLookup
 from sassafrasgrade.store_batches import CreateOutcome
+from sassafrasgrade.systems.job_ranks import order_jobs
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.pool_moves import demand_by_pool, spread_by_pool
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
-from sassafrasgrade.systems.task_placement import order_jobs
 from sassafrasgrade.timers import FakeTimerService, TimerService
 from sassafrasgrade.work_tables import Urgency, WorkState
 
--- a/features/support/work_loads.py
+++ b/features/support/work_loads.py
@@ -10,7 +10,7 @@
     apply_worker_view,
     create_tables,
 )
-from sassafrasgrade.systems import task_placement
+from sassafrasgrade.systems import job_ranks, task_placement
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.work_tables import RunState
 
@@ -40,13 +40,13 @@
 
 def _rank_by_slack(tables, job, learned_durations, now_unix):
     queue = tables.queues_by_name[job.queue_name]
-    due_at = task_placement.due_time(job, queue, learned_durations)
+    due_at = job_ranks.due_time(job, queue, learned_durations)
     slack_s = due_at - now_unix - learned_durations.critical_path_left_s(job)
     return (slack_s < 0, slack_s, job.job_id)
 
 
 RANK_FUNCTIONS = {
-    "worth": task_placement.rank_job,
+    "worth": job_ranks.rank_job,
     "arrival": _rank_by_arrival,
     "least slack": _rank_by_slack,
 }
@@ -64,12 +64,12 @@
     Returns:
         ``OverloadResult``.
     """
-    original = task_placement.rank_job
-    task_placement.rank_job = RANK_FUNCTIONS[policy]
+    original = job_ranks.rank_job
+    job_ranks.rank_job = RANK_FUNCTIONS[policy]
     try:
         return _simulate(jobs, seconds, seed)
     finally:
-        task_placement.rank_job = original
+        job_ranks.rank_job = original
 
 
 def _simulate(jobs, seconds, seed):
@@ -130,9 +130,7 @@
     mean_work = sum(work_by_job.values()) / len(work_by_job)
     for job in tables.jobs_by_id.values():
         queue = tables.queues_by_name[job.queue_name]
-        allowed_s = (
-            task_placement.due_time(job, queue, learned_durations) - job.accepted_at
-        )
+        allowed_s = job_ranks.due_time(job, queue, learned_durations) - job.accepted_at
         took_s = done_at.get(job.job_id, float("inf")) - job.accepted_at
         value_share = 0.0
         if took_s <= allowed_s:
@@ -140,6 +138,6 @@
         elif took_s <= LATE_FACTOR * allowed_s:
             value_share = LATE_VALUE_SHARE
         work = work_by_job[job.job_id]
-        # The rule for a job's value that `task_placement.value_density` follows.
+        # The rule for a job's value that `job_ranks.value_density` follows.
         result.earned_value += value_share * (0.3 + 0.7 * work / mean_work)
     return result
