Place waiting tasks at a cost that does not grow with what waits

Cause: for each waiting task a placement counted all runs of its step anew, so that it took time in proportion to the square of the tasks, in one go on the event loop: 1.2 s for 4,000 tasks on 7 workers. A leader that is silent for 1 s is replaced, and its successor does the same. Each end of a task looked at all others of its step, too, and so did a check of runs that stand still.

Change: a step's row keeps its waiting tasks and the runs on each worker as runs begin and end. A step is left for the rest of a placement once one of its tasks has found no room, and so are sizes, labels included, for all jobs. Tasks of a step need one ranking of workers. A gang is looked at only if there is room for all of it. Whatever waits, a placement goes on in slices of limited work, between which the loop is free: it hands out the room that was free when it began, looks at jobs, workers and tasks anew, and gives jobs that are added meanwhile their turn.

Rows that compare work count lines executed, so that no machine's speed decides. The timer service of tests gets subscriptions that can be stopped, as the real one has.

--- a/features/steps/crashing_task_steps.py
+++ b/features/steps/crashing_task_steps.py
@@ -19,6 +19,7 @@
     apply_worker_view,
     create_tables,
     first_task,
+    place_tasks,
     start_run,
 )
 from sassafrasgrade.job_records import (
@@ -59,7 +60,6 @@
     runs_to_hand_over,
 )
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
-from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_commands import StopRun
 from sassafrasgrade.work_tables import Crash, RunState, WorkState
 from sassafrasgrade.worker_registrations import apply_item, remove_replaced_workers
--- a/features/steps/job_accounting_steps.py
+++ b/features/steps/job_accounting_steps.py
@@ -13,6 +13,7 @@
     add_simple_job,
     apply_worker_view,
     create_tables,
+    place_tasks,
 )
 from sassafrasgrade.job_records import (
     SubmittedJob,
@@ -36,7 +37,6 @@
     claim_rows,
     restart_worker,
 )
-from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_commands import LogEvent, StopUnknownRun
 from sassafrasgrade.work_tables import MS_PER_S, Crash
 
--- /dev/null
+++ b/features/steps/large_job_steps.py
@@ -0,0 +1,183 @@
+"""Steps on large jobs, many jobs, and placements in slices."""
+
+from behave import given, then, when
+
+from features.support.large_jobs import (
+    LARGE_JOB,
+    SLOTS,
+    SlicedPlacement,
+    add_step,
+    fill_pool,
+    place,
+    play_leader,
+    slice_work,
+    work_of,
+)
+from features.support.work_tables import (
+    NOW,
+    POOL,
+    QUEUE,
+    add_simple_job,
+    add_worker,
+    apply_worker_view,
+    create_tables,
+    first_task,
+    start_run,
+)
+from sassafrasgrade.platform.messages import Configuration, Pool, Queue
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
+from sassafrasgrade.systems.run_updates import (
+    cancel_job,
+    end_job,
+    forget_run,
+    remove_worker,
+)
+from sassafrasgrade.work_tables import WorkState
+
+OTHER_POOL = "pool-2"
+TASKS = 12
+
+
+@then(
+    'the work of "{operation}" with {many:d} waiting tasks of "{job}" is at most '
+    "{factor:d} times that with {few:d}"
+)
+def check_growth(context, operation, many, job, factor, few):
+    less, more = work_of(operation, job, few), work_of(operation, job, many)
+    assert more <= factor * less, (less, more)
+
+
+@then('no slice of a placement beside "{work}" does more than {most:d} lines of work')
+def check_slices(context, work, most):
+    lines = slice_work(work)
+    assert max(lines) <= most, lines
+
+
+@given("a placement that has started the first of {tasks:d} tasks")
+def start_placement(context, tasks):
+    context.tables = create_tables(workers=1)
+    context.worker = context.tables.workers_by_id["worker-0"]
+    context.job = add_step(context.tables, tasks)
+    context.placement = SlicedPlacement(context.tables)
+    first = context.placement.run_until_start()
+    assert first.task is first_task(context.job)
+
+
+def move_queue(context):
+    queue = Queue(name=QUEUE, pool=OTHER_POOL, most_attempts=2, objective_ms=600.0)
+    pools = (Pool(name=POOL), Pool(name=OTHER_POOL))
+    context.tables.adopt_configuration(
+        Configuration(version=2, queues=(queue,), pools=pools)
+    )
+
+
+def lose_worker(context):
+    proof = EndProof(ProofKind.WORKER_GONE, NOW)
+    remove_worker(context.tables, context.worker, proof, NOW)
+
+
+def take_room(context):
+    other = add_simple_job(context.tables, "b" * 16, cpu_millis=10_000)
+    start_run(first_task(other), context.worker)
+
+
+def find_run(context):
+    other = add_worker(context.tables, "worker-1")
+    other.is_draining = True
+    name = first_task(context.job, TASKS - 1).name
+    apply_worker_view(context.tables, other, NOW, running=[(name, 7)])
+
+
+def add_important_job(context):
+    context.added = add_simple_job(context.tables, "b" * 16, is_perpetual=True)
+
+
+CHANGES = {
+    "nothing changes": lambda c: None,
+    "its job is cancelled": lambda c: cancel_job(c.tables, c.job),
+    "its job fails": lambda c: end_job(c.tables, c.job, WorkState.FAILED),
+    "its queue moves to another pool": move_queue,
+    "its worker drains": lambda c: setattr(c.worker, "is_draining", True),
+    "its worker stops answering": (
+        lambda c: setattr(c.worker, "unresponsive_since", NOW)
+    ),
+    "its worker is gone": lose_worker,
+    "another run takes half of the room": take_room,
+    "a worker is found to run its last task": find_run,
+    "a worker joins": lambda c: add_worker(c.tables, "worker-1"),
+    "a more important job is added": add_important_job,
+}
+
+
+@when('between two slices "{change}"')
+def change_between_slices(context, change):
+    CHANGES[change](context)
+    context.runs = context.placement.rest()
+
+
+@then("in the rest of the placement {count:d} tasks start")
+def check_rest(context, count):
+    names = [run.task.name for run in context.runs]
+    assert len(names) == count == len(set(names)), names
+
+
+@then("in the rest of the placement {count:d} tasks start on the first")
+def check_workers(context, count):
+    check_rest(context, count)
+    assert {run.worker_id for run in context.runs} == {"worker-0"}, context.runs
+
+
+@then("in the rest of the placement {count:d} tasks start, its own next")
+def check_next(context, count):
+    check_rest(context, count)
+    assert context.runs[0].task.job is context.added, context.runs[0].task.name
+
+
+@given("a full pool, where a large job waits before a small one")
+def fill_before_two_jobs(context):
+    context.tables = create_tables(workers=1)
+    fill_pool(context.tables)
+    context.large = add_simple_job(context.tables, LARGE_JOB, cpu_millis=1000)
+    context.small = add_simple_job(
+        context.tables, "b" * 16, cpu_millis=900, estimate_ms=50_000
+    )
+    context.placement = SlicedPlacement(context.tables)
+
+
+@when("a run ends after the placement has passed the large job")
+def end_run_behind(context):
+    # Two slices rank the jobs; the others give the first one its turn.
+    context.placement.go_on(4)
+    worker = context.tables.workers_by_id["worker-0"]
+    assert len(worker.runs_by_key) == SLOTS
+    run = next(iter(worker.runs_by_key.values()))
+    run.task.blocked_until = NOW + 60
+    forget_run(context.tables, run, EndProof(ProofKind.END_LISTED, NOW), NOW)
+
+
+@then("nothing starts in this placement, and the large job starts in the next")
+def check_order(context):
+    assert not context.placement.rest()
+    started = [run.task.job.job_id for run in place(context.tables)]
+    assert started == [context.large.job_id], started
+
+
+@given("a leader with {jobs:d} jobs that fit no worker and one that does")
+def note_jobs(context, jobs):
+    context.jobs = jobs
+
+
+@when('it places and "{end}"')
+def play_placement(context, end):
+    context.leader = play_leader(context.jobs, end)
+
+
+@then("its loop was free between the slices")
+def check_loop(context):
+    slices = context.leader.slices
+    assert slices > 1 or not context.leader.started, slices
+
+
+@then('the job that fits starts: "{starts}"')
+def check_start(context, starts):
+    assert bool(context.leader.started) == (starts == "yes"), context.leader.started
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -36,6 +36,7 @@
     QUEUE,
     add_simple_job,
     create_tables,
+    place_tasks,
 )
 from sassafrasgrade.errors import RevisionConflict
 from sassafrasgrade.fleet_hosts import FleetHosts
@@ -62,7 +63,6 @@
 from sassafrasgrade.platform.messages import JobRequest, Step, Wave, WorkerView
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.learned_durations import LearnedDurations
-from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.table_loaders import TableLoader
 from sassafrasgrade.timers import FakeTimerService
 from sassafrasgrade.tools.standins.fleets import ADDRESS
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -15,6 +15,8 @@
     apply_worker_view,
     create_tables,
     first_task,
+    place_tasks,
+    rank_jobs,
     start_run,
 )
 from sassafrasgrade.fleet_hosts import FleetHosts, HostRow, WaveRow
@@ -32,13 +34,11 @@
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.host_planning import plan_hosts
-from sassafrasgrade.systems.job_ranks import order_jobs
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.occurrences import create_due, forget_done
 from sassafrasgrade.systems.pacing import pace_fillers
 from sassafrasgrade.systems.run_updates import remove_worker
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs, stop_stalled
-from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_commands import MoveHost, StopRun
 from sassafrasgrade.worker_registrations import apply_item
 
@@ -254,7 +254,7 @@
     tables = create_tables()
     job = add_simple_job(tables, estimate_ms=500)
     learned_durations = LearnedDurations()
-    order_jobs(tables, POOL, learned_durations, NOW_UNIX + age)
+    rank_jobs(tables, POOL, learned_durations, NOW_UNIX + age)
     assert job.urgency.name.lower().replace("_", " ") == urgency, job.urgency
 
 
@@ -272,7 +272,7 @@
     add_large_job(tables, 2, lacks + 1)
     learned_durations = LearnedDurations()
     for pool in POOL_NAMES:
-        order_jobs(tables, pool, learned_durations, NOW_UNIX)
+        rank_jobs(tables, pool, learned_durations, NOW_UNIX)
     plan_one_tick(tables, fleet)
     commands = place_tasks(tables, POOL, learned_durations, NOW, NOW_UNIX)
     assert len(commands) == starts, commands
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -35,7 +35,7 @@
     unreported_workers,
 )
 from sassafrasgrade.work_commands import StopRun
-from sassafrasgrade.work_tables import RunState, WorkState
+from sassafrasgrade.work_tables import RunState, WorkState, remove_run
 
 
 @given("a job of one task that may fail {attempts:d} times")
@@ -269,8 +269,7 @@
     elif case == "one is on a draining worker":
         workers["worker-1"].is_draining = True
     elif case == "one is waiting":
-        workers["worker-1"].runs_by_key.clear()
-        other.task.runs_by_number.clear()
+        remove_run(workers["worker-1"], other)
     elif case == "no other worker has room":
         for worker in workers.values():
             worker.usable_after = NOW + 10
--- a/features/support/advised_steps.py
+++ b/features/support/advised_steps.py
@@ -16,6 +16,7 @@
     add_worker,
     apply_worker_view,
     create_tables,
+    place_tasks,
     start_run,
 )
 from sassafrasgrade.advice_requesters import AdviceRequester
@@ -29,7 +30,6 @@
 )
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
-from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.tickets import MAX_WORKERS_PER_CALL
 from sassafrasgrade.timers import FakeTimerService
 from sassafrasgrade.work_commands import StartRun
--- a/features/support/changing_fleets.py
+++ b/features/support/changing_fleets.py
@@ -12,6 +12,7 @@
     add_worker,
     apply_worker_view,
     create_tables,
+    place_tasks,
 )
 from sassafrasgrade.job_records import (
     SubmittedJob,
@@ -33,7 +34,6 @@
 from sassafrasgrade.systems.occurrences import create_due, forget_done
 from sassafrasgrade.systems.run_updates import remove_worker
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
-from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_commands import StartRun, StopRun
 from sassafrasgrade.work_tables import ALL_POOLS, MS_PER_S, RunState
 
--- a/features/support/crash_simulations.py
+++ b/features/support/crash_simulations.py
@@ -12,6 +12,7 @@
     add_worker,
     apply_worker_view,
     create_tables,
+    place_tasks,
 )
 from sassafrasgrade.systems.crash_records import (
     clear_outlived,
@@ -21,7 +22,6 @@
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.run_updates import remove_worker
-from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_tables import MS_PER_S, RunState, WorkState
 
 TICK_S = 0.1
--- a/features/support/lasting_tasks.py
+++ b/features/support/lasting_tasks.py
@@ -13,6 +13,7 @@
     QUEUE,
     apply_worker_view,
     create_tables,
+    place_tasks,
     start_run,
 )
 from sassafrasgrade.job_records import (
@@ -27,7 +28,6 @@
 from sassafrasgrade.platform.messages import JobRequest, Step
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
-from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.work_commands import StartRun, StopRun
 from sassafrasgrade.work_tables import WorkState
 
--- a/features/support/removed_routes.py
+++ b/features/support/removed_routes.py
@@ -16,7 +16,7 @@
     create_configuration,
     run_in_loop,
 )
-from features.support.work_tables import NOW_UNIX, POOL, QUEUE
+from features.support.work_tables import NOW_UNIX, POOL, QUEUE, rank_jobs
 from sassafrasgrade.job_apis import JobApi
 from sassafrasgrade.job_records import REQUEST, SubmittedJob, encode, job_key
 from sassafrasgrade.node_messages import RouteQuestion, RouteReply
@@ -34,7 +34,6 @@
 from sassafrasgrade.queue_routers import QueueRouter
 from sassafrasgrade.route_lookups import RouteLookup
 from sassafrasgrade.store_batches import CreateOutcome
-from sassafrasgrade.systems.job_ranks import order_jobs
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.pool_moves import demand_by_pool, spread_by_pool
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs
@@ -232,7 +231,7 @@
     job.accepted_at = NOW_UNIX
     ages_by_urgency = {Urgency.IN_TIME: 0.8, Urgency.USEFUL: 1.0, Urgency.LATE: 3.8}
     for urgency, age_s in ages_by_urgency.items():
-        ranked = order_jobs(leader.tables, POOL, LearnedDurations(), NOW_UNIX + age_s)
+        ranked = rank_jobs(leader.tables, POOL, LearnedDurations(), NOW_UNIX + age_s)
         if ranked != [job] or job.urgency is not urgency:
             return False
     return True
--- a/features/support/saved_progress.py
+++ b/features/support/saved_progress.py
@@ -13,6 +13,7 @@
     apply_worker_view,
     create_tables,
     first_task,
+    place_tasks,
 )
 from sassafrasgrade.platform.workers import OrderOutcome, WorkerReply
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
@@ -23,7 +24,7 @@
     remove_worker,
     runs_to_hand_over,
 )
-from sassafrasgrade.systems.task_placement import create_run, place_tasks
+from sassafrasgrade.systems.task_placement import create_run
 from sassafrasgrade.work_tables import RunState
 from sassafrasgrade.worker_sessions import WorkerSession
 
--- a/features/support/takeovers.py
+++ b/features/support/takeovers.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from features.support.work_tables import CAPACITY, NOW_UNIX, POOL, QUEUE
+from features.support.work_tables import CAPACITY, NOW_UNIX, POOL, QUEUE, place_tasks
 from sassafrasgrade.dispatchers import Dispatcher
 from sassafrasgrade.job_records import REQUEST, SubmittedJob, encode, job_key
 from sassafrasgrade.leaderships import LEASE_MARGIN_S
@@ -26,7 +26,6 @@
 )
 from sassafrasgrade.platform.stores import Item
 from sassafrasgrade.systems.learned_durations import LearnedDurations
-from sassafrasgrade.systems.task_placement import place_tasks
 from sassafrasgrade.timers import FakeTimerService
 from sassafrasgrade.work_commands import StartRun
 
@@ -119,6 +118,7 @@
         queues_by_name: Queues of configurations that the node has seen before.
         leadership: Its ``Leadership``; one that is always valid by default.
         timers: ``FakeTimerService``; a new one by default.
+        store: Its store; none by default, as callbacks of the loop do not run.
     """
 
     def __init__(
@@ -131,6 +131,7 @@
         queues_by_name=None,
         leadership=None,
         timers=None,
+        store=None,
     ):
         self.timers = timers or FakeTimerService()
         settings = check_node_settings(
@@ -139,7 +140,7 @@
         services = SimpleNamespace(
             settings=settings,
             timers=self.timers,
-            store=None,
+            store=store,
             leader_http=lambda: None,
         )
         self.counters = NodeCounters()
--- a/features/support/work_loads.py
+++ b/features/support/work_loads.py
@@ -9,8 +9,9 @@
     add_simple_job,
     apply_worker_view,
     create_tables,
+    place_tasks,
 )
-from sassafrasgrade.systems import job_ranks, task_placement
+from sassafrasgrade.systems import job_ranks
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.work_tables import RunState
 
@@ -97,9 +98,7 @@
         for job in tables.jobs_by_id.values():
             if not job.is_open and job.job_id not in done_at:
                 done_at[job.job_id] = now_unix
-        commands = task_placement.place_tasks(
-            tables, "pool-1", learned_durations, now, now_unix
-        )
+        commands = place_tasks(tables, "pool-1", learned_durations, now, now_unix)
         for command in commands:
             run = command.run
             run.state = RunState.RUNNING
--- a/features/support/work_tables.py
+++ b/features/support/work_tables.py
@@ -13,6 +13,8 @@
     Step,
     WorkerView,
 )
+from sassafrasgrade.systems.job_ranks import ranked_jobs
+from sassafrasgrade.systems.placement_passes import PlacementPass
 from sassafrasgrade.systems.run_updates import apply_view, record_answered_start
 from sassafrasgrade.systems.task_placement import create_run
 from sassafrasgrade.work_tables import RunState, Worker, WorkTables
@@ -76,6 +78,22 @@
     return run
 
 
+def place_tasks(tables, pool_name, learned_durations, now, now_unix):
+    """Starts the waiting tasks that fit into a pool; returns the commands."""
+    placement = PlacementPass(tables, pool_name, learned_durations, now_unix)
+    commands = []
+    while not placement.is_finished:
+        commands += placement.next_slice(now)[0]
+    return commands
+
+
+def rank_jobs(tables, pool_name, learned_durations, now_unix):
+    """Returns the open jobs of a pool, most important first; sets their urgency."""
+    jobs = tables.open_jobs_by_id.values()
+    ranked = ranked_jobs(tables, jobs, pool_name, learned_durations, now_unix)
+    return [job for _, job in sorted(ranked, key=lambda pair: pair[0])]
+
+
 def apply_worker_view(
     tables, worker, now, running=(), ended=(), sent_at=None, clock_ms=None
 ):
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -27,6 +27,7 @@
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.occurrences import create_due, forget_done
 from sassafrasgrade.systems.pacing import pace_fillers
+from sassafrasgrade.systems.placement_passes import PlacementRound
 from sassafrasgrade.systems.pool_moves import describe_pools
 from sassafrasgrade.systems.run_updates import (
     apply_view,
@@ -44,12 +45,8 @@
     remove_worker,
     restart_worker,
 )
-from sassafrasgrade.systems.slow_runs import copy_overdue_runs, stop_stalled
-from sassafrasgrade.systems.task_placement import (
-    is_usable,
-    place_tasks,
-    step_key_of,
-)
+from sassafrasgrade.systems.slow_runs import stop_stalled
+from sassafrasgrade.systems.task_placement import is_usable, step_key_of
 from sassafrasgrade.table_loaders import TableLoader
 from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_commands import (
@@ -133,7 +130,10 @@
         self.learned_durations = LearnedDurations()
         self._is_closed = False
         self._sessions_by_id = {}
-        self._is_placement_scheduled = False
+        # The placement under way, and whether another one is to follow.
+        self._placement = None
+        self._is_placement_due = False
+        self._is_slice_scheduled = False
         self._placement_delay_s = PLACEMENT_DELAY_S
         self._periodic = None
         self._began_at = self.timers.now()
@@ -619,36 +619,50 @@
 
     def schedule_placement(self):
         """Schedules a placement, shortly delayed to include other changes."""
-        if not self._is_placement_scheduled and not self._is_closed:
-            self._is_placement_scheduled = True
+        self._is_placement_due = True
+        self._schedule_slice()
+
+    def _schedule_slice(self):
+        if not self._is_slice_scheduled and not self._is_closed:
+            self._is_slice_scheduled = True
             IOLoop.current().call_later(self._placement_delay_s, self._place)
 
     def _place(self):
-        self._is_placement_scheduled = False
-        if self._is_closed or not self.is_loaded:
-            return
-        if not self._leadership.has_start_authority():
-            return
-        now, now_unix = self.timers.now(), self.timers.wall_time()
+        """Does one slice of a placement; the loop is free between two slices."""
         began = time.monotonic()
-        self._carry_out_all(settle_crashes(self.tables))
-        self.tables.tickets.begin_placement()
-        for pool in self.tables.pools_by_name:
-            commands = place_tasks(
-                self.tables, pool, self.learned_durations, now, now_unix
+        try:
+            if self._is_closed or not self.is_loaded:
+                return
+            if not self._leadership.has_start_authority():
+                self._placement = None
+                return
+            self._place_slice()
+        finally:
+            spent_s = time.monotonic() - began
+            self._placement_delay_s = max(
+                PLACEMENT_DELAY_S, PLACEMENT_PAUSE_FACTOR * spent_s
             )
-            commands += copy_overdue_runs(
-                self.tables, pool, self.learned_durations, now
+            self._is_slice_scheduled = False
+        if self._placement is not None or self._is_placement_due:
+            self._schedule_slice()
+
+    def _place_slice(self):
+        if self._placement is None:
+            self._is_placement_due = False
+            self._carry_out_all(settle_crashes(self.tables))
+            self.tables.tickets.begin_placement()
+            self._placement = PlacementRound(
+                self.tables, self.learned_durations, self.timers.wall_time()
             )
-            self._carry_out_all(commands)
-        self.tables.tickets.end_placement()
+        placement, self._placement = self._placement, None
+        self._carry_out_all(placement.next_slice(self.timers.now()))
+        if placement.is_finished:
+            self.tables.tickets.end_placement()
+        else:
+            self._placement = placement
         if self.tables.dirty_job_ids:
             self._writer.schedule(False)
         self._advice.wake()
-        spent_s = time.monotonic() - began
-        self._placement_delay_s = max(
-            PLACEMENT_DELAY_S, PLACEMENT_PAUSE_FACTOR * spent_s
-        )
 
     def _tick(self, now):
         if self._is_closed or not self.is_loaded:
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -303,9 +303,7 @@
             add_occurrence(tables, job, number)
         row = job.occurrences[number].steps[step_number]
         for index in indices:
-            if not row.tasks[index].is_done:
-                row.tasks[index].is_done = True
-                row.left -= 1
+            row.mark_done(row.tasks[index])
     # Occurrences are created when they are due; those with attempts were.
     for name, numbers in progress.failures.items():
         task = find_task(tables, f"{job.job_id}.{name}")
--- a/sassafrasgrade/systems/job_ranks.py
+++ b/sassafrasgrade/systems/job_ranks.py
@@ -14,14 +14,11 @@
 LATE_FACTOR = 3.0
 
 
-def order_jobs(tables, pool_name, learned_durations, now_unix):
-    """Returns the pool's open jobs, most important first."""
-    ranked = []
-    for job in tables.open_jobs_by_id.values():
+def ranked_jobs(tables, jobs, pool_name, learned_durations, now_unix):
+    """Yields (rank, job) of those jobs that a pool runs, in the order given."""
+    for job in jobs:
         if tables.pool_of(job) == pool_name:
-            ranked.append((rank_job(tables, job, learned_durations, now_unix), job))
-    ranked.sort(key=lambda pair: pair[0])
-    return [job for _, job in ranked]
+            yield rank_job(tables, job, learned_durations, now_unix), job
 
 
 def rank_job(tables, job: Job, learned_durations, now_unix):
--- a/sassafrasgrade/systems/maintenance_waves.py
+++ b/sassafrasgrade/systems/maintenance_waves.py
@@ -12,9 +12,8 @@
     worker_of,
 )
 from sassafrasgrade.systems.task_placement import (
-    candidate_of,
-    choose_candidate,
-    is_usable,
+    candidates_with_room,
+    usable_candidates,
 )
 from sassafrasgrade.work_commands import MaintainHost, ReportWave, StopRun
 from sassafrasgrade.work_tables import RunState, step_row_of
@@ -150,27 +149,18 @@
     """Returns commands to stop a worker's perpetual tasks as their budgets allow."""
     commands = []
     planned_ids = {id(command.run) for command in planned}
+    candidates = usable_candidates(tables, worker.pool, now)
     for run in list(worker.runs_by_key.values()):
         if not run.task.step.is_perpetual or not is_at_work(tables, run, now):
             continue
         if id(run) in planned_ids:
             continue
         may_be_away = may_stop(tables, run.task, [*planned, *commands], now)
-        if may_be_away and _has_room_elsewhere(tables, worker, run.task, now):
+        if may_be_away and candidates_with_room(run.task, candidates):
             commands.append(StopRun(run, "host is to be maintained"))
     return commands
 
 
-def _has_room_elsewhere(tables, worker, task, now):
-    """Whether a task of a worker could start on another."""
-    candidates = [
-        candidate_of(other)
-        for other in tables.workers_by_id.values()
-        if other.pool == worker.pool and is_usable(other, now)
-    ]
-    return choose_candidate(task, candidates) is not None
-
-
 def may_stop(tables, task, planned, now):
     """Whether a perpetual task may be stopped within its step's budget.
 
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -25,6 +25,9 @@
     Worker,
     WorkState,
     WorkTables,
+    add_run,
+    is_startable,
+    remove_run,
     step_row_of,
 )
 
@@ -205,9 +208,7 @@
     """Removes a run that has certainly ended; its task may start again."""
     worker = tables.workers_by_id.get(run.worker_id)
     log_forgotten_run(run, worker, proof, now)
-    if worker is not None:
-        worker.runs_by_key.pop((run.task.name, run.number), None)
-    run.task.runs_by_number.pop(run.number, None)
+    remove_run(worker, run)
     if not run.task.runs_by_number:
         run.task.waiting_since = now
 
@@ -301,9 +302,8 @@
     commands = []
     others = tuple(task.runs_by_number.values())
     _note_outcome(task)
-    task.runs_by_number[row.run] = run
+    add_run(worker, run)
     task.last_number = max(task.last_number, row.run)
-    worker.runs_by_key[(row.task, row.run)] = run
     assume_longest_lease(tables, worker, now)
     commands.append(_describe_found(worker, run, now))
     _record_progress(run, row, now)
@@ -409,8 +409,7 @@
             ),
         )
         worker.lease_until = max(worker.lease_until, lapses_at)
-        worker.runs_by_key[(task.name, run.number)] = run
-        task.runs_by_number[run.number] = run
+        add_run(worker, run)
         task.last_number = max(task.last_number, run.number)
         if task.job.is_open:
             record_start(tables, task.job)
@@ -517,8 +516,8 @@
         # Another run of a gang or of copies may have ended elsewhere, and have told it.
         return
     for following in steps:
-        is_startable = not any(steps[n].left for n in following.step.after)
-        if task.step_number in following.step.after and is_startable:
+        is_next = task.step_number in following.step.after
+        if is_next and not any(steps[n].left for n in following.step.after):
             for other in following.tasks:
                 other.is_new = True
 
@@ -531,8 +530,7 @@
     for member in members:
         if member.is_done:
             continue
-        member.is_done = True
-        row.left -= 1
+        row.mark_done(member)
         commands += [
             StopRun(run, "another run finished")
             for run in member.runs_by_number.values()
@@ -545,16 +543,15 @@
         if len(task.job.done_occurrences) == task.job.occurrence_count:
             end_job(tables, task.job, WorkState.COMPLETED)
     else:
-        _set_waiting_since(occurrence, now)
+        note_startable_steps(occurrence, now)
     return commands
 
 
-def _set_waiting_since(occurrence, now):
+def note_startable_steps(occurrence, now):
+    """Notes since when the tasks of steps wait that have become startable."""
     for row in occurrence.steps:
-        if row.left and all(occurrence.steps[n].left == 0 for n in row.step.after):
-            for task in row.tasks:
-                if not task.waiting_since:
-                    task.waiting_since = now
+        if not row.startable_since and is_startable(occurrence, row):
+            row.startable_since = now
 
 
 def _fail_task(tables, worker, task, number, now):
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -7,18 +7,18 @@
 from sassafrasgrade.systems.crash_records import is_start_held
 from sassafrasgrade.systems.task_placement import (
     SLOW_FACTOR,
-    candidate_of,
+    candidates_with_room,
     candidates_with_ticket,
     choose_and_reserve,
-    choose_candidate,
-    is_usable,
+    has_slots,
     next_run_number,
     start_on,
+    usable_candidates,
     want_advice,
 )
 from sassafrasgrade.systems.worker_speeds import estimate_slowness, watched_work
 from sassafrasgrade.work_commands import StopRun
-from sassafrasgrade.work_tables import RunState
+from sassafrasgrade.work_tables import RunState, step_row_of
 
 # Minimum time without progress after which a run counts as stalled, in seconds:
 # the longest long poll and a margin.
@@ -44,6 +44,7 @@
     """Stops stalled and slow runs, so that their tasks start on other workers."""
     estimate_slowness(tables, learned_durations, now)
     commands = []
+    alternatives = _Alternatives(tables, now)
     for worker in tables.workers_by_id.values():
         if worker.unresponsive_since or now - worker.last_answer_at > MAX_ANSWER_AGE_S:
             continue
@@ -52,7 +53,7 @@
             if run.state is not RunState.RUNNING or run.stopped_at:
                 continue
             reason = _restart_reason(worker, run, learned_durations, usual_speed, now)
-            if reason and _has_alternative(tables, worker, run.task, now):
+            if reason and alternatives.exist(worker, run.task):
                 worker.failures += 1
                 run.task.avoided_workers.add(worker.worker_id)
                 commands.append(StopRun(run, reason))
@@ -100,13 +101,34 @@
     )
 
 
-def _has_alternative(tables, worker, task, now):
-    candidates = [
-        candidate_of(other)
-        for other in tables.workers_by_id.values()
-        if other.pool == worker.pool and other is not worker and is_usable(other, now)
-    ]
-    return choose_candidate(task, candidates) is not None
+class _Alternatives:
+    """Finds out whether tasks could run on other workers of their pool.
+
+    Load pattern: all runs of a large job on a worker stand still at once.
+    """
+
+    def __init__(self, tables, now):
+        self._tables = tables
+        self._now = now
+        self._candidates_by_pool = {}
+        self._with_room_by_row = {}
+
+    def exist(self, worker, task):
+        """Whether a worker other than a task's has room for it."""
+        key = worker.pool, id(step_row_of(task))
+        if key not in self._with_room_by_row:
+            candidates = self._candidates(worker.pool)
+            self._with_room_by_row[key] = candidates_with_room(task, candidates)
+        return any(
+            candidate.worker is not worker for candidate in self._with_room_by_row[key]
+        )
+
+    def _candidates(self, pool_name):
+        if pool_name not in self._candidates_by_pool:
+            self._candidates_by_pool[pool_name] = usable_candidates(
+                self._tables, pool_name, self._now
+            )
+        return self._candidates_by_pool[pool_name]
 
 
 def copy_overdue_runs(tables, pool_name, learned_durations, now):
@@ -122,11 +144,9 @@
             if is_start_held(tables, task):
                 continue
             if candidates is None:
-                candidates = [
-                    candidate_of(worker)
-                    for worker in tables.workers_by_id.values()
-                    if worker.pool == pool_name and is_usable(worker, now)
-                ]
+                candidates = usable_candidates(tables, pool_name, now)
+            if not has_slots(step_row_of(task), candidates, 1):
+                continue
             used_worker_ids = {run.worker_id for run in task.runs_by_number.values()}
             free = [
                 candidate
@@ -155,9 +175,10 @@
                 # No copy would ever finish first.
                 continue
             expected_s = learned_durations.task_s(job.queue_name, row.step)
-            for task in row.tasks:
+            for index in sorted(row.running):
+                task = row.tasks[index]
                 runs = task.runs_by_number.values()
-                if task.is_done or not runs or len(runs) > MAX_COPIES:
+                if task.is_done or len(runs) > MAX_COPIES:
                     continue
                 oldest = min(run.started_at for run in runs)
                 if now - oldest > COPY_AFTER_FACTOR * expected_s:
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -1,5 +1,6 @@
-"""Decides which waiting task starts next, and on which worker."""
+"""Decides on which worker a waiting task starts."""
 
+import math
 from collections import Counter
 from dataclasses import dataclass
 
@@ -10,15 +11,14 @@
     isolated_candidates,
     needs_isolation,
 )
-from sassafrasgrade.systems.job_ranks import order_jobs
-from sassafrasgrade.work_commands import LogEvent, StartRun
+from sassafrasgrade.work_commands import StartRun
 from sassafrasgrade.work_tables import (
     Run,
     RunState,
     Task,
-    Urgency,
     Worker,
-    WorkTables,
+    add_run,
+    step_row_of,
 )
 
 # Run numbers reserved for each leadership; no task is ever started this often.
@@ -70,6 +70,36 @@
             and step.gpus <= self.gpus
         )
 
+    def suits(self, step):
+        """Whether it has room for a task of a step, but for the step's limit."""
+        return (
+            self.fits(step)
+            and (not step.label or step.label in self.worker.labels)
+            and not (self.is_suspect and self.runs >= MAX_PROBE_RUNS)
+        )
+
+    def limit_to(self, earlier):
+        """Removes what has become free since an earlier state of the same worker."""
+        self.cpu_millis = min(self.cpu_millis, earlier.cpu_millis)
+        self.memory_mb = min(self.memory_mb, earlier.memory_mb)
+        self.gpus = min(self.gpus, earlier.gpus)
+        self.runs = max(self.runs, earlier.runs)
+        self.all_runs = max(self.all_runs, earlier.all_runs)
+        self.is_exclusive = self.is_exclusive or earlier.is_exclusive
+
+    def slots(self, step, most):
+        """Returns how many tasks of a step it has resources for, ``most`` at most."""
+        limits = [most]
+        if self.is_suspect and not step.is_perpetual:
+            limits.append(MAX_PROBE_RUNS - self.runs)
+        if step.cpu_millis and not step.is_filler:
+            limits.append(self.cpu_millis // step.cpu_millis)
+        if step.memory_mb:
+            limits.append(self.memory_mb // step.memory_mb)
+        if step.gpus:
+            limits.append(self.gpus // step.gpus)
+        return min(limits)
+
     def reserve(self, step):
         """Subtracts the resources of a task of the step."""
         if not step.is_filler:
@@ -122,6 +152,15 @@
     )
 
 
+def usable_candidates(tables, pool_name, now):
+    """Returns the workers of a pool that may get new runs, as candidates."""
+    return [
+        candidate_of(worker)
+        for worker in tables.workers_by_id.values()
+        if worker.pool == pool_name and is_usable(worker, now)
+    ]
+
+
 def is_suspect(worker: Worker):
     """Whether a worker's recent runs failed often, and more often than not."""
     return (
@@ -140,86 +179,6 @@
             candidate.is_suspect = True
 
 
-def place_tasks(tables: WorkTables, pool_name, learned_durations, now, now_unix):
-    """Starts the waiting tasks that fit into a pool, most important jobs first.
-
-    Args:
-        tables: The tables; runs that are started are added to them.
-        pool_name: The pool.
-        learned_durations: ``LearnedDurations``.
-        now: Current clock in seconds.
-        now_unix: Current Unix time in seconds.
-
-    Returns:
-        ``StartRun`` commands.
-    """
-    candidates = [
-        candidate_of(worker)
-        for worker in tables.workers_by_id.values()
-        if worker.pool == pool_name and is_usable(worker, now)
-    ]
-    if not candidates:
-        return []
-    mark_suspects(candidates)
-    commands = []
-    unplaceable = UnplaceableSizes()
-    for job in order_jobs(tables, pool_name, learned_durations, now_unix):
-        try:
-            _place_job(tables, job, candidates, unplaceable, now, commands)
-        except Exception as error:
-            # The runs of other jobs are in the tables by now and have to be sent.
-            fields = {"job": job.job_id, "error": repr(error)}
-            commands.append(LogEvent("job-not-placed", fields))
-    return commands
-
-
-def _place_job(tables, job, candidates, unplaceable, now, commands):
-    """Adds the commands that start a job's tasks on workers with room."""
-    queue = tables.queue_of(job)
-    usable_by_job = candidates
-    if job.urgency >= Urgency.USEFUL:
-        usable_by_job = [c for c in candidates if not c.worker.is_yielding]
-    for group in _startable_groups(tables, job, now):
-        if unplaceable.rules_out(group[0].step):
-            continue
-        allowed = usable_by_job
-        if queue.advice is not None:
-            allowed = candidates_with_ticket(tables, group[0], allowed, now)
-        placed = _place_group(tables, group, allowed, now)
-        commands += placed
-        if placed:
-            continue
-        if queue.advice is not None:
-            if want_advice(tables, group, usable_by_job, now):
-                continue
-        if usable_by_job is candidates:
-            if not any(needs_isolation(tables, task) for task in group):
-                unplaceable.add(group[0].step)
-
-
-class UnplaceableSizes:
-    """Task sizes that fitted no worker in this placement, to skip larger ones."""
-
-    def __init__(self):
-        self._sizes = []
-
-    def add(self, step):
-        """Adds the size of a step, unless other constraints may be the cause."""
-        if not (step.label or step.most_per_worker or step.is_gang or step.is_filler):
-            self._sizes.append((step.cpu_millis, step.memory_mb, step.gpus))
-
-    def rules_out(self, step):
-        """Whether a step cannot fit, since one that is no larger did not."""
-        if step.is_filler:
-            return False
-        return any(
-            step.cpu_millis >= cpu_millis
-            and step.memory_mb >= memory_mb
-            and step.gpus >= gpus
-            for cpu_millis, memory_mb, gpus in self._sizes
-        )
-
-
 def step_key_of(task):
     """Returns the name of a task's step: ``job.occurrence.step``."""
     return task.name.rpartition(".")[0]
@@ -263,8 +222,8 @@
     key = step_key_of(task)
     if tickets.is_confirmed(key):
         return True
-    chosen = _choose_group(tables, group, candidates, now)
-    _release_all(chosen)
+    chosen = choose_group(tables, group, step_row_of(task), candidates, now)
+    release_all(chosen)
     if not chosen:
         return False
     eligible = eligible_candidates(tables, task, candidates, now)
@@ -276,57 +235,123 @@
     return True
 
 
-def _startable_groups(tables, job, now):
-    """Yields lists of tasks that must start together (one task, or a gang)."""
-    for occurrence in list(job.occurrences.values()):
-        if occurrence.number in job.done_occurrences:
-            continue
-        steps = occurrence.steps
-        for row in steps:
-            if row.left == 0 or any(steps[n].left for n in row.step.after):
-                continue
-            if row.step.is_gang:
-                if all(_may_start(tables, task, now) for task in row.tasks):
-                    yield row.tasks
-                continue
-            for task in row.tasks:
-                if _may_start(tables, task, now):
-                    yield [task]
-
-
-def _may_start(tables, task: Task, now):
+def may_start(tables, task: Task, row, now):
+    """Whether a task waits and may start now; notes since when it waits."""
     if task.is_done or task.runs_by_number or is_start_held(tables, task):
         return False
-    task.waiting_since = task.waiting_since or now
+    # A suspect waits for a worker of its own from the moment at which it may start.
+    since = now if task.crashes else row.startable_since
+    task.waiting_since = task.waiting_since or since
     return task.blocked_until <= now and not tables.is_held(task)
 
 
-def _place_group(tables, group, candidates, now):
-    chosen = _choose_group(tables, group, candidates, now)
-    number = next_run_number(tables, group)
-    return [
-        start_on(tables, task, candidate, number, now) for candidate, task in chosen
-    ]
-
+def choose_group(tables, group, row, candidates, now):
+    """Reserves a candidate for each task; returns (candidate, task) pairs, or none.
 
-def _choose_group(tables, group, candidates, now):
-    """Reserves a candidate for each task; returns (candidate, task) pairs, or none."""
+    Args:
+        tables: The tables.
+        group: Tasks of a step that start together.
+        row: ``StepRow`` of the step.
+        candidates: ``Candidate`` values.
+        now: Current clock in seconds.
+    """
+    if not has_slots(row, candidates, len(group)):
+        return []
     chosen, members = [], Counter()
+    ranked = RankedCandidates(row, candidates)
     for task in group:
-        candidate = choose_and_reserve(tables, task, candidates, now, members)
+        if needs_isolation(tables, task):
+            candidate = choose_and_reserve(tables, task, candidates, now, members)
+            ranked.forget_order()
+        else:
+            candidate = ranked.reserve_best(task, members)
         if candidate is None:
-            _release_all(chosen)
+            release_all(chosen)
             return []
         chosen.append((candidate, task))
         members[candidate.worker.worker_id] += 1
     return chosen
 
 
-def _release_all(chosen):
+def has_slots(row, candidates, count):
+    """Whether candidates may have room for a number of a step's tasks."""
+    slots = 0
+    for candidate in candidates:
+        if _has_room_for(row, candidate):
+            slots += candidate.slots(row.step, _left_of_limit(row, candidate))
+            if slots >= count:
+                return True
+    return False
+
+
+def _left_of_limit(row, candidate, members=NO_MEMBERS):
+    """Returns how many more runs of a step its limit allows on a worker."""
+    most = row.step.most_per_worker
+    if not most:
+        return math.inf
+    worker_id = candidate.worker.worker_id
+    # Not by indexing, which would add each worker to the counter.
+    used = row.runs_by_worker.get(worker_id, 0) + members.get(worker_id, 0)
+    return most - used
+
+
+def release_all(chosen):
+    """Releases what was reserved for (candidate, task) pairs."""
     for candidate, task in chosen:
         _release(candidate, task.step)
 
 
+class RankedCandidates:
+    """Candidates with room for the tasks of a step, in the order of choice.
+
+    The best one stays the best while tasks are placed on it, so that many tasks of a
+    step need one ranking. Tasks that have failed on different workers need others.
+
+    Attributes:
+        ranked_count: Number of candidates ranked so far, again each time.
+
+    Args:
+        row: ``StepRow`` of the step.
+        candidates: ``Candidate`` values.
+    """
+
+    def __init__(self, row, candidates):
+        self.ranked_count = 0
+        self._row = row
+        self._candidates = candidates
+        self._key = None
+        self._best_last = []
+
+    def forget_order(self):
+        """Ranks anew before the next choice, as others have reserved resources."""
+        self._key = None
+
+    def reserve_best(self, task, members=NO_MEMBERS):
+        """Returns the best candidate with a task's resources reserved, or None.
+
+        Args:
+            task: A task that needs no worker of its own.
+            members: Count of the members of its gang that start with it, by worker id.
+        """
+        key = frozenset(task.avoided_workers), bool(task.failed_numbers)
+        if key != self._key:
+            self._rank(task)
+            self._key = key
+        while self._best_last:
+            candidate = self._best_last[-1]
+            if _has_room_for(self._row, candidate, members):
+                candidate.reserve(task.step)
+                return candidate
+            self._best_last.pop()
+        return None
+
+    def _rank(self, task):
+        ranked = _rank(task, _with_room(self._row, self._candidates), False)
+        ranked.sort(reverse=True)
+        self.ranked_count += len(self._candidates)
+        self._best_last = [rank[-1] for rank in ranked]
+
+
 def choose_and_reserve(tables, task, candidates, now, members=NO_MEMBERS):
     """Returns the best candidate for a task with its resources reserved, or None.
 
@@ -353,7 +378,7 @@
     if needs_isolation(tables, task):
         waited_s = now - task.waiting_since if not task.runs_by_number else 0.0
         candidates = isolated_candidates(task, candidates, waited_s)
-    return _with_room(task, candidates, members)
+    return _with_room(step_row_of(task), candidates, members)
 
 
 def next_run_number(tables, tasks):
@@ -398,28 +423,22 @@
         saved=task.saved.value,
     )
     task.last_number = number
-    task.runs_by_number[number] = run
-    worker.runs_by_key[(task.name, number)] = run
+    add_run(worker, run)
     return run
 
 
-def choose_candidate(task: Task, candidates):
-    """Returns the best candidate for a task, or None."""
-    return _choose_best(task, _with_room(task, candidates))
+def candidates_with_room(task, candidates):
+    """Returns the candidates on which a task would start by itself."""
+    return _with_room(step_row_of(task), candidates)
 
 
-def _with_room(task, candidates, members=NO_MEMBERS):
-    """Returns the candidates that have room for a task and what its step requires."""
-    step, label, most = task.step, task.step.label, task.step.most_per_worker
-    counts = _runs_of_step(task) + members if most else NO_MEMBERS
-    return [
-        candidate
-        for candidate in candidates
-        if candidate.fits(step)
-        and (not label or label in candidate.worker.labels)
-        and (not most or counts[candidate.worker.worker_id] < most)
-        and not (candidate.is_suspect and candidate.runs >= MAX_PROBE_RUNS)
-    ]
+def _with_room(row, candidates, members=NO_MEMBERS):
+    """Returns the candidates that have room for a step's task and what it requires."""
+    return [c for c in candidates if _has_room_for(row, c, members)]
+
+
+def _has_room_for(row, candidate, members=NO_MEMBERS):
+    return candidate.suits(row.step) and _left_of_limit(row, candidate, members) > 0
 
 
 def _choose_best(task, candidates, prefers_few_runs=False):
@@ -469,14 +488,6 @@
     return any(run.task.step.target_ms > 0 for run in worker.runs_by_key.values())
 
 
-def _runs_of_step(task):
-    """Counts the runs of a task's step in its occurrence, by worker."""
-    rows = task.job.occurrences[task.occurrence].steps[task.step_number].tasks
-    return Counter(
-        run.worker_id for other in rows for run in other.runs_by_number.values()
-    )
-
-
 def fits_any(step, capacities: list[Capacity]):
     """Whether a task fits on a worker of one of the capacities."""
     return any(
--- a/sassafrasgrade/timers.py
+++ b/sassafrasgrade/timers.py
@@ -107,6 +107,31 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class FakeSubscription:
+    """A periodic call of a ``FakeTimerService``.
+
+    Args:
+        timers: The ``FakeTimerService``.
+        period_s: Its period in seconds.
+        callback: Called with the time.
+    """
+
+    def __init__(self, timers, period_s, callback):
+        self.due_at = timers.now() + period_s
+        self._timers = timers
+        self._period_s = period_s
+        self._callback = callback
+
+    def call(self, now):
+        """Calls it, as it is due."""
+        self.due_at += self._period_s
+        self._callback(now)
+
+    def stop(self):
+        """Stops the periodic call."""
+        self._timers.unsubscribe(self)
+
+
 class FakeTimerService:
     """Timer service for tests: time advances only in ``advance``."""
 
@@ -124,18 +149,22 @@
 
     def subscribe(self, period_s, callback):
         """Registers ``callback(now)`` to run every ``period_s`` fake seconds."""
-        subscription = [self._now + period_s, period_s, callback]
+        subscription = FakeSubscription(self, period_s, callback)
         self._subscriptions.append(subscription)
         return subscription
 
+    def unsubscribe(self, subscription):
+        """Ends a periodic call; does nothing if it has ended."""
+        if subscription in self._subscriptions:
+            self._subscriptions.remove(subscription)
+
     def advance(self, seconds):
         """Advances time, running due callbacks in order of their due times."""
         end = self._now + seconds
         while self._subscriptions:
-            due = min(self._subscriptions, key=lambda item: item[0])
-            if due[0] > end:
+            due = min(self._subscriptions, key=lambda item: item.due_at)
+            if due.due_at > end:
                 break
-            self._now = due[0]
-            due[0] += due[1]
-            due[2](self._now)
+            self._now = due.due_at
+            due.call(self._now)
         self._now = end
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -1,6 +1,8 @@
 """Tables of jobs, their tasks and runs, and of the workers that run them."""
 
 import math
+from bisect import bisect_left, insort
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
@@ -262,17 +264,68 @@
 class StepRow:
     """Tasks of a step in one occurrence.
 
+    What is counted here changes with each run, so that no decision on one task has to
+    look at all others.
+
     Attributes:
         step: What the step asks for.
         number: Number of the step.
         tasks: Its tasks by index.
         left: Number of tasks not done.
+        waiting: Indices of the tasks that are not done and have no run, ascending.
+        running: Indices of the tasks that have runs.
+        runs_by_worker: Number of runs by worker id, of workers that have any.
+        startable_since: Clock when its tasks were first found startable; 0 before.
     """
 
     step: Step
     number: int
     tasks: list[Task]
     left: int
+    waiting: list[int]
+    running: set[int] = field(default_factory=set)
+    runs_by_worker: Counter[str] = field(default_factory=Counter)
+    startable_since: float = 0.0
+
+    def add_run(self, run):
+        """Adds a run of one of its tasks; it replaces one of the same number."""
+        task = run.task
+        replaced = task.runs_by_number.get(run.number)
+        if replaced is not None:
+            self._uncount(replaced)
+        task.runs_by_number[run.number] = run
+        self.runs_by_worker[run.worker_id] += 1
+        self.running.add(task.index)
+        self._remove_waiting(task)
+
+    def remove_run(self, task, number):
+        """Removes a run of one of its tasks, if it is known."""
+        run = task.runs_by_number.pop(number, None)
+        if run is None:
+            return
+        self._uncount(run)
+        if task.runs_by_number:
+            return
+        self.running.discard(task.index)
+        if not task.is_done:
+            insort(self.waiting, task.index)
+
+    def mark_done(self, task):
+        """Marks one of its tasks as done."""
+        if not task.is_done:
+            task.is_done = True
+            self.left -= 1
+            self._remove_waiting(task)
+
+    def _uncount(self, run):
+        self.runs_by_worker[run.worker_id] -= 1
+        if not self.runs_by_worker[run.worker_id]:
+            del self.runs_by_worker[run.worker_id]
+
+    def _remove_waiting(self, task):
+        position = bisect_left(self.waiting, task.index)
+        if self.waiting[position : position + 1] == [task.index]:
+            del self.waiting[position]
 
 
 @dataclass(slots=True, eq=False)
@@ -696,7 +749,8 @@
             )
             for index in range(step.count)
         ]
-        rows.append(StepRow(step, step_number, tasks, len(tasks)))
+        waiting = list(range(step.count))
+        rows.append(StepRow(step, step_number, tasks, len(tasks), waiting))
     occurrence = Occurrence(number, due_at, rows)
     job.occurrences[number] = occurrence
     return [task for row in rows for task in row.tasks]
@@ -705,3 +759,26 @@
 def step_row_of(task):
     """Returns the row of a task's step."""
     return task.job.occurrences[task.occurrence].steps[task.step_number]
+
+
+def is_startable(occurrence, row):
+    """Whether the steps before one are done, and it is not."""
+    return bool(row.left) and not any(occurrence.steps[n].left for n in row.step.after)
+
+
+def add_run(worker, run):
+    """Adds a run to its task and its worker."""
+    step_row_of(run.task).add_run(run)
+    worker.runs_by_key[(run.task.name, run.number)] = run
+
+
+def remove_run(worker, run):
+    """Removes a run from its task and its worker, which may be None."""
+    task = run.task
+    if worker is not None:
+        worker.runs_by_key.pop((task.name, run.number), None)
+    if task.occurrence in task.job.occurrences:
+        step_row_of(task).remove_run(task, run.number)
+    else:
+        # The occurrence was done and has been forgotten.
+        task.runs_by_number.pop(run.number, None)
