Plan hosts and store progress without a look at each waiting task

What callers saw: nothing by itself; beside a large job each plan of hosts, ten times a second, and each write of a job's progress held the leader's loop for milliseconds, and a late wave, beside a large lasting job, for far longer.

The demand of a pool counted waiting tasks one by one; whether a lasting task may stop looked at all tasks of its step, for each run of each host that is to be emptied; progress named all tasks that are not done, also those of which nothing is to be stored.

--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -30,6 +30,8 @@
       | the end of a task         | a step with a limit per worker         |
       | the end of a task         | two steps, the second after the first  |
       | a check of stalled runs   | a step with a limit per worker         |
+      | a plan of hosts           | a step with a limit per worker         |
+      | a plan of a wave          | a lasting step with a limit per worker |
 
   # Whatever waits, the loop has to be free for polls, orders and the leader's key.
   Scenario Outline: a slice of a placement does limited work beside <work>
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -152,7 +152,7 @@
             if indices:
                 done[f"{occurrence.number}.{row.number}"] = indices
             for task in row.tasks:
-                if task.is_done:
+                if task.is_done or not _has_history(task):
                     continue
                 name = task.name.partition(".")[2]
                 if task.failed_numbers:
@@ -172,6 +172,11 @@
     )
 
 
+def _has_history(task):
+    """Whether more is to be stored of a task than that it is not done."""
+    return task.failed_numbers or task.crashes or task.unrecorded_starts
+
+
 def add_job(tables: WorkTables, job_id, submitted: SubmittedJob):
     """Adds a job to the tables; returns it, or the ``Job`` that is already there."""
     known = tables.jobs_by_id.get(job_id)
--- a/sassafrasgrade/systems/maintenance_waves.py
+++ b/sassafrasgrade/systems/maintenance_waves.py
@@ -170,17 +170,18 @@
         planned: Stops decided so far in the same tick.
         now: Current clock in seconds.
     """
+    row, most_away = step_row_of(task), max(1, task.step.may_miss)
     stopped = {id(command.run.task) for command in planned}
-    away = 0
-    for other in step_row_of(task).tasks:
-        if other is task:
-            continue
-        at_work = any(
-            is_at_work(tables, run, now) for run in other.runs_by_number.values()
-        )
-        if not at_work or id(other) in stopped:
-            away += 1
-    return away < max(1, task.step.may_miss)
+    others = [row.tasks[index] for index in row.running if index != task.index]
+    kept = [other for other in others if id(other) not in stopped]
+    away = len(row.tasks) - 1 - len(kept)
+    if away >= most_away:
+        return False
+    away += sum(
+        not any(is_at_work(tables, run, now) for run in other.runs_by_number.values())
+        for other in kept
+    )
+    return away < most_away
 
 
 def evacuate_draining(tables):
--- a/sassafrasgrade/systems/pool_moves.py
+++ b/sassafrasgrade/systems/pool_moves.py
@@ -10,7 +10,7 @@
 from sassafrasgrade.fleet_hosts import STATE_UP, HostRow
 from sassafrasgrade.systems.host_states import is_free, max_orders_per_plan, worker_of
 from sassafrasgrade.work_commands import LogEvent, MoveHost
-from sassafrasgrade.work_tables import Urgency
+from sassafrasgrade.work_tables import Urgency, is_startable
 
 # Hosts that stay in a pool even when it is idle.
 MIN_HOSTS = 1
@@ -300,15 +300,8 @@
         pool = tables.pool_of(job)
         for occurrence in job.occurrences.values():
             for row in occurrence.steps:
-                if row.left and not any(
-                    occurrence.steps[n].left for n in row.step.after
-                ):
-                    count = sum(
-                        1
-                        for task in row.tasks
-                        if not task.is_done and not task.runs_by_number
-                    )
-                    _add_demand(demands, pool, row.step, count)
+                if is_startable(occurrence, row):
+                    _add_demand(demands, pool, row.step, len(row.waiting))
     return demands
 
 
