Count placements and log those that take long

A leader that spent its time in placements could be told from one that waited for the store or its workers only by the lag of its loop. The metrics now have the duration and the slices of placements, and the line `long placement` names the number of open jobs. The rows of the leader that places in slices check both.

--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -80,10 +80,11 @@
     When it places and "<end>"
     Then its loop was free between the slices
     And the job that fits starts: "<starts>"
+    And its metrics count a placement of several slices: "<counted>"
 
     Examples:
-      | end                              | starts |
-      | all jobs have had their turn     | yes    |
-      | it loses its authority           | no     |
-      | it loses and regains it          | yes    |
-      | it is closed                     | no     |
+      | end                              | starts | counted |
+      | all jobs have had their turn     | yes    | yes     |
+      | it loses its authority           | no     | no      |
+      | it loses and regains it          | yes    | yes     |
+      | it is closed                     | no     | no      |
--- a/features/steps/large_job_steps.py
+++ b/features/steps/large_job_steps.py
@@ -181,3 +181,9 @@
 @then('the job that fits starts: "{starts}"')
 def check_start(context, starts):
     assert bool(context.leader.started) == (starts == "yes"), context.leader.started
+
+
+@then('its metrics count a placement of several slices: "{counted}"')
+def check_counted(context, counted):
+    slices = context.leader.counted_slices
+    assert (slices > 1) == (counted == "yes"), slices
--- a/features/support/large_jobs.py
+++ b/features/support/large_jobs.py
@@ -463,6 +463,13 @@
                 until = min(until, loop.time() + OBSERVED_S)
         self._leader.dispatcher.close()
 
+    @property
+    def counted_slices(self):
+        """Slices of ended placements, as the metrics show them."""
+        lines = self._leader.counters.expose().decode().splitlines()
+        name = "sassafrasgrade_node_placement_slices_total "
+        return sum(float(x.removeprefix(name)) for x in lines if x.startswith(name))
+
     def _may_go_on(self):
         return self._leadership.may_start and not self._leader.dispatcher._is_closed
 
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -76,6 +76,9 @@
 # Minimum delay before the next placement, as a multiple of the time that the last
 # one took: a long backlog must not starve long polls and orders of CPU time.
 PLACEMENT_PAUSE_FACTOR = 3.0
+# Duration from which a placement is logged, in seconds: so long may a new job wait
+# for its turn.
+LONG_PLACEMENT_S = 0.5
 TICK_S = PLAN_INTERVAL_S
 # Delay before an unanswered stop is sent again, in seconds.
 STOP_RETRY_S = 0.6
@@ -134,6 +137,7 @@
         self._placement = None
         self._is_placement_due = False
         self._is_slice_scheduled = False
+        self._placement_began_at, self._slices = 0.0, 0
         self._placement_delay_s = PLACEMENT_DELAY_S
         self._periodic = None
         self._began_at = self.timers.now()
@@ -654,16 +658,32 @@
             self._placement = PlacementRound(
                 self.tables, self.learned_durations, self.timers.wall_time()
             )
+            self._placement_began_at, self._slices = self.timers.now(), 0
         placement, self._placement = self._placement, None
         self._carry_out_all(placement.next_slice(self.timers.now()))
+        self._slices += 1
         if placement.is_finished:
             self.tables.tickets.end_placement()
+            self._record_placement()
         else:
             self._placement = placement
         if self.tables.dirty_job_ids:
             self._writer.schedule(False)
         self._advice.wake()
 
+    def _record_placement(self):
+        spent_s = self.timers.now() - self._placement_began_at
+        self.counters.count_placement(self._slices, spent_s)
+        if spent_s > LONG_PLACEMENT_S:
+            logger.info(
+                "long placement",
+                extra={
+                    "slices": self._slices,
+                    "spent_s": round(spent_s, 2),
+                    "open_jobs": len(self.tables.open_jobs_by_id),
+                },
+            )
+
     def _tick(self, now):
         if self._is_closed or not self.is_loaded:
             return
--- a/sassafrasgrade/node_counters.py
+++ b/sassafrasgrade/node_counters.py
@@ -47,6 +47,12 @@
         self._host_orders = self._counter(
             "host_orders", "Orders on hosts by kind and outcome.", ["kind", "outcome"]
         )
+        self._placements = self._histogram(
+            "placement_seconds", "Time from the first to the last slice.", []
+        )
+        self._placement_slices = self._counter(
+            "placement_slices", "Slices of placements.", []
+        )
         self._leadership_gauge = Gauge(
             f"{PREFIX}_leads", "Whether this node leads.", registry=self._registry
         )
@@ -112,6 +118,11 @@
         """Counts an order to a host."""
         self._child(self._host_orders, kind, outcome).inc()
 
+    def count_placement(self, slices, seconds):
+        """Counts a placement of waiting tasks that has ended."""
+        self._child(self._placements).observe(seconds)
+        self._child(self._placement_slices).inc(slices)
+
     def record_leadership(self, is_leader):
         """Sets whether this node is leader, and counts a leadership gained."""
         self._leadership_gauge.set(int(is_leader))
