Create the objects of tasks only when they are asked for

Each waiting task took 0.9 KB.

Cause: a leader made an object of each task when it loaded a job, in one go for all jobs: 10,000 tasks took 58 ms, more as the collector's work grew with them. A leader that is silent for 1 s is replaced.

Change: a step's row holds the indices of its waiting, running and done tasks; `StepTasks` makes a task an object when it is first asked for, and `find_task` reads its name instead of a table of all names. What is common to the tasks of a step is kept with the row: whether no earlier leader can have started them, and the starts of unknown outcome, which a job's record names by step (`unrecorded_by_step`, a new last part that earlier versions ignore), where it named each waiting task before. A step that a barrier holds back is passed over as a whole.

--- a/features/steps/job_accounting_steps.py
+++ b/features/steps/job_accounting_steps.py
@@ -232,7 +232,7 @@
 def check_only_stopped(context):
     found = [c for c in context.commands if not isinstance(c, LogEvent)]
     assert found == [StopUnknownRun("worker-0", context.listed, 1)], found
-    assert context.listed not in context.tables.tasks_by_name
+    assert find_task(context.tables, context.listed) is None
     assert not context.worker.has_runs
 
 
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -40,6 +40,7 @@
 from sassafrasgrade.systems.run_updates import remove_worker
 from sassafrasgrade.systems.slow_runs import copy_overdue_runs, stop_stalled
 from sassafrasgrade.work_commands import MoveHost, StopRun
+from sassafrasgrade.work_tables import step_row_of
 from sassafrasgrade.worker_registrations import apply_item
 
 
@@ -360,7 +361,8 @@
         copy = [(1, first.name, 100_002, "done")]
         apply_worker_view(tables, other, NOW + 1, ended=copy)
     assert first.is_done
-    assert tables.is_held(second) == (held == "yes"), second
+    is_held = tables.is_held(second.job, step_row_of(second))
+    assert is_held == (held == "yes"), second
 
 
 @then("a copy of run {number:d}, adopted in epoch {epoch:d}, has the number {copy:d}")
--- a/features/support/crash_simulations.py
+++ b/features/support/crash_simulations.py
@@ -22,7 +22,7 @@
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.run_updates import remove_worker
-from sassafrasgrade.work_tables import MS_PER_S, RunState, WorkState
+from sassafrasgrade.work_tables import MS_PER_S, RunState, WorkState, known_tasks
 
 TICK_S = 0.1
 TASK_S = 1.0
@@ -174,8 +174,9 @@
     def _place(self, now):
         unsaved = {
             task.name
-            for task in self.tables.tasks_by_name.values()
-            if task.crashes and task.job.is_dirty
+            for job in self.tables.jobs_by_id.values()
+            for task in known_tasks(job)
+            if task.crashes and job.is_dirty
         }
         commands = place_tasks(
             self.tables, POOL, LearnedDurations(), now, NOW_UNIX + now - NOW
--- a/features/support/granted_leases.py
+++ b/features/support/granted_leases.py
@@ -11,6 +11,7 @@
 from features.support.takeovers import Takeover, job_item, registration
 from features.support.work_tables import start_run
 from sassafrasgrade.dispatchers import REFUSED_PAUSE_S
+from sassafrasgrade.job_records import find_task
 from sassafrasgrade.platform.messages import RunningRow, WorkerView
 from sassafrasgrade.platform.workers import OrderOutcome, WorkerReply
 from sassafrasgrade.systems.task_placement import is_usable
@@ -186,7 +187,7 @@
         return sending
 
     def _place(self, job):
-        task = self.leader.tables.tasks_by_name[f"{job}.0.0.0"]
+        task = find_task(self.leader.tables, f"{job}.0.0.0")
         now = self.timers.now()
         run = start_run(task, self.session.worker, RunState.STARTING, now)
         run.deadline_ms = 0.0
@@ -204,7 +205,7 @@
             await self.poll()
             self.leader.wait(STEP_S)
             for job in JOBS:
-                task = self.leader.tables.tasks_by_name[f"{job}.0.0.0"]
+                task = find_task(self.leader.tables, f"{job}.0.0.0")
                 if not task.runs_by_number and task.last_number:
                     freed_by_task.setdefault(job, self.timers.now())
         return freed_by_task
@@ -350,5 +351,5 @@
     if is_listed_later:
         worker.timers.advance(REFUSED_PAUSE_S)
         await worker.poll()
-    task = worker.leader.tables.tasks_by_name[f"{JOBS[0]}.0.0.0"]
+    task = find_task(worker.leader.tables, f"{JOBS[0]}.0.0.0")
     return not task.runs_by_number, is_usable(row, worker.timers.now())
--- a/features/support/large_jobs.py
+++ b/features/support/large_jobs.py
@@ -395,6 +395,7 @@
     "it loses and regains it": end_by_pause,
     "it is closed": end_by_close,
 }
+FINAL_ENDS = ("it loses its authority", "it is closed")
 FITTING_JOB = "e" * 16
 # Time after which a leader that may start tasks has started them, in seconds.
 LONGEST_PLACEMENT_S = 10.0
@@ -430,6 +431,7 @@
             leadership=self._leadership, epoch=1, timers=timers, store=MemoryStore()
         )
         self._end = ENDS[end]
+        self._is_final = end in FINAL_ENDS
         self._place_slice = self._leader.dispatcher._place_slice
         self._load(jobs, timers.wall_time())
 
@@ -459,7 +461,7 @@
         until = loop.time() + LONGEST_PLACEMENT_S
         while not self.started and loop.time() < until:
             await asyncio.sleep(0)
-            if self.slices and not self._may_go_on():
+            if self.slices and self._is_final:
                 until = min(until, loop.time() + OBSERVED_S)
         self._leader.dispatcher.close()
 
@@ -470,9 +472,6 @@
         name = "sassafrasgrade_node_placement_slices_total "
         return sum(float(x.removeprefix(name)) for x in lines if x.startswith(name))
 
-    def _may_go_on(self):
-        return self._leadership.may_start and not self._leader.dispatcher._is_closed
-
 
 def play_leader(jobs, end):
     """Returns a ``PlacingLeader`` after its placements."""
--- a/features/support/other_incarnations.py
+++ b/features/support/other_incarnations.py
@@ -21,6 +21,7 @@
 from features.support.takeovers import TOKEN, Takeover, job_item
 from features.support.virtual.networks import FakeCurl
 from sassafrasgrade.http_clients import create_http_client
+from sassafrasgrade.job_records import find_task
 from sassafrasgrade.leaderships import LEASE_MARGIN_S
 from sassafrasgrade.members import LEASE_TTL_S
 from sassafrasgrade.platform.calls import SendTracker
@@ -111,7 +112,7 @@
     worker = await CASES_BY_NAME[case]()
     life, task = (
         worker.next_life,
-        worker.leader.tables.tasks_by_name[f"{JOBS[0]}.0.0.0"],
+        find_task(worker.leader.tables, f"{JOBS[0]}.0.0.0"),
     )
     assert life.rows and task.runs_by_number, "the next incarnation runs it"
     worker.client.present = None
@@ -149,7 +150,7 @@
     await worker.start(JOBS[1])
     assert next_life.rows
     tables = worker.leader.tables
-    former, present = (tables.tasks_by_name[f"{job}.0.0.0"] for job in JOBS)
+    former, present = (find_task(tables, f"{job}.0.0.0") for job in JOBS)
     worker.client.present = None
     for _ in range(round(WATCHED_S / STEP_S)):
         await worker.poll()
--- a/features/support/silent_workers.py
+++ b/features/support/silent_workers.py
@@ -8,6 +8,7 @@
 from features.support.takeovers import Takeover, job_item, registration
 from features.support.work_tables import POOL, start_run
 from sassafrasgrade.fleet_hosts import STATE_UP, HostRow
+from sassafrasgrade.job_records import find_task
 from sassafrasgrade.platform.clouds import HostOrderOutcome
 from sassafrasgrade.platform.messages import Capacity
 from sassafrasgrade.progress_writers import EndsCheckpoint
@@ -32,7 +33,7 @@
     leader.report("worker-0", born_ms=BORN_MS)
     leader.report("worker-1", born_ms=BORN_MS)
     worker = leader.tables.workers_by_id["worker-0"]
-    run = start_run(leader.tables.tasks_by_name[TASK], worker, state)
+    run = start_run(find_task(leader.tables, TASK), worker, state)
     worker.lease_until = leader.timers.now() + LEASE_S
     if is_silent:
         worker.unresponsive_since = leader.timers.now()
@@ -152,7 +153,7 @@
     leader.report("worker-0")
     leader.report("worker-1")
     worker = leader.tables.workers_by_id["worker-0"]
-    start_run(leader.tables.tasks_by_name[TASK], worker)
+    start_run(find_task(leader.tables, TASK), worker)
     worker.unresponsive_since = leader.timers.now()
     leader.wait(wait_s)
     leader.report("worker-1")
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -21,6 +21,7 @@
     WorkTables,
     create_occurrence,
     record_queue_pool,
+    step_row_of,
 )
 
 logger = logging.getLogger(__name__)
@@ -76,6 +77,7 @@
         crashes: Crashes of workers under tasks, by task name without the job's id.
         unrecorded_starts: Number of starts of whose outcome nothing is known, by task
             name without the job's id.
+        unrecorded_by_step: The same by ``occurrence.step``, for its other tasks.
     """
 
     state: WorkState
@@ -85,6 +87,7 @@
     done_occurrences: list[int]
     crashes: dict[str, list[Crash]] = {}
     unrecorded_starts: dict[str, Whole] = {}
+    unrecorded_by_step: dict[str, Whole] = {}
 
 
 _submitted_decoder = msgspec.msgpack.Decoder(SubmittedJob)
@@ -144,22 +147,25 @@
 def progress_of(job: Job):
     """Returns the ``JobProgress`` to store for a job."""
     done, failures, crashes, unrecorded_starts = {}, {}, {}, {}
+    unrecorded_by_step = {}
     for occurrence in job.occurrences.values():
         if occurrence.number in job.done_occurrences:
             continue
         for row in occurrence.steps:
-            indices = [task.index for task in row.tasks if task.is_done]
-            if indices:
-                done[f"{occurrence.number}.{row.number}"] = indices
-            for task in row.tasks:
-                if task.is_done or not _has_history(task):
+            step_name = f"{occurrence.number}.{row.number}"
+            if row.done:
+                done[step_name] = sorted(row.done)
+            if row.unrecorded_starts:
+                unrecorded_by_step[step_name] = row.unrecorded_starts
+            for task in row.tasks.known():
+                if task.is_done:
                     continue
-                name = task.name.partition(".")[2]
+                name = f"{step_name}.{task.index}"
                 if task.failed_numbers:
                     failures[name] = sorted(task.failed_numbers)
                 if task.crashes:
                     crashes[name] = list(task.crashes)
-                if task.unrecorded_starts:
+                if task.unrecorded_starts != row.unrecorded_starts:
                     unrecorded_starts[name] = task.unrecorded_starts
     return JobProgress(
         job.pending_state or job.state,
@@ -169,14 +175,10 @@
         sorted(job.done_occurrences),
         crashes,
         unrecorded_starts,
+        unrecorded_by_step,
     )
 
 
-def _has_history(task):
-    """Whether more is to be stored of a task than that it is not done."""
-    return task.failed_numbers or task.crashes or task.unrecorded_starts
-
-
 def add_job(tables: WorkTables, job_id, submitted: SubmittedJob):
     """Adds a job to the tables; returns it, or the ``Job`` that is already there."""
     known = tables.jobs_by_id.get(job_id)
@@ -191,32 +193,42 @@
     tables.open_jobs_by_id[job_id] = job
     tables.has_seen_work = tables.has_seen_work or not job.has_perpetual_steps
     if submitted.request.repeats <= 0:
-        add_occurrence(tables, job, 0)
+        create_occurrence(job, 0)
     return job
 
 
-def add_occurrence(tables, job, number):
-    """Creates the tasks of an occurrence in the tables."""
-    for task in create_occurrence(job, number):
-        tables.tasks_by_name[task.name] = task
-
-
 def find_task(tables, name):
     """Returns a task by its name, or None.
 
     Adds its occurrence if it is not in the tables: another leader, whose clock was
     ahead, may have created it already.
     """
-    task = tables.tasks_by_name.get(name)
     job = tables.jobs_by_id.get(job_id_of(name))
-    if task is not None or job is None or not job.is_open:
-        return task
-    number = _occurrence_number(name)
-    is_known = number in job.occurrences or number in job.done_occurrences
-    if number is None or is_known or number >= job.request.repeats:
+    numbers = _numbers_in(name)
+    if job is None or numbers is None:
+        return None
+    number, step_number, index = numbers
+    if number not in job.occurrences:
+        is_done = number in job.done_occurrences
+        if not job.is_open or is_done or number >= job.request.repeats:
+            return None
+        create_occurrence(job, number)
+    rows = job.occurrences[number].steps
+    if step_number >= len(rows) or index >= len(rows[step_number].tasks):
         return None
-    add_occurrence(tables, job, number)
-    return tables.tasks_by_name.get(name)
+    return rows[step_number].tasks[index]
+
+
+def _numbers_in(task_name):
+    """Returns the numbers of occurrence, step and task in a name, or None."""
+    parts = task_name.split(".")[OCCURRENCE_PART:]
+    try:
+        numbers = [int(part) for part in parts]
+    except ValueError:
+        return None
+    # Only the usual form names a task: not "01" or "+1".
+    is_usual = [str(number) for number in numbers] == parts
+    return numbers if is_usual and len(parts) == 3 and min(numbers) >= 0 else None
 
 
 def find_step(tables, task_name):
@@ -239,11 +251,6 @@
     return parts[position] if position < len(parts) else ""
 
 
-def _occurrence_number(task_name):
-    part = _part_of(task_name, OCCURRENCE_PART)
-    return int(part) if part.isascii() and part.isdigit() else None
-
-
 def without_perpetual_ends(request, progress):
     """Returns progress without the claim that perpetual tasks are done.
 
@@ -305,10 +312,14 @@
     for name, indices in progress.done.items():
         number, step_number = (int(part) for part in name.split("."))
         if number not in job.occurrences:
-            add_occurrence(tables, job, number)
+            create_occurrence(job, number)
         row = job.occurrences[number].steps[step_number]
         for index in indices:
-            row.mark_done(row.tasks[index])
+            row.mark_done(index)
+    for name, count in progress.unrecorded_by_step.items():
+        first_task = find_task(tables, f"{job.job_id}.{name}.0")
+        if first_task is not None:
+            step_row_of(first_task).set_unrecorded_starts(count)
     # Occurrences are created when they are due; those with attempts were.
     for name, numbers in progress.failures.items():
         task = find_task(tables, f"{job.job_id}.{name}")
--- a/sassafrasgrade/job_sweeps.py
+++ b/sassafrasgrade/job_sweeps.py
@@ -71,10 +71,6 @@
         tables = self._dispatcher.tables
         for job_id in job_ids:
             self._seen_ended_at.pop(job_id, None)
-            job = tables.jobs_by_id.pop(job_id, None)
+            tables.jobs_by_id.pop(job_id, None)
             tables.tickets.forget_job(job_id)
-            for occurrence in job.occurrences.values() if job else ():
-                for row in occurrence.steps:
-                    for task in row.tasks:
-                        tables.tasks_by_name.pop(task.name, None)
         logger.info("ended jobs removed", extra={"jobs": len(job_ids)})
--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -17,7 +17,7 @@
 
 from sassafrasgrade.systems.run_updates import end_job, lasted_s_of, stop_job_runs
 from sassafrasgrade.work_commands import AskWorker, LogEvent
-from sassafrasgrade.work_tables import Crash, CrashedTask, WorkState
+from sassafrasgrade.work_tables import Crash, CrashedTask, WorkState, is_startable
 
 # A run that lasted for longer is not held responsible for a crash, in seconds.
 RESPONSIBLE_S = 5.0
@@ -186,23 +186,26 @@
         is_handed_over: Whether the last leader handed over all that it knew.
         now: Current clock in seconds.
     """
-    for task in _tasks_due(tables):
-        may_have_started = not is_handed_over or now < task.blocked_until
-        if may_have_started and not task.runs_by_number:
+    for row in _rows_due(tables):
+        if not is_handed_over:
+            row.unrecorded_starts += 1
+        for task in row.tasks.known():
+            may_have_started = not is_handed_over or now < task.blocked_until
+            if task.is_done or task.runs_by_number or not may_have_started:
+                continue
             task.unrecorded_starts += 1
             if task.crashes:
                 # Others are stored with the next change: a takeover writes little.
                 tables.mark_dirty(task.job)
 
 
-def _tasks_due(tables):
-    """Yields the tasks of started jobs that an earlier leader may have started."""
+def _rows_due(tables):
+    """Yields the steps of started jobs that an earlier leader may have started."""
     for job in tables.open_jobs_by_id.values():
         for occurrence in job.occurrences.values() if job.has_started else ():
-            steps = occurrence.steps
-            for row in steps:
-                if not any(steps[number].left for number in row.step.after):
-                    yield from (task for task in row.tasks if not task.is_done)
+            for row in occurrence.steps:
+                if is_startable(occurrence, row):
+                    yield row
 
 
 def _describe_crash(crashed):
@@ -237,10 +240,11 @@
 
 def _has_sound_tasks(job):
     return any(
-        task.step.is_perpetual and not is_convicted(task)
+        len(row.tasks.known()) < len(row.tasks)
+        or not all(is_convicted(task) for task in row.tasks.known())
         for occurrence in job.occurrences.values()
         for row in occurrence.steps
-        for task in row.tasks
+        if row.step.is_perpetual
     )
 
 
--- a/sassafrasgrade/systems/occurrences.py
+++ b/sassafrasgrade/systems/occurrences.py
@@ -1,8 +1,7 @@
 """Creates the occurrences of scheduled jobs when they are due."""
 
-from sassafrasgrade.job_records import add_occurrence
 from sassafrasgrade.work_commands import LogEvent
-from sassafrasgrade.work_tables import MS_PER_S
+from sassafrasgrade.work_tables import MS_PER_S, create_occurrence
 
 # Limit of a job's unfinished tasks over all its occurrences; later ones are created
 # once earlier ones are done. A job whose first occurrence is due years ago must not
@@ -33,7 +32,7 @@
             job.next_occurrence += 1
             if number in job.done_occurrences or number in job.occurrences:
                 continue
-            add_occurrence(tables, job, number)
+            create_occurrence(job, number)
             events.append(
                 LogEvent("occurrence-due", {"job": job.job_id, "occurrence": number})
             )
@@ -46,6 +45,4 @@
         if job.request.repeats <= 0:
             continue
         for number in job.done_occurrences & job.occurrences.keys():
-            for row in job.occurrences.pop(number).steps:
-                for task in row.tasks:
-                    tables.tasks_by_name.pop(task.name, None)
+            del job.occurrences[number]
--- a/sassafrasgrade/systems/placement_passes.py
+++ b/sassafrasgrade/systems/placement_passes.py
@@ -208,8 +208,17 @@
         if not row.waiting or not is_startable(occurrence, row):
             return False
         row.startable_since = row.startable_since or self._now
+        if self._tables.is_held(job, row):
+            self._note_waiting_suspects(row)
+            return False
         return not self._full_sizes.include(row.step, _is_restricted(job))
 
+    def _note_waiting_suspects(self, row):
+        """Notes since when suspect tasks wait for a worker of their own."""
+        for task in row.tasks.known():
+            self._work_done += HELD_TASK_WORK
+            may_start(self._tables, task, row, self._now)
+
     def _is_open(self, job):
         is_known = self._tables.open_jobs_by_id.get(job.job_id) is job
         return is_known and self._tables.pool_of(job) == self.pool_name
@@ -217,7 +226,7 @@
     def _place_step(self, job, row):
         """Starts the tasks of a step until one of them finds no room."""
         step_slice = 0
-        for index in tuple(row.waiting):
+        for index in row.waiting[:]:
             if not self._is_open(job):
                 return
             if step_slice != self._slice:
--- a/sassafrasgrade/systems/run_updates.py
+++ b/sassafrasgrade/systems/run_updates.py
@@ -27,6 +27,7 @@
     WorkTables,
     add_run,
     is_startable,
+    known_tasks,
     remove_run,
     step_row_of,
 )
@@ -437,7 +438,8 @@
     ]
     blocked = [
         HandedOverRun(task.name, task.last_number, "", task.blocked_until - now)
-        for task in tables.tasks_by_name.values()
+        for job in tables.jobs_by_id.values()
+        for task in known_tasks(job)
         if now < task.blocked_until
     ]
     return tuple(runs + blocked)
@@ -518,8 +520,7 @@
     for following in steps:
         is_next = task.step_number in following.step.after
         if is_next and not any(steps[n].left for n in following.step.after):
-            for other in following.tasks:
-                other.is_new = True
+            following.release()
 
 
 def finish_task(tables, task: Task, now):
@@ -530,7 +531,7 @@
     for member in members:
         if member.is_done:
             continue
-        row.mark_done(member)
+        row.mark_done(member.index)
         commands += [
             StopRun(run, "another run finished")
             for run in member.runs_by_number.values()
@@ -595,9 +596,7 @@
     """
     return [
         command
-        for occurrence in job.occurrences.values()
-        for row in occurrence.steps
-        for task in row.tasks
+        for task in known_tasks(job)
         if task.failed_numbers
         for command in _end_if_task_exhausted(tables, task)
     ]
@@ -617,8 +616,8 @@
         StopRun(run, reason)
         for occurrence in job.occurrences.values()
         for row in occurrence.steps
-        for task in row.tasks
-        for run in task.runs_by_number.values()
+        for index in sorted(row.running)
+        for run in row.tasks[index].runs_by_number.values()
     ]
 
 
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -50,7 +50,8 @@
             continue
         usual_speed = tables.usual_speeds_by_pool.get(worker.pool, 0.0)
         for run in worker.runs_by_key.values():
-            if run.state is not RunState.RUNNING or run.stopped_at:
+            is_running = run.state is RunState.RUNNING and not run.stopped_at
+            if not is_running or run.task.is_done:
                 continue
             reason = _restart_reason(worker, run, learned_durations, usual_speed, now)
             if reason and alternatives.exist(worker, run.task):
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -242,7 +242,7 @@
     # A suspect waits for a worker of its own from the moment at which it may start.
     since = now if task.crashes else row.startable_since
     task.waiting_since = task.waiting_since or since
-    return task.blocked_until <= now and not tables.is_held(task)
+    return task.blocked_until <= now and not tables.is_held(task.job, row)
 
 
 def choose_group(tables, group, row, candidates, now):
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -1,6 +1,7 @@
 """Tables of jobs, their tasks and runs, and of the workers that run them."""
 
 import math
+from array import array
 from bisect import bisect_left, insort
 from collections import Counter
 from dataclasses import dataclass, field
@@ -260,9 +261,75 @@
         return self.task.name, self.run
 
 
+class StepTasks:
+    """Tasks of a step in one occurrence, by index.
+
+    A task becomes an object when it is first asked for: a job may have thousands of
+    tasks, of which most only wait.
+
+    Args:
+        job: The job.
+        occurrence: Number of the occurrence.
+        number: Number of the step.
+    """
+
+    __slots__ = ("_job", "_occurrence", "_number", "_step", "_saved", "_row", "_known")
+
+    def __init__(self, job, occurrence, number):
+        self._job = job
+        self._occurrence = occurrence
+        self._number = number
+        self._step = job.request.steps[number]
+        # The members of a gang work only if all resume from the same value.
+        self._saved = SavedProgress() if self._step.is_gang else None
+        self._row = None
+        self._known = {}
+
+    def __len__(self):
+        return self._step.count
+
+    def __getitem__(self, index):
+        task = self._known.get(index)
+        if task is None:
+            if not 0 <= index < len(self):
+                raise IndexError(index)
+            task = self._known[index] = self._create(index)
+        return task
+
+    def __iter__(self):
+        return (self[index] for index in range(len(self)))
+
+    def known(self):
+        """Returns the tasks that are objects already."""
+        return list(self._known.values())
+
+    def find_known(self, index):
+        """Returns a task if it is an object already, or None."""
+        return self._known.get(index)
+
+    def belong_to(self, row):
+        """Sets the ``StepRow`` that tells what is common to all tasks."""
+        self._row = row
+
+    def _create(self, index):
+        row = self._row
+        return Task(
+            f"{self._job.job_id}.{self._occurrence}.{self._number}.{index}",
+            self._job,
+            self._occurrence,
+            self._number,
+            index,
+            self._step,
+            is_done=index in row.done,
+            saved=self._saved or SavedProgress(),
+            is_new=row.is_new,
+            unrecorded_starts=row.unrecorded_starts,
+        )
+
+
 @dataclass(slots=True, eq=False)
 class StepRow:
-    """Tasks of a step in one occurrence.
+    """A step in one occurrence.
 
     What is counted here changes with each run, so that no decision on one task has to
     look at all others.
@@ -270,22 +337,36 @@
     Attributes:
         step: What the step asks for.
         number: Number of the step.
-        tasks: Its tasks by index.
-        left: Number of tasks not done.
+        tasks: Its ``StepTasks``.
+        done: Indices of the tasks that are done.
         waiting: Indices of the tasks that are not done and have no run, ascending.
         running: Indices of the tasks that have runs.
         runs_by_worker: Number of runs by worker id, of workers that have any.
         startable_since: Clock when its tasks were first found startable; 0 before.
+        is_new: Whether no earlier leader can have started any of its tasks, although
+            its job is inherited.
+        unrecorded_starts: As of a ``Task``, for each task that is no object yet.
     """
 
     step: Step
     number: int
-    tasks: list[Task]
-    left: int
-    waiting: list[int]
+    tasks: StepTasks
+    done: set[int] = field(default_factory=set)
+    waiting: array = field(init=False)
     running: set[int] = field(default_factory=set)
     runs_by_worker: Counter[str] = field(default_factory=Counter)
     startable_since: float = 0.0
+    is_new: bool = False
+    unrecorded_starts: int = 0
+
+    def __post_init__(self):
+        self.waiting = array("I", range(len(self.tasks)))
+        self.tasks.belong_to(self)
+
+    @property
+    def left(self):
+        """Number of tasks not done."""
+        return len(self.tasks) - len(self.done)
 
     def add_run(self, run):
         """Adds a run of one of its tasks; it replaces one of the same number."""
@@ -296,7 +377,7 @@
         task.runs_by_number[run.number] = run
         self.runs_by_worker[run.worker_id] += 1
         self.running.add(task.index)
-        self._remove_waiting(task)
+        self._remove_waiting(task.index)
 
     def remove_run(self, task, number):
         """Removes a run of one of its tasks, if it is known."""
@@ -310,21 +391,34 @@
         if not task.is_done:
             insort(self.waiting, task.index)
 
-    def mark_done(self, task):
+    def mark_done(self, index):
         """Marks one of its tasks as done."""
-        if not task.is_done:
+        self.done.add(index)
+        self._remove_waiting(index)
+        task = self.tasks.find_known(index)
+        if task is not None:
             task.is_done = True
-            self.left -= 1
-            self._remove_waiting(task)
+
+    def set_unrecorded_starts(self, count):
+        """Sets the number of starts of whose outcome nothing is known, of each task."""
+        self.unrecorded_starts = count
+        for task in self.tasks.known():
+            task.unrecorded_starts = count
+
+    def release(self):
+        """Notes that no earlier leader can have started any of its tasks."""
+        self.is_new = True
+        for task in self.tasks.known():
+            task.is_new = True
 
     def _uncount(self, run):
         self.runs_by_worker[run.worker_id] -= 1
         if not self.runs_by_worker[run.worker_id]:
             del self.runs_by_worker[run.worker_id]
 
-    def _remove_waiting(self, task):
-        position = bisect_left(self.waiting, task.index)
-        if self.waiting[position : position + 1] == [task.index]:
+    def _remove_waiting(self, index):
+        position = bisect_left(self.waiting, index)
+        if position < len(self.waiting) and self.waiting[position] == index:
             del self.waiting[position]
 
 
@@ -643,7 +737,6 @@
     pools_by_name: dict[str, Pool] = field(default_factory=dict)
     jobs_by_id: dict[str, Job] = field(default_factory=dict)
     open_jobs_by_id: dict[str, Job] = field(default_factory=dict)
-    tasks_by_name: dict[str, Task] = field(default_factory=dict)
     workers_by_id: dict[str, Worker] = field(default_factory=dict)
     dirty_job_ids: set[str] = field(default_factory=set)
     tickets: TicketTable = field(default_factory=TicketTable)
@@ -670,23 +763,23 @@
         self.pools_by_name = {pool.name: pool for pool in configuration.pools}
         record_queues(self.queues_by_name, self.pools_by_queue, configuration)
 
-    def is_held(self, task):
-        """Whether a task must not start, as an unreported worker may still run it."""
-        is_lasting = task.step.is_perpetual and task.job.has_started
+    def is_held(self, job, row):
+        """Whether a step must not start, as an unreported worker may still run it."""
+        is_lasting = row.step.is_perpetual and job.has_started
         held = self.held_lasting_pools if is_lasting else self.held_pools
-        return self._is_in(held, task)
+        return self._is_in(held, job, row.is_new)
 
     def may_be_reported(self, task):
         """Whether an unreported worker may yet list a run of a task or its end."""
-        return self._is_in(self.held_pools, task)
+        return self._is_in(self.held_pools, task.job, task.is_new)
 
-    def _is_in(self, held, task):
+    def _is_in(self, held, job, is_new):
         # A run stays on a worker of the pool that its queue had when it started.
-        if not task.job.is_inherited or task.is_new:
+        if not job.is_inherited or is_new:
             return False
         if held is ALL_POOLS:
             return True
-        pools = self.pools_by_queue.get(task.job.queue_name, ())
+        pools = self.pools_by_queue.get(job.queue_name, ())
         return not held.isdisjoint(pools)
 
     def queue_of(self, job):
@@ -728,32 +821,23 @@
 
 
 def create_occurrence(job, number):
-    """Creates the rows of one occurrence and returns its tasks."""
+    """Adds the rows of one occurrence to a job."""
     request = job.request
     due_at = job.accepted_at
     if request.repeats > 0:
         due_at = (request.first_ms + number * request.interval_ms) / MS_PER_S
-    rows = []
-    for step_number, step in enumerate(request.steps):
-        # The members of a gang work only if all resume from the same value.
-        shared = SavedProgress() if step.is_gang else None
-        tasks = [
-            Task(
-                f"{job.job_id}.{number}.{step_number}.{index}",
-                job,
-                number,
-                step_number,
-                index,
-                step,
-                saved=shared or SavedProgress(),
-            )
-            for index in range(step.count)
-        ]
-        waiting = list(range(step.count))
-        rows.append(StepRow(step, step_number, tasks, len(tasks), waiting))
-    occurrence = Occurrence(number, due_at, rows)
-    job.occurrences[number] = occurrence
-    return [task for row in rows for task in row.tasks]
+    rows = [
+        StepRow(step, step_number, StepTasks(job, number, step_number))
+        for step_number, step in enumerate(request.steps)
+    ]
+    job.occurrences[number] = Occurrence(number, due_at, rows)
+
+
+def known_tasks(job):
+    """Yields the tasks of a job that are objects already."""
+    for occurrence in job.occurrences.values():
+        for row in occurrence.steps:
+            yield from row.tasks.known()
 
 
 def step_row_of(task):
