Let go of a leader's tables once another node leads

What callers saw: a node's memory grew with each leadership that it gained, by some 70 MB with 80,000 waiting tasks, until the platform would end its process.

Cause: a timer service kept its periodic calls, and with them what they call, after they had been stopped: a closed dispatcher with all its tables.

Change: a subscription that is stopped is dropped by its timer service.

Evidence: gc.get_referrers led from a closed dispatcher to the list of the timer service. The row "holds no tables" found 5 tables left of 5 leaderships before, and none now.

--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -88,3 +88,17 @@
       | it loses its authority           | no     | no      |
       | it loses and regains it          | yes    | yes     |
       | it is closed                     | no     | no      |
+
+  # Each leadership that a node gained left its tables behind: 70 MB with 80,000
+  # waiting tasks.
+  Scenario: a node that has lost the leadership holds no tables of it
+    When a node leads 5 times and loses the leadership each time
+    Then 0 of the tables of its leaderships are left
+
+  Scenario Outline: a task that waits takes little memory
+    Then a waiting task of <count> takes at most 100 bytes
+
+    Examples:
+      | count  |
+      | 1000   |
+      | 10000  |
--- a/features/steps/large_job_steps.py
+++ b/features/steps/large_job_steps.py
@@ -7,7 +7,9 @@
     SLOTS,
     SlicedPlacement,
     add_step,
+    bytes_of_waiting_task,
     fill_pool,
+    lead_and_lose,
     place,
     play_leader,
     slice_work,
@@ -187,3 +189,19 @@
 def check_counted(context, counted):
     slices = context.leader.counted_slices
     assert (slices > 1) == (counted == "yes"), slices
+
+
+@when("a node leads {times:d} times and loses the leadership each time")
+def lose_leaderships(context, times):
+    context.left = lead_and_lose(times)
+
+
+@then("{count:d} of the tables of its leaderships are left")
+def check_left(context, count):
+    assert context.left == count, context.left
+
+
+@then("a waiting task of {count:d} takes at most {most:d} bytes")
+def check_bytes(context, count, most):
+    found = bytes_of_waiting_task(count)
+    assert found <= most, found
--- a/features/support/large_jobs.py
+++ b/features/support/large_jobs.py
@@ -1,6 +1,8 @@
 """Pools and leaders with large jobs, and with many jobs."""
 
 import asyncio
+import gc
+import tracemalloc
 
 from features.support.memory_stores import MemoryStore
 from features.support.takeovers import FakeLeadership, Takeover
@@ -40,9 +42,9 @@
 from sassafrasgrade.systems.occurrences import create_due
 from sassafrasgrade.systems.placement_passes import PlacementPass
 from sassafrasgrade.systems.slow_runs import stop_stalled
-from sassafrasgrade.timers import FakeTimerService
+from sassafrasgrade.timers import FakeTimerService, TimerService
 from sassafrasgrade.work_commands import StartRun
-from sassafrasgrade.work_tables import Crash, RunState
+from sassafrasgrade.work_tables import Crash, RunState, WorkTables
 
 WORKERS = 5
 SLOTS = CAPACITY.cpu_millis // 1000
@@ -482,3 +484,63 @@
         return leader
 
     return asyncio.run(play())
+
+
+# Memory.
+
+# Time in which a leader starts tasks and its periodic calls run, in seconds.
+LED_S = 0.25
+
+
+def lead_and_lose(times):
+    """Lets one node lead several times, with work each time.
+
+    Returns:
+        Number of tables that are left of its leaderships.
+    """
+
+    async def lead(timers):
+        leadership = LosingLeadership(timers)
+        leader = Takeover(leadership=leadership, timers=timers, store=MemoryStore())
+        dispatcher = leader.dispatcher
+        dispatcher._writer.schedule = lambda ends_job: None
+        jobs = [stored_job(f"{n:016x}", 0, cpu_millis=1000) for n in range(SLOTS)]
+        leader.load(jobs, ["worker-0"])
+        started = []
+        session = StartingSession(dispatcher._sessions_by_id["worker-0"], started)
+        dispatcher._sessions_by_id["worker-0"] = session
+        leader.report("worker-0")
+        await asyncio.sleep(LED_S)
+        assert started
+        dispatcher.close()
+
+    async def lead_again():
+        timers = TimerService()
+        for _ in range(times):
+            await lead(timers)
+        # Calls that were due before the last one was closed.
+        await asyncio.sleep(LED_S)
+        gc.collect()
+        return _count_tables()
+
+    gc.collect()
+    before = _count_tables()
+    return asyncio.run(lead_again()) - before
+
+
+def _count_tables():
+    return sum(isinstance(value, WorkTables) for value in gc.get_objects())
+
+
+def bytes_of_waiting_task(count):
+    """Returns the memory of a job whose tasks wait for room, in bytes a task."""
+    tables = create_tables()
+    fill_pool(tables)
+    tracemalloc.start()
+    try:
+        add_step(tables, count)
+        assert not place(tables)
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    return held / count
--- a/sassafrasgrade/timers.py
+++ b/sassafrasgrade/timers.py
@@ -61,11 +61,33 @@
             self._stepped_offset_s = None
 
 
+class Subscription:
+    """A periodic call of a ``TimerService``.
+
+    Args:
+        timers: The ``TimerService``.
+        period_s: Its period in seconds.
+        callback: Called with the time.
+    """
+
+    def __init__(self, timers, period_s, callback):
+        self._timers = timers
+        self._periodic = PeriodicCallback(
+            lambda: callback(timers.now()), period_s * MS_PER_S, jitter=0.1
+        )
+        self._periodic.start()
+
+    def stop(self):
+        """Stops the periodic call, and lets go of what it calls."""
+        self._periodic.stop()
+        self._timers.forget(self)
+
+
 class TimerService:
     """Calls subscribers periodically on the current event loop."""
 
     def __init__(self):
-        self._callbacks = []
+        self._subscriptions = set()
         self._wall_clock = WallClock(self.now, time.time)
 
     def now(self):
@@ -82,18 +104,18 @@
 
     def subscribe(self, period_s, callback):
         """Calls ``callback(now)`` every ``period_s`` seconds until ``stop``."""
-        periodic = PeriodicCallback(
-            lambda: callback(self.now()), period_s * MS_PER_S, jitter=0.1
-        )
-        periodic.start()
-        self._callbacks.append(periodic)
-        return periodic
+        subscription = Subscription(self, period_s, callback)
+        self._subscriptions.add(subscription)
+        return subscription
+
+    def forget(self, subscription):
+        """Drops a subscription that has ended."""
+        self._subscriptions.discard(subscription)
 
     def stop(self):
         """Stops all periodic calls."""
-        for periodic in self._callbacks:
-            periodic.stop()
-        self._callbacks.clear()
+        for subscription in list(self._subscriptions):
+            subscription.stop()
 
 
 class SuspendAwareTimerService(TimerService):
@@ -129,7 +151,7 @@
 
     def stop(self):
         """Stops the periodic call."""
-        self._timers.unsubscribe(self)
+        self._timers.forget(self)
 
 
 class FakeTimerService:
@@ -153,8 +175,8 @@
         self._subscriptions.append(subscription)
         return subscription
 
-    def unsubscribe(self, subscription):
-        """Ends a periodic call; does nothing if it has ended."""
+    def forget(self, subscription):
+        """Drops a subscription that has ended."""
         if subscription in self._subscriptions:
             self._subscriptions.remove(subscription)
 
