Let go of the objects of tasks that are done, and of ended jobs

What callers saw: nothing yet; the leader's memory grew by 1.1 KB for each task that ended, until its job was swept six minutes after its end.

Change: a step forgets a task that is done and has no run left; its index is enough. The occurrences of an ended job go once its end is stored and no run of it is left.

--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -102,3 +102,19 @@
       | count  |
       | 1000   |
       | 10000  |
+
+  Scenario: a task that is done takes little memory
+    Then a done task of a job of 1000 takes at most 200 bytes
+
+  Scenario Outline: a job that <state> keeps <tasks> tasks in the tables
+    Given a job of 4 tasks, two of which run
+    When "<state>" and ended jobs are swept
+    Then the tables keep its request, and <tasks> of its tasks
+
+    Examples:
+      | state                                | tasks |
+      | is open                              | 4     |
+      | is cancelled while its runs stop     | 4     |
+      | is cancelled and its runs have ended | 0     |
+      | has failed, which is not stored yet  | 4     |
+      | has failed                           | 0     |
--- a/features/steps/large_job_steps.py
+++ b/features/steps/large_job_steps.py
@@ -5,14 +5,17 @@
 from features.support.large_jobs import (
     LARGE_JOB,
     SLOTS,
+    SWEPT_STATES,
     SlicedPlacement,
     add_step,
+    bytes_of_done_task,
     bytes_of_waiting_task,
     fill_pool,
     lead_and_lose,
     place,
     play_leader,
     slice_work,
+    sweep_jobs,
     work_of,
 )
 from features.support.work_tables import (
@@ -205,3 +208,31 @@
 def check_bytes(context, count, most):
     found = bytes_of_waiting_task(count)
     assert found <= most, found
+
+
+@then("a done task of a job of {count:d} takes at most {most:d} bytes")
+def check_done_bytes(context, count, most):
+    found = bytes_of_done_task(count)
+    assert found <= most, found
+
+
+@given("a job of {tasks:d} tasks, two of which run")
+def start_two_tasks(context, tasks):
+    context.tables = create_tables(workers=1)
+    context.job = add_step(context.tables, tasks, cpu_millis=SLOTS * 500)
+    context.runs = place(context.tables)
+    assert len(context.runs) == 2, context.runs
+
+
+@when('"{state}" and ended jobs are swept')
+def sweep(context, state):
+    SWEPT_STATES[state](context.tables, context.job, context.runs)
+    sweep_jobs(context.tables)
+
+
+@then("the tables keep its request, and {tasks:d} of its tasks")
+def check_kept(context, tasks):
+    job = context.tables.jobs_by_id[LARGE_JOB]
+    rows = [row for o in job.occurrences.values() for row in o.steps]
+    assert sum(len(row.tasks) for row in rows) == tasks, rows
+    assert job.request.steps
--- a/features/support/large_jobs.py
+++ b/features/support/large_jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import tracemalloc
+from types import SimpleNamespace
 
 from features.support.memory_stores import MemoryStore
 from features.support.takeovers import FakeLeadership, Takeover
@@ -26,6 +27,7 @@
     encode,
     job_key,
 )
+from sassafrasgrade.job_sweeps import JobSweeper
 from sassafrasgrade.node_settings import check_node_settings
 from sassafrasgrade.platform.messages import (
     Advice,
@@ -37,14 +39,16 @@
     Wave,
 )
 from sassafrasgrade.platform.stores import Item
+from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
 from sassafrasgrade.systems.host_planning import plan_hosts
 from sassafrasgrade.systems.learned_durations import LearnedDurations
 from sassafrasgrade.systems.occurrences import create_due
 from sassafrasgrade.systems.placement_passes import PlacementPass
+from sassafrasgrade.systems.run_updates import cancel_job, end_job, forget_run
 from sassafrasgrade.systems.slow_runs import stop_stalled
 from sassafrasgrade.timers import FakeTimerService, TimerService
 from sassafrasgrade.work_commands import StartRun
-from sassafrasgrade.work_tables import Crash, RunState, WorkTables
+from sassafrasgrade.work_tables import Crash, RunState, WorkState, WorkTables
 
 WORKERS = 5
 SLOTS = CAPACITY.cpu_millis // 1000
@@ -544,3 +548,69 @@
     finally:
         tracemalloc.stop()
     return held / count
+
+
+def bytes_of_done_task(count):
+    """Returns the memory of a job whose tasks are done but for some, a task."""
+    tables = create_tables(workers=WORKERS)
+    tracemalloc.start()
+    try:
+        job = add_step(tables, count)
+        done = 0
+        while done <= count - WORKERS * SLOTS:
+            done += _end_all(tables, place(tables), done)
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert job.is_open and len(job.occurrences[0].steps[0].done) == done
+    return held / done
+
+
+def _end_all(tables, runs, last_end):
+    """Lets workers list the ends of all runs; returns how many."""
+    for worker in tables.workers_by_id.values():
+        names = [r.task.name for r in runs if r.worker_id == worker.worker_id]
+        numbers = [r.number for r in runs if r.worker_id == worker.worker_id]
+        ends = range(last_end + 1, last_end + len(names) + 1)
+        rows = zip(ends, names, numbers, ["done"] * len(names), strict=True)
+        apply_worker_view(tables, worker, NOW, ended=list(rows))
+    return len(runs)
+
+
+def _end_runs(tables, runs):
+    for run in runs:
+        forget_run(tables, run, EndProof(ProofKind.END_LISTED, NOW), NOW)
+
+
+def _cancel_and_end(tables, job, runs):
+    cancel_job(tables, job)
+    _end_runs(tables, runs)
+
+
+def _fail(tables, job, runs):
+    end_job(tables, job, WorkState.FAILED)
+    _end_runs(tables, runs)
+
+
+def _fail_and_store(tables, job, runs):
+    _fail(tables, job, runs)
+    job.state, job.pending_state, job.is_dirty = job.pending_state, None, False
+
+
+SWEPT_STATES = {
+    "is open": lambda tables, job, runs: None,
+    "is cancelled while its runs stop": (
+        lambda tables, job, runs: cancel_job(tables, job)
+    ),
+    "is cancelled and its runs have ended": _cancel_and_end,
+    "has failed, which is not stored yet": _fail,
+    "has failed": _fail_and_store,
+}
+
+
+def sweep_jobs(tables):
+    """Looks for jobs that ended long ago, as the leader does now and then."""
+    settings = check_node_settings({"NODE_NAME": "n", "NODE_DATA_CENTRE": "z"}).unwrap()
+    services = SimpleNamespace(store=None, settings=settings)
+    sweeper = JobSweeper(services, SimpleNamespace(tables=tables))
+    assert not sweeper.find_expired(NOW)
--- a/sassafrasgrade/job_sweeps.py
+++ b/sassafrasgrade/job_sweeps.py
@@ -7,6 +7,7 @@
 
 from sassafrasgrade.job_records import CANCEL, PROGRESS, REQUEST, job_key
 from sassafrasgrade.member_records import LEADER_KEY
+from sassafrasgrade.work_tables import has_runs
 
 logger = logging.getLogger(__name__)
 
@@ -47,9 +48,12 @@
         """Returns ids of jobs to remove; records when jobs were first seen ended."""
         tables = self._dispatcher.tables
         for job_id, job in tables.jobs_by_id.items():
-            is_over = job_id not in tables.open_jobs_by_id and not job.is_dirty
-            if is_over and job_id not in self._seen_ended_at:
-                self._seen_ended_at[job_id] = now
+            if job_id in tables.open_jobs_by_id or job.is_dirty:
+                continue
+            self._seen_ended_at.setdefault(job_id, now)
+            if not has_runs(job):
+                # Only its request and its state are still asked for.
+                job.occurrences.clear()
         ended = self._seen_ended_at.items()
         return [job for job, at in ended if now - at > self._retention_s][
             :MAX_JOBS_PER_COMMIT
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -264,8 +264,8 @@
 class StepTasks:
     """Tasks of a step in one occurrence, by index.
 
-    A task becomes an object when it is first asked for: a job may have thousands of
-    tasks, of which most only wait.
+    A task becomes an object when it is first asked for, and is none any more once it is
+    done: a job may have thousands of tasks, of which few run at a time.
 
     Args:
         job: The job.
@@ -307,6 +307,10 @@
         """Returns a task if it is an object already, or None."""
         return self._known.get(index)
 
+    def forget(self, index):
+        """Drops the object of a task of which nothing but its end is to be known."""
+        self._known.pop(index, None)
+
     def belong_to(self, row):
         """Sets the ``StepRow`` that tells what is common to all tasks."""
         self._row = row
@@ -388,7 +392,9 @@
         if task.runs_by_number:
             return
         self.running.discard(task.index)
-        if not task.is_done:
+        if task.is_done:
+            self.tasks.forget(task.index)
+        else:
             insort(self.waiting, task.index)
 
     def mark_done(self, index):
@@ -396,8 +402,11 @@
         self.done.add(index)
         self._remove_waiting(index)
         task = self.tasks.find_known(index)
-        if task is not None:
-            task.is_done = True
+        if task is None:
+            return
+        task.is_done = True
+        if not task.runs_by_number:
+            self.tasks.forget(index)
 
     def set_unrecorded_starts(self, count):
         """Sets the number of starts of whose outcome nothing is known, of each task."""
@@ -840,6 +849,15 @@
             yield from row.tasks.known()
 
 
+def has_runs(job):
+    """Whether any task of a job has runs."""
+    return any(
+        row.running
+        for occurrence in job.occurrences.values()
+        for row in occurrence.steps
+    )
+
+
 def step_row_of(task):
     """Returns the row of a task's step."""
     return task.job.occurrences[task.occurrence].steps[task.step_number]
