Refuse jobs with 429 once the accepted work reaches a share of the memory

What callers saw: nothing refused their jobs, until each leader in turn was ended for its memory, as its successor loads the stored jobs again (by reading; with 60 jobs of 10,000 tasks the landed code took up to 6,500 MB where 300 are allowed).

Change: the leader's heartbeat names the memory of the accepted work by queue, estimated from its jobs, steps and tasks, and the rate at which it becomes free. Each node adds what it has accepted itself in the last two seconds, and refuses a job at once, with a Retry-After from that rate, when a quarter of the process's memory would be passed. A quarter of that is kept for queues that hold little; a large job leaves room for smaller ones. A submission that is repeated is answered 200 if its job is known or stored, since a 429 says that the job never runs. What has been accepted is never dropped. Heartbeats of both versions are read by the other one.

--- a/features/support/fake_nodes.py
+++ b/features/support/fake_nodes.py
@@ -5,6 +5,7 @@
 from sassafrasgrade.node_settings import check_node_settings
 from sassafrasgrade.platform.messages import Queue
 from sassafrasgrade.queue_routers import QueueRouter
+from sassafrasgrade.systems.work_bounds import WorkBound
 
 
 class FakeNode:
@@ -30,6 +31,7 @@
             self.leader_version = int(situation.split()[-1])
         elif "outdated" in situation:
             self.leader_version = 0
+        self.work_bound = WorkBound(self.settings.node_memory_mb)
         self.path = "/unknown/1" if "unknown" in situation else "/tasks/1"
         self.counted = []
         self.counters = NodeCounters()
--- a/sassafrasgrade/dispatchers.py
+++ b/sassafrasgrade/dispatchers.py
@@ -47,6 +47,7 @@
 )
 from sassafrasgrade.systems.slow_runs import stop_stalled
 from sassafrasgrade.systems.task_placement import is_usable, step_key_of
+from sassafrasgrade.systems.work_bounds import FreedRate, held_by_queue
 from sassafrasgrade.table_loaders import TableLoader
 from sassafrasgrade.timers import CLOCK_DRIFT
 from sassafrasgrade.work_commands import (
@@ -141,6 +142,7 @@
         self._placement_delay_s = PLACEMENT_DELAY_S
         self._periodic = None
         self._began_at = self.timers.now()
+        self._freed_rate = FreedRate()
         self._pools_logged_at = 0.0
         # Whether tasks may be started, and whether most nodes report an outage.
         self._logged_authority = True, False
@@ -619,6 +621,15 @@
                 counts[job.queue_name] = counts.get(job.queue_name, 0) + 1
         return counts
 
+    def measure_work(self):
+        """Returns the memory of all jobs by queue, and the rate at which it is freed.
+
+        In bytes, and in bytes a second.
+        """
+        held = held_by_queue(self.tables)
+        self._freed_rate.measure(sum(held.values()), self.timers.now())
+        return held, self._freed_rate.per_s
+
     # Ticks.
 
     def schedule_placement(self):
--- a/sassafrasgrade/job_apis.py
+++ b/sassafrasgrade/job_apis.py
@@ -104,6 +104,9 @@
             return Reply(400, {"error": str(request.failure())})
         if self._node.is_store_lost():
             return self._refuse_without_store(route, job_id)
+        wait_s = self._node.work_bound.retry_after_s(route.queue_name, request.unwrap())
+        if wait_s:
+            return await self._refuse_beyond_bound(route, job_id, wait_s, deadline_at)
         accepted_at = self._node.timers.wall_time()
         record = encode(
             SubmittedJob(route.queue_name, accepted_at, request.unwrap(), route.queue)
@@ -113,6 +116,11 @@
         outcome = await self._node.batcher.create(key, record, deadline_at)
         if outcome in (CreateOutcome.CREATED, CreateOutcome.EXISTS):
             self._node.notify_leader(JobAccepted(job_id, record))
+            if outcome is CreateOutcome.CREATED:
+                now = self._node.timers.now()
+                self._node.work_bound.note_accepted(
+                    route.queue_name, request.unwrap(), now
+                )
             reply = Reply(200, {})
         elif outcome is CreateOutcome.NOT_DONE:
             reply = Reply(
@@ -148,6 +156,34 @@
         )
         return Reply(503, {"error": "the store is unavailable"}, STORE_RETRY_AFTER_S)
 
+    async def _refuse_beyond_bound(self, route, job_id, wait_s, deadline_at):
+        """Refuses a job because the accepted work has reached its bound.
+
+        A caller that repeats a submission may have been accepted before.
+        """
+        if await self._node.ask_state(job_id):
+            return Reply(200, {})
+        found = await self._read_parts(job_id, deadline_at)
+        if found is None:
+            return Reply(504, {"error": "the store did not answer"})
+        if REQUEST in found:
+            return Reply(200, {})
+        bound = self._node.work_bound
+        logger.info(
+            "job refused",
+            extra={
+                "job": job_id,
+                "queue": route.queue_name,
+                "reason": "accepted work at its bound",
+                "held_bytes": bound.held,
+                "limit_bytes": bound.limit,
+                "retry_after_s": wait_s,
+                "status": 429,
+            },
+        )
+        text = f"accepted work takes {bound.held} of {bound.limit} bytes"
+        return Reply(429, {"error": text}, wait_s)
+
     async def _show_state(self, job_id, deadline_at):
         state = await self._node.ask_state(job_id)
         source = "leader"
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -13,6 +13,7 @@
     Queue,
     Whole,
 )
+from sassafrasgrade.systems.work_bounds import bytes_of_occurrence, bytes_of_text
 from sassafrasgrade.work_tables import (
     ENDED_STATES,
     Crash,
@@ -184,7 +185,15 @@
     known = tables.jobs_by_id.get(job_id)
     if known is not None:
         return known
-    job = Job(job_id, submitted.queue_name, submitted.request, submitted.accepted_at)
+    request = submitted.request
+    job = Job(
+        job_id,
+        submitted.queue_name,
+        request,
+        submitted.accepted_at,
+        text_bytes=bytes_of_text(request),
+        occurrence_bytes=bytes_of_occurrence(request),
+    )
     if submitted.queue is not None:
         settings = msgspec.structs.asdict(submitted.queue)
         job.stored_queue = Queue(name=job.queue_name, **settings)
@@ -192,7 +201,7 @@
     tables.jobs_by_id[job_id] = job
     tables.open_jobs_by_id[job_id] = job
     tables.has_seen_work = tables.has_seen_work or not job.has_perpetual_steps
-    if submitted.request.repeats <= 0:
+    if request.repeats <= 0:
         create_occurrence(job, 0)
     return job
 
--- a/sassafrasgrade/node_messages.py
+++ b/sassafrasgrade/node_messages.py
@@ -82,12 +82,16 @@
         configuration_version: Version of the leader's configuration.
         waiting_by_queue: Accepted jobs without a started task, by queue.
         wait_s_by_queue: Expected wait of a new job, by queue.
+        held_by_queue: Memory of the accepted work in bytes, by queue.
+        freed_per_s: Rate at which it becomes free, in bytes a second.
     """
 
     token: int
     configuration_version: int
     waiting_by_queue: dict[str, int]
     wait_s_by_queue: dict[str, float]
+    held_by_queue: dict[str, Whole] = {}
+    freed_per_s: Quantity = 0.0
 
 
 class NodeBeat(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/sassafrasgrade/nodes.py
+++ b/sassafrasgrade/nodes.py
@@ -55,6 +55,7 @@
 from sassafrasgrade.route_lookups import RouteLookup
 from sassafrasgrade.settings import exit_if_invalid
 from sassafrasgrade.store_batches import StoreBatcher
+from sassafrasgrade.systems.work_bounds import WorkBound
 from sassafrasgrade.timers import SuspendAwareTimerService
 from sassafrasgrade.work_tables import record_queues
 
@@ -125,6 +126,7 @@
             settings, timers, self.store, self.leader_http, self._release_leadership
         )
         self.batcher = StoreBatcher(self.store, timers)
+        self.work_bound = WorkBound(settings.node_memory_mb)
         self.job_api = JobApi(self)
         self.configuration = None
         self.router = None
@@ -186,6 +188,16 @@
             "Time since the configuration was known to be the newest.",
             self.configuration_age_s,
         )
+        track(
+            "accepted_work_bytes",
+            "Estimated memory of all accepted work on the leader.",
+            lambda: self.work_bound.held,
+        )
+        track(
+            "accepted_work_limit_bytes",
+            "Memory of accepted work from which jobs are refused.",
+            lambda: self.work_bound.limit,
+        )
         track(
             "store_answer_age_seconds",
             "Time since any answer of the store.",
@@ -369,6 +381,7 @@
         self.configuration = configuration
         record_queues(self._queues_by_name, self._pools_by_queue, configuration)
         self.router = QueueRouter(configuration.queues)
+        self.work_bound.queues = len(configuration.queues)
         logger.info(
             "configuration adopted",
             extra={
@@ -459,12 +472,16 @@
                 return
             if not self._dispatcher.is_loaded:
                 return
+            held, freed_per_s = self._dispatcher.measure_work()
+            self.work_bound.update(held, freed_per_s, now)
             self._server.send_all(
                 LeaderBeat(
                     self.leadership.token,
                     self.configuration_version(),
                     self._dispatcher.waiting_by_queue(),
                     {},
+                    held,
+                    freed_per_s,
                 )
             )
         elif self.link is not None:
@@ -474,7 +491,8 @@
         """Handles a message from the leader."""
         if isinstance(message, LeaderBeat):
             self._leader_heartbeat = message
-            self._leader_heartbeat_at = self.timers.now()
+            self._leader_heartbeat_at = now = self.timers.now()
+            self.work_bound.update(message.held_by_queue, message.freed_per_s, now)
             self._reread_if_outdated(message.configuration_version)
         elif isinstance(message, HandOver):
             self._handover = message
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -467,6 +467,8 @@
         urgency: ``Urgency`` as of the last placement.
         is_inherited: Whether an earlier leader may have started its tasks.
         is_long: Whether its tasks take far longer than declared on sound workers.
+        text_bytes: Estimated memory without its occurrences.
+        occurrence_bytes: Estimated memory of each occurrence.
     """
 
     job_id: str
@@ -486,6 +488,8 @@
     urgency: Urgency = Urgency.IN_TIME
     is_inherited: bool = False
     is_long: bool = False
+    text_bytes: int = 0
+    occurrence_bytes: int = 0
 
     @property
     def is_open(self):
