Let large jobs leave more room for small ones below the bound

In a play of 150 jobs of 10,000 tasks and ten small ones each of the same and of another queue, 59 large jobs were accepted, more than the bound by what three nodes accept between two heartbeats, and then none of the small ones of that queue. A job now needs room for 16 times its size, or half of all.

--- a/features/work_bounds.feature
+++ b/features/work_bounds.feature
@@ -3,34 +3,35 @@
   # Nothing bounded what callers could hand in: thirty submissions of one caller
   # ended each leader in turn, as each loaded the stored jobs again.
   Scenario Outline: with <held> held, a job of <size> bytes of queue <queue> is <answer>
-    Given a bound of 100000 bytes that 2 queues share
+    Given a bound of 1000000 bytes that 2 queues share
     When the leader reports "<held>"
     Then a job of <size> bytes of queue "<queue>" is "<answer>"
 
     Examples: a queue lends what it does not use, but for its share of a kept quarter
-      | held            | size  | queue | answer   |
-      | nothing         | 5000  | a     | accepted |
-      | a 55000         | 5000  | a     | accepted |
-      | a 56000         | 5000  | a     | refused  |
-      | a 56000         | 5000  | b     | accepted |
-      | a 74000, b 7000 | 5000  | b     | accepted |
-      | a 74000, b 8000 | 5000  | b     | refused  |
-      | a 40000, b 16000 | 5000 | a     | refused  |
-      | a 200000        | 5000  | a     | refused  |
-      | a 200000        | 5000  | b     | accepted |
+      | held               | size | queue | answer   |
+      | nothing            | 5000 | a     | accepted |
+      | a 670000           | 5000 | a     | accepted |
+      | a 671000           | 5000 | a     | refused  |
+      | a 671000           | 5000 | b     | accepted |
+      | a 740000, b 120000 | 5000 | b     | accepted |
+      | a 740000, b 121000 | 5000 | b     | refused  |
+      | a 500000, b 171000 | 5000 | a     | refused  |
+      | a 2000000          | 5000 | a     | refused  |
+      | a 2000000          | 5000 | b     | accepted |
 
     Examples: large jobs leave room for small ones
-      | held    | size  | queue | answer   |
-      | nothing | 70000 | a     | accepted |
-      | nothing | 76000 | a     | refused  |
-      | a 30000 | 40000 | a     | accepted |
-      | a 40000 | 30000 | a     | refused  |
-      | a 56000 | 4500  | a     | accepted |
-      | a 56000 | 5000  | a     | refused  |
+      | held     | size   | queue | answer   |
+      | nothing  | 700000 | a     | accepted |
+      | nothing  | 751000 | a     | refused  |
+      | a 350000 | 300000 | a     | accepted |
+      | a 400000 | 300000 | a     | refused  |
+      | a 600000 | 9000   | a     | accepted |
+      | a 600000 | 10000  | a     | refused  |
+      | a 671000 | 4500   | a     | accepted |
 
   Scenario Outline: a refused caller may try again after <seconds> s
-    Given a bound of 100000 bytes that 2 queues share
-    When the leader reports "a 65000" and <rate> bytes freed a second
+    Given a bound of 1000000 bytes that 2 queues share
+    When the leader reports "a 680000" and <rate> bytes freed a second
     Then a job of 5000 bytes of queue "a" may be sent again after <seconds> s
 
     Examples:
@@ -52,8 +53,8 @@
       | 40000 | 100     | 400  |
 
   Scenario Outline: a node counts what it has accepted itself <when>
-    Given a bound of 100000 bytes that 2 queues share
-    When the node accepts 12 jobs of 5000 bytes of queue "a" and "<when>"
+    Given a bound of 200000 bytes that 2 queues share
+    When the node accepts 16 jobs of 5000 bytes of queue "a" and "<when>"
     Then a job of 5000 bytes of queue "a" is "<answer>"
 
     Examples:
--- a/sassafrasgrade/systems/work_bounds.py
+++ b/sassafrasgrade/systems/work_bounds.py
@@ -19,7 +19,7 @@
 # Share of that which is kept for queues that hold less than an equal part of it.
 KEPT_SHARE = 0.25
 # Room that a job needs, as a multiple of its size: less than half of all.
-ROOM_FACTOR = 4
+ROOM_FACTOR = 16
 # Time after which the leader's figures contain what a node has accepted, in seconds.
 FIGURES_AGE_S = 2.0
 # Bounds of the time after which refused callers may try again, in seconds.
