--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -50,6 +50,23 @@
       | 50 gangs of 200 that do not fit               |
       | 20 gangs of 200 that fit                      |
 
+  # Each occurrence was compared with all that are done, all at once.
+  Scenario Outline: a tick does limited work for <jobs>
+    Given <jobs>
+    Then no tick that creates their occurrences does more than 150000 lines of work
+    And after <ticks> ticks <open> occurrences are open
+
+    Examples:
+      | jobs                                              | ticks | open  |
+      | 1 job of 10000 occurrences that are due           | 50    | 10000 |
+      | 50 jobs of 100 occurrences that are due           | 25    | 5000  |
+      | 1 job of 20000 occurrences of which 10000 are done | 1    | 200   |
+
+  Scenario: a job of one occurrence does not wait for one of thousands
+    Given 1 job of 10000 occurrences that are due
+    And 1 job of 1 occurrences that are due
+    Then after 1 ticks each job has an open occurrence
+
   # A placement that goes on acts on what it finds then.
   Scenario Outline: between two slices of a placement <change>
     Given a placement that has started the first of 12 tasks
--- a/features/steps/large_job_steps.py
+++ b/features/steps/large_job_steps.py
@@ -7,9 +7,11 @@
     SLOTS,
     SWEPT_STATES,
     SlicedPlacement,
+    add_occurrences,
     add_step,
     bytes_of_done_task,
     bytes_of_waiting_task,
+    create_occurrences,
     fill_pool,
     lead_and_lose,
     place,
@@ -236,3 +238,37 @@
     rows = [row for o in job.occurrences.values() for row in o.steps]
     assert sum(len(row.tasks) for row in rows) == tasks, rows
     assert job.request.steps
+
+
+@given("{jobs:d} job of {count:d} occurrences that are due")
+@given("{jobs:d} jobs of {count:d} occurrences that are due")
+def add_due_jobs(context, jobs, count):
+    if "tables" not in context:
+        context.tables = create_tables()
+    for _ in range(jobs):
+        add_occurrences(context.tables, count)
+
+
+@given("1 job of {count:d} occurrences of which {done:d} are done")
+def add_partly_done(context, count, done):
+    context.tables = create_tables()
+    add_occurrences(context.tables, count, done)
+
+
+@then("no tick that creates their occurrences does more than {most:d} lines of work")
+def check_ticks(context, most):
+    context.ticks = create_occurrences(context.tables)
+    lines = [lines for lines, _ in context.ticks]
+    assert max(lines) <= most, lines
+
+
+@then("after {ticks:d} ticks {count:d} occurrences are open")
+def check_open(context, ticks, count):
+    _, found = context.ticks[ticks - 1]
+    assert found == count, context.ticks
+
+
+@then("after {ticks:d} ticks each job has an open occurrence")
+def check_each(context, ticks):
+    create_occurrences(context.tables, ticks)
+    assert all(job.occurrences for job in context.tables.jobs_by_id.values())
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -401,11 +401,14 @@
         spec="s", steps=(step,), repeats=due, first_ms=1.0, interval_ms=1.0
     )
     job = add_job(tables, "e" * 16, SubmittedJob(QUEUE, NOW_UNIX, request))
-    create_due(tables, NOW_UNIX)
+    # A tick creates some of them; there is one that creates none.
+    while create_due(tables, NOW_UNIX):
+        assert len(job.occurrences) <= created, len(job.occurrences)
     assert len(job.occurrences) == created, len(job.occurrences)
     job.done_occurrences.add(0)
     forget_done(tables)
-    create_due(tables, NOW_UNIX)
+    while create_due(tables, NOW_UNIX):
+        assert len(job.occurrences) <= created, len(job.occurrences)
     assert len(job.occurrences) == min(created, due - 1), len(job.occurrences)
 
 
--- a/features/support/large_jobs.py
+++ b/features/support/large_jobs.py
@@ -250,6 +250,30 @@
     return OPERATIONS[operation](tables, JOBS[job], count)
 
 
+def add_occurrences(tables, count, done=0):
+    """Adds a job of one task whose occurrences are all due, the first ones done."""
+    request = JobRequest(
+        spec="s",
+        steps=(Step(count=1),),
+        repeats=count,
+        first_ms=(NOW_UNIX - count) * 1000,
+        interval_ms=1000,
+    )
+    submitted = SubmittedJob(QUEUE, NOW_UNIX, request)
+    job = add_job(tables, f"{len(tables.jobs_by_id):016x}", submitted)
+    job.done_occurrences.update(range(done))
+
+
+def create_occurrences(tables, ticks=60):
+    """Creates due occurrences; returns (lines, open occurrences) of each tick."""
+    found = []
+    for _ in range(ticks):
+        lines = count_lines(lambda: create_due(tables, NOW_UNIX))
+        jobs = tables.jobs_by_id.values()
+        found.append((lines, sum(len(job.occurrences) for job in jobs)))
+    return found
+
+
 # Slices.
 
 
--- a/sassafrasgrade/systems/placement_passes.py
+++ b/sassafrasgrade/systems/placement_passes.py
@@ -188,7 +188,7 @@
         )
         for pair in ranked:
             heapq.heappush(self._queue, pair)
-            self._work_done += RANK_JOB_WORK
+            self._work_done += RANK_JOB_WORK + len(pair[1].occurrences)
             yield
 
     def _place_job(self, job):
