Suspect a gang as one, so that it starts again after a crash

Cause: all members that ran on the crashed worker became suspects, and each wanted a worker for itself alone, also after the wait for isolation. A gang with more suspects than its pool has idle workers could never be placed, and what never runs never loses its suspicion.

Change: suspicion and isolation are the gang's. A crash of a worker that ran only members of one gang counts as one under a task that was alone, so that a gang that crashes its workers is given up as soon as a single task is.

--- a/sassafrasgrade/systems/crash_records.py
+++ b/sassafrasgrade/systems/crash_records.py
@@ -84,7 +84,7 @@
         and not run.stop_answered_at
         and key not in next_life.listed
     ]
-    was_alone = len(runs) == 1
+    was_alone = len(runs) == 1 or _are_members_of_one_gang(runs)
     suspects = []
     for run in runs:
         age_s = lasted_s_of(worker, run)
@@ -102,6 +102,11 @@
     return tuple(suspects)
 
 
+def _are_members_of_one_gang(runs):
+    steps = {(r.task.job, r.task.occurrence, r.task.step_number) for r in runs}
+    return len(steps) == 1 and runs[0].task.step.is_gang
+
+
 def record_crash(tables, worker, next_life=UNKNOWN_LIFE):
     """Records that a worker has crashed, before its runs are forgotten.
 
@@ -357,17 +362,17 @@
     return count_proven(crashes) >= MIN_PROVEN_HOLDING_CRASHES
 
 
-def isolated_candidates(task, candidates, waited_s):
-    """Returns the candidates for a suspect task.
+def isolated_candidates(suspects, candidates, waited_s):
+    """Returns the candidates for suspect tasks that start together.
 
     Args:
-        task: The task.
+        suspects: The tasks.
         candidates: ``Candidate`` values.
-        waited_s: Time since the task became startable, in seconds.
+        waited_s: Time since they became startable, in seconds.
     """
     if waited_s > MAX_ISOLATION_WAIT_S:
         return candidates
-    crashed_hosts = {crash.host for crash in task.crashes}
+    crashed_hosts = {crash.host for task in suspects for crash in task.crashes}
     return [
         candidate
         for candidate in candidates
--- a/sassafrasgrade/systems/placement_passes.py
+++ b/sassafrasgrade/systems/placement_passes.py
@@ -246,7 +246,7 @@
         """Starts a task if it finds room; returns whether it did."""
         tables, now = self._tables, self._now
         if needs_isolation(tables, task) or self._needs_advice(job):
-            allowed = self._allowed_candidates(job, task, usable)
+            allowed = self._allowed_candidates(job, [task], usable)
             candidate = choose_and_reserve(tables, task, allowed, now)
             ranked.forget_order()
             self._work_done += RANK_CANDIDATE_WORK * len(usable)
@@ -285,8 +285,8 @@
             yield
             return
         self._work_done += RANK_CANDIDATE_WORK * len(usable)
-        allowed = self._allowed_candidates(job, tasks[0], usable)
-        chosen = choose_group(tables, tasks, row, allowed, now)
+        allowed = self._allowed_candidates(job, tasks, usable)
+        chosen = choose_group(tables, tasks, allowed, now)
         if chosen:
             self._start(chosen)
         elif self._needs_advice(job):
@@ -314,10 +314,10 @@
     def _needs_advice(self, job):
         return self._tables.queue_of(job).advice is not None
 
-    def _allowed_candidates(self, job, task, usable):
+    def _allowed_candidates(self, job, group, usable):
         if not self._needs_advice(job):
             return usable
-        return candidates_with_ticket(self._tables, task, usable, self._now)
+        return candidates_with_ticket(self._tables, group, usable, self._now)
 
     def _usable_candidates(self, job):
         candidates = self._current_candidates()
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -156,7 +156,7 @@
             ]
             allowed, has_advice = free, tables.queue_of(job).advice is not None
             if has_advice:
-                allowed = candidates_with_ticket(tables, task, free, now)
+                allowed = candidates_with_ticket(tables, [task], free, now)
             candidate = choose_and_reserve(tables, task, allowed, now)
             if candidate is None:
                 if has_advice:
--- a/sassafrasgrade/systems/task_placement.py
+++ b/sassafrasgrade/systems/task_placement.py
@@ -184,12 +184,13 @@
     return task.name.rpartition(".")[0]
 
 
-def candidates_with_ticket(tables, task, candidates, now):
-    """Returns the candidates with a ticket for a task's step.
+def candidates_with_ticket(tables, group, candidates, now):
+    """Returns the candidates with a ticket for the step of a group of tasks.
 
-    Those that the task avoids are left out while others may get a ticket.
+    Those that its first task avoids are left out while others may get a ticket.
     """
-    key, tickets = step_key_of(task), tables.tickets
+    task, tickets = group[0], tables.tickets
+    key = step_key_of(task)
     allowed = [
         candidate
         for candidate in candidates
@@ -200,7 +201,7 @@
     preferred = [c for c in allowed if not _is_avoided(task, c)]
     may_ask = any(
         tickets.may_ask(key, candidate.worker.worker_id, now)
-        for candidate in eligible_candidates(tables, task, candidates, now)
+        for candidate in eligible_candidates(tables, group, candidates, now)
         if not _is_avoided(task, candidate)
     )
     return preferred if may_ask else allowed
@@ -222,11 +223,11 @@
     key = step_key_of(task)
     if tickets.is_confirmed(key):
         return True
-    chosen = choose_group(tables, group, step_row_of(task), candidates, now)
+    chosen = choose_group(tables, group, candidates, now)
     release_all(chosen)
     if not chosen:
         return False
-    eligible = eligible_candidates(tables, task, candidates, now)
+    eligible = eligible_candidates(tables, group, candidates, now)
     due = [c for c in eligible if tickets.may_ask(key, c.worker.worker_id, now)]
     due = [c for c in due if not _is_avoided(task, c)] or due
     if due:
@@ -245,34 +246,59 @@
     return task.blocked_until <= now and not tables.is_held(task.job, row)
 
 
-def choose_group(tables, group, row, candidates, now):
+def choose_group(tables, group, candidates, now):
     """Reserves a candidate for each task; returns (candidate, task) pairs, or none.
 
+    A gang starts and ends as one, and so is suspected: its members may share workers
+    with each other, but with no other task.
+
     Args:
         tables: The tables.
-        group: Tasks of a step that start together.
-        row: ``StepRow`` of the step.
+        group: Tasks of a step that start together: one, or all members of a gang.
         candidates: ``Candidate`` values.
         now: Current clock in seconds.
     """
+    row = step_row_of(group[0])
+    if not row.step.is_gang:
+        candidate = choose_and_reserve(tables, group[0], candidates, now)
+        return [] if candidate is None else [(candidate, group[0])]
+    is_isolated = _needs_isolation(tables, group)
+    candidates = _not_shared(tables, group, candidates, now)
     if not has_slots(row, candidates, len(group)):
         return []
     chosen, members = [], Counter()
     ranked = RankedCandidates(row, candidates)
     for task in group:
-        if needs_isolation(tables, task):
-            candidate = choose_and_reserve(tables, task, candidates, now, members)
-            ranked.forget_order()
-        else:
-            candidate = ranked.reserve_best(task, members)
+        candidate = ranked.reserve_best(task, members)
         if candidate is None:
             release_all(chosen)
             return []
         chosen.append((candidate, task))
         members[candidate.worker.worker_id] += 1
+    for candidate, _ in chosen:
+        candidate.is_exclusive = is_isolated
     return chosen
 
 
+def _needs_isolation(tables, group):
+    return any(needs_isolation(tables, task) for task in group)
+
+
+def _not_shared(tables, group, candidates, now):
+    """Returns the candidates on which a group of tasks would be by itself.
+
+    That is all of them if it need not be, or has waited for long enough.
+    """
+    suspects = [task for task in group if needs_isolation(tables, task)]
+    if not suspects:
+        return candidates
+    waited_s = min(
+        now - task.waiting_since if not task.runs_by_number else 0.0
+        for task in suspects
+    )
+    return isolated_candidates(suspects, candidates, waited_s)
+
+
 def has_slots(row, candidates, count):
     """Whether candidates may have room for a number of a step's tasks."""
     slots = 0
@@ -352,7 +378,7 @@
         self._best_last = [rank[-1] for rank in ranked]
 
 
-def choose_and_reserve(tables, task, candidates, now, members=NO_MEMBERS):
+def choose_and_reserve(tables, task, candidates, now):
     """Returns the best candidate for a task with its resources reserved, or None.
 
     A suspect task gets a worker of its own, or the one with the fewest runs.
@@ -362,10 +388,9 @@
         task: The task.
         candidates: ``Candidate`` values.
         now: Current clock in seconds.
-        members: Count of the members of its gang that start with it, by worker id.
     """
     is_isolated = needs_isolation(tables, task)
-    eligible = eligible_candidates(tables, task, candidates, now, members)
+    eligible = eligible_candidates(tables, [task], candidates, now)
     candidate = _choose_best(task, eligible, is_isolated)
     if candidate is not None:
         candidate.reserve(task.step)
@@ -373,12 +398,10 @@
     return candidate
 
 
-def eligible_candidates(tables, task, candidates, now, members=NO_MEMBERS):
-    """Returns the candidates that may take a task now, tickets aside."""
-    if needs_isolation(tables, task):
-        waited_s = now - task.waiting_since if not task.runs_by_number else 0.0
-        candidates = isolated_candidates(task, candidates, waited_s)
-    return _with_room(step_row_of(task), candidates, members)
+def eligible_candidates(tables, group, candidates, now):
+    """Returns the candidates that may take a task of a group now, tickets aside."""
+    candidates = _not_shared(tables, group, candidates, now)
+    return _with_room(step_row_of(group[0]), candidates)
 
 
 def next_run_number(tables, tasks):
