Count a host as down from the answer to its order on

Cause: a host counted as down from the plan on, for as long as maintenance takes. A slow platform may begin it only when it answers.

Change: the time begins anew with the answer, and with the timeout of a call that gets none.

Evidence: the rows "after 0.8 s" and "no answer" of late_host_orders.feature fail without the change.

--- a/sassafrasgrade/host_controllers.py
+++ b/sassafrasgrade/host_controllers.py
@@ -18,6 +18,7 @@
 from sassafrasgrade.refused_values import RefusedValues
 from sassafrasgrade.systems.host_planning import REFUSED_PAUSE_S, plan_hosts
 from sassafrasgrade.systems.host_states import worker_of
+from sassafrasgrade.systems.maintenance_waves import extend_maintenance
 from sassafrasgrade.work_commands import MaintainHost, MoveHost, ReportWave
 from sassafrasgrade.work_tables import MS_PER_S
 
@@ -256,6 +257,8 @@
         worker = worker_of(self._dispatcher.tables, host)
         outcome = await self._cloud.maintain_host(command.host, command.wave, token)
         self._log_order("upkeep", command, outcome, wave=command.wave)
+        if outcome in (HostOrderOutcome.DONE, HostOrderOutcome.UNKNOWN):
+            extend_maintenance(host, row, self._settings, self._timers.now())
         if outcome is HostOrderOutcome.DONE:
             row.done.add(command.host)
         elif outcome in (HostOrderOutcome.INVALID, HostOrderOutcome.NOT_OF_WAVE):
--- a/sassafrasgrade/systems/maintenance_waves.py
+++ b/sassafrasgrade/systems/maintenance_waves.py
@@ -100,10 +100,23 @@
     return (not is_standby(tables, host), runs, host.rack, host.name)
 
 
+def extend_maintenance(host, row, settings, now):
+    """Keeps a host down for as long as maintenance takes that begins now at the latest.
+
+    The platform may begin it at any time between an order and its answer.
+
+    Args:
+        host: ``HostRow``.
+        row: ``WaveRow``.
+        settings: ``NodeSettings``.
+        now: Current clock in seconds.
+    """
+    until = now + settings.bounds_upkeep_s + MAINTENANCE_MARGIN_S
+    host.busy_until = row.down_until_by_host[host.name] = until
+
+
 def _maintain(tables, host, row, settings, now):
-    away_s = settings.bounds_upkeep_s + MAINTENANCE_MARGIN_S
-    host.busy_until = now + away_s
-    row.down_until_by_host[host.name] = now + away_s
+    extend_maintenance(host, row, settings, now)
     worker = worker_of(tables, host)
     if worker is not None:
         worker.is_reserved = True
