Look at the jobs of a pool only in the placement of that pool

With many pools each placement walked all open jobs once for each, to rank them and to look for runs to copy. A round now sorts them by pool once; a job's serial number tells which were added since. A pass without jobs looks at no worker.

--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -92,6 +92,11 @@
     When a run ends after the placement has passed the large job
     Then nothing starts in this placement, and the large job starts in the next
 
+  Scenario: a job that is added while others are ranked takes its turn with them
+    Given a placement that has ranked 2 of 3 jobs
+    When between two slices another job is added
+    Then the tasks of 4 jobs start in the same placement
+
   Scenario Outline: the leader places in slices until <end>
     Given a leader with 3000 jobs that fit no worker and one that does
     When it places and "<end>"
--- a/features/steps/large_job_steps.py
+++ b/features/steps/large_job_steps.py
@@ -272,3 +272,23 @@
 def check_each(context, ticks):
     create_occurrences(context.tables, ticks)
     assert all(job.occurrences for job in context.tables.jobs_by_id.values())
+
+
+@given("a placement that has ranked {ranked:d} of {jobs:d} jobs")
+def rank_some(context, ranked, jobs):
+    context.tables = create_tables(workers=1)
+    for number in range(jobs):
+        add_simple_job(context.tables, f"{number:016x}")
+    context.placement = SlicedPlacement(context.tables)
+    context.placement.go_on(ranked)
+
+
+@when("between two slices another job is added")
+def add_job_between(context):
+    add_simple_job(context.tables, "b" * 16)
+
+
+@then("the tasks of {jobs:d} jobs start in the same placement")
+def check_jobs_started(context, jobs):
+    started = {run.task.job.job_id for run in context.placement.rest()}
+    assert len(started) == jobs, started
--- a/features/support/large_jobs.py
+++ b/features/support/large_jobs.py
@@ -325,11 +325,17 @@
 MANY_WORKERS = 60
 
 
+def create_pass(tables):
+    """Returns a pass over all open jobs."""
+    jobs = list(tables.open_jobs_by_id.values())
+    return PlacementPass(tables, POOL, LearnedDurations(), NOW_UNIX, jobs)
+
+
 def slice_work(work):
     """Returns the lines of each slice of a placement beside waiting work."""
     tables = create_tables(workers=MANY_WORKERS)
     WAITING_WORK[work](tables)
-    placement = PlacementPass(tables, POOL, LearnedDurations(), NOW_UNIX)
+    placement = create_pass(tables)
     lines = []
     while not placement.is_finished:
         lines.append(count_lines(lambda: placement.next_slice(NOW)))
@@ -345,7 +351,7 @@
 
     def __init__(self, tables):
         self.tables = tables
-        self._pass = PlacementPass(tables, POOL, LearnedDurations(), NOW_UNIX)
+        self._pass = create_pass(tables)
 
     def run_until_start(self):
         """Goes on until a task starts; returns its run, or None at the end."""
--- a/features/support/work_tables.py
+++ b/features/support/work_tables.py
@@ -80,7 +80,8 @@
 
 def place_tasks(tables, pool_name, learned_durations, now, now_unix):
     """Starts the waiting tasks that fit into a pool; returns the commands."""
-    placement = PlacementPass(tables, pool_name, learned_durations, now_unix)
+    jobs = list(tables.open_jobs_by_id.values())
+    placement = PlacementPass(tables, pool_name, learned_durations, now_unix, jobs)
     commands = []
     while not placement.is_finished:
         commands += placement.next_slice(now)[0]
--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -186,11 +186,13 @@
     if known is not None:
         return known
     request = submitted.request
+    tables.last_serial += 1
     job = Job(
         job_id,
         submitted.queue_name,
         request,
         submitted.accepted_at,
+        serial=tables.last_serial,
         text_bytes=bytes_of_text(request),
         occurrence_bytes=bytes_of_occurrence(request),
     )
--- a/sassafrasgrade/systems/placement_passes.py
+++ b/sassafrasgrade/systems/placement_passes.py
@@ -53,11 +53,19 @@
     def __init__(self, tables, learned_durations, now_unix):
         self._tables = tables
         self._learned_durations = learned_durations
+        self._jobs_by_pool = {}
+        for job in tables.open_jobs_by_id.values():
+            self._jobs_by_pool.setdefault(tables.pool_of(job), []).append(job)
         self._passes = deque(
-            PlacementPass(tables, pool_name, learned_durations, now_unix)
+            PlacementPass(
+                tables, pool_name, learned_durations, now_unix, self._jobs_of(pool_name)
+            )
             for pool_name in tables.pools_by_name
         )
 
+    def _jobs_of(self, pool_name):
+        return self._jobs_by_pool.get(pool_name, ())
+
     @property
     def is_finished(self):
         """Whether all pools have had their pass."""
@@ -77,11 +85,15 @@
             left -= work
             if placement.is_finished:
                 self._passes.popleft()
-                commands += copy_overdue_runs(
-                    self._tables, placement.pool_name, self._learned_durations, now
-                )
+                commands += self._copy_runs(placement.pool_name, now)
         return commands
 
+    def _copy_runs(self, pool_name, now):
+        jobs = [job for job in self._jobs_of(pool_name) if job.is_open]
+        return copy_overdue_runs(
+            self._tables, pool_name, self._learned_durations, now, jobs
+        )
+
 
 class PlacementPass:
     """One pass over the jobs that wait in a pool, in slices of limited work.
@@ -100,9 +112,10 @@
         pool_name: The pool.
         learned_durations: ``LearnedDurations``.
         now_unix: Current Unix time in seconds.
+        jobs: Its open jobs.
     """
 
-    def __init__(self, tables, pool_name, learned_durations, now_unix):
+    def __init__(self, tables, pool_name, learned_durations, now_unix, jobs):
         self.pool_name = pool_name
         self.is_finished = False
         self._tables = tables
@@ -115,7 +128,8 @@
         self._candidates = []
         self._commands = []
         self._queue = []
-        self._ranked_ids = set()
+        self._jobs = jobs
+        self._last_serial = tables.last_serial
         self._full_sizes = FullSizes()
         self._work_done = 0
         self._turns = self._place_jobs()
@@ -146,8 +160,9 @@
     # anything but the pass itself may have changed.
 
     def _place_jobs(self):
-        if not self._current_candidates():
+        if not self._jobs or not self._current_candidates():
             return
+        yield from self._rank(self._jobs)
         yield from self._rank_added()
         while self._queue:
             rank, job = heapq.heappop(self._queue)
@@ -175,13 +190,16 @@
         """Ranks the jobs that are new, which are the last ones in the tables."""
         added = []
         for job in reversed(self._tables.open_jobs_by_id.values()):
-            if job.job_id in self._ranked_ids:
+            if job.serial <= self._last_serial:
                 break
             added.append(job)
-        self._ranked_ids.update(job.job_id for job in added)
+        self._last_serial = self._tables.last_serial
+        return self._rank(added)
+
+    def _rank(self, jobs):
         ranked = ranked_jobs(
             self._tables,
-            added,
+            jobs,
             self.pool_name,
             self._learned_durations,
             self._now_unix,
--- a/sassafrasgrade/systems/slow_runs.py
+++ b/sassafrasgrade/systems/slow_runs.py
@@ -132,11 +132,22 @@
         return self._candidates_by_pool[pool_name]
 
 
-def copy_overdue_runs(tables, pool_name, learned_durations, now):
-    """Starts copies of overdue runs of speculative steps on workers with room."""
+def copy_overdue_runs(tables, pool_name, learned_durations, now, jobs=None):
+    """Starts copies of overdue runs of speculative steps on workers with room.
+
+    Args:
+        tables: The tables; runs that are started are added to them.
+        pool_name: The pool.
+        learned_durations: ``LearnedDurations``.
+        now: Current clock in seconds.
+        jobs: Open jobs to look at; all by default.
+
+    Returns:
+        ``StartRun`` commands.
+    """
     candidates = None
     commands = []
-    for job in tables.open_jobs_by_id.values():
+    for job in tables.open_jobs_by_id.values() if jobs is None else jobs:
         if not any(step.is_speculative for step in job.request.steps):
             continue
         if tables.pool_of(job) != pool_name:
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -467,6 +467,8 @@
         urgency: ``Urgency`` as of the last placement.
         is_inherited: Whether an earlier leader may have started its tasks.
         is_long: Whether its tasks take far longer than declared on sound workers.
+        serial: Number of the job in the tables; rises in the order of
+            ``WorkTables.open_jobs_by_id``.
         text_bytes: Estimated memory without its occurrences.
         occurrence_bytes: Estimated memory of each occurrence.
     """
@@ -488,6 +490,7 @@
     urgency: Urgency = Urgency.IN_TIME
     is_inherited: bool = False
     is_long: bool = False
+    serial: int = 0
     text_bytes: int = 0
     occurrence_bytes: int = 0
 
@@ -740,6 +743,7 @@
         refused_entries: Entries of workers that name no worker to use.
         removed_at_by_worker: Clock at which a worker's row was last removed, by id,
             while late calls to it may still be carried out.
+        last_serial: ``Job.serial`` of the job that was added last.
     """
 
     epoch: int = 0
@@ -766,6 +770,7 @@
     jobs_complete_at: float = float("-inf")
     refused_entries: RefusedValues = field(default_factory=RefusedValues)
     removed_at_by_worker: dict[str, float] = field(default_factory=dict)
+    last_serial: int = 0
 
     def adopt_configuration(self, configuration):
         """Applies a newer configuration; removed queues stay in the tables.
