--- a/features/steps/large_job_steps.py
+++ b/features/steps/large_job_steps.py
@@ -5,21 +5,21 @@
 from features.support.large_jobs import (
     LARGE_JOB,
     SLOTS,
-    SWEPT_STATES,
-    SlicedPlacement,
     add_occurrences,
     add_step,
-    bytes_of_done_task,
-    bytes_of_waiting_task,
     create_occurrences,
     fill_pool,
-    lead_and_lose,
     place,
-    play_leader,
-    slice_work,
-    sweep_jobs,
     work_of,
 )
+from features.support.sliced_placements import SlicedPlacement, play_leader, slice_work
+from features.support.table_memory import (
+    SWEPT_STATES,
+    bytes_of_done_task,
+    bytes_of_waiting_task,
+    lead_and_lose,
+    sweep_jobs,
+)
 from features.support.work_tables import (
     NOW,
     POOL,
--- a/features/support/work_bounds.py
+++ b/features/support/work_bounds.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from features.support.fake_nodes import FakeNode
-from features.support.large_jobs import sweep_jobs
+from features.support.table_memory import sweep_jobs
 from features.support.work_tables import NOW, NOW_UNIX, QUEUE, create_tables
 from sassafrasgrade.errors import PlatformUnavailable
 from sassafrasgrade.job_apis import JobApi
