--- a/sassafrasgrade/job_records.py
+++ b/sassafrasgrade/job_records.py
@@ -325,8 +325,7 @@
         if number not in job.occurrences:
             create_occurrence(job, number)
         row = job.occurrences[number].steps[step_number]
-        for index in indices:
-            row.mark_done(index)
+        row.load_done(indices)
     for name, count in progress.unrecorded_by_step.items():
         first_task = find_task(tables, f"{job.job_id}.{name}.0")
         if first_task is not None:
--- a/sassafrasgrade/work_tables.py
+++ b/sassafrasgrade/work_tables.py
@@ -408,6 +408,14 @@
         if not task.runs_by_number:
             self.tasks.forget(index)
 
+    def load_done(self, indices):
+        """Marks all those tasks as done that were stored so."""
+        self.done.update(indices)
+        self.waiting = array("I", (i for i in self.waiting if i not in self.done))
+        for task in self.tasks.known():
+            if task.index in self.done:
+                self.mark_done(task.index)
+
     def set_unrecorded_starts(self, count):
         """Sets the number of starts of whose outcome nothing is known, of each task."""
         self.unrecorded_starts = count
