Keep the starts of other pools when one cannot be placed

A slice may span pools, and an error in one, say in ranking its jobs, would have lost the commands of those before it in the same slice: their runs are in the tables, and would never have been sent. An error now ends that pool's pass and is logged (`pool-not-placed`, `runs-not-copied`).

--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -97,6 +97,18 @@
     When between two slices another job is added
     Then the tasks of 4 jobs start in the same placement
 
+  # What is started is in the tables before it is sent.
+  Scenario Outline: an error in one pool, <error>, loses no start of another
+    Given jobs in two pools, and "<error>" in the second
+    When both pools are placed in one slice
+    Then the task of the first pool starts, and the error is logged as "<event>"
+
+    Examples:
+      | error                   | event           |
+      | a job cannot be ranked  | pool-not-placed |
+      | a worker cannot be read | pool-not-placed |
+      | a run cannot be copied  | runs-not-copied |
+
   Scenario Outline: the leader places in slices until <end>
     Given a leader with 3000 jobs that fit no worker and one that does
     When it places and "<end>"
--- a/features/steps/large_job_steps.py
+++ b/features/steps/large_job_steps.py
@@ -1,5 +1,6 @@
 """Steps on large jobs, many jobs, and placements in slices."""
 
+import msgspec
 from behave import given, then, when
 
 from features.support.large_jobs import (
@@ -22,6 +23,7 @@
 )
 from features.support.work_tables import (
     NOW,
+    NOW_UNIX,
     POOL,
     QUEUE,
     add_simple_job,
@@ -33,6 +35,8 @@
 )
 from sassafrasgrade.platform.messages import Configuration, Pool, Queue
 from sassafrasgrade.systems.end_proofs import EndProof, ProofKind
+from sassafrasgrade.systems.learned_durations import LearnedDurations
+from sassafrasgrade.systems.placement_passes import PlacementRound
 from sassafrasgrade.systems.run_updates import (
     cancel_job,
     end_job,
@@ -292,3 +296,61 @@
 def check_jobs_started(context, jobs):
     started = {run.task.job.job_id for run in context.placement.rest()}
     assert len(started) == jobs, started
+
+
+def break_rank(tables, job):
+    add_worker(tables, "worker-9").pool = OTHER_POOL
+    job.request = None
+
+
+def break_worker(tables, job):
+    worker = add_worker(tables, "worker-9")
+    worker.pool, worker.capacity = OTHER_POOL, None
+
+
+def break_copy(tables, job):
+    worker = add_worker(tables, "worker-9")
+    worker.pool = OTHER_POOL
+    run = start_run(first_task(job), worker)
+    job.request = msgspec.structs.replace(
+        job.request,
+        steps=(msgspec.structs.replace(job.request.steps[0], is_speculative=True),),
+    )
+    row = job.occurrences[0].steps[0]
+    row.step, run.started_at = job.request.steps[0], None
+
+
+ERRORS = {
+    "a job cannot be ranked": break_rank,
+    "a worker cannot be read": break_worker,
+    "a run cannot be copied": break_copy,
+}
+
+
+@given('jobs in two pools, and "{error}" in the second')
+def break_pool(context, error):
+    tables = context.tables = create_tables(workers=1)
+    queues = tuple(
+        Queue(name=name, pool=pool, objective_ms=600.0)
+        for name, pool in ((QUEUE, POOL), ("queue-2", OTHER_POOL))
+    )
+    pools = (Pool(name=POOL), Pool(name=OTHER_POOL))
+    tables.adopt_configuration(Configuration(version=2, queues=queues, pools=pools))
+    context.job = add_simple_job(tables, LARGE_JOB)
+    other = add_simple_job(tables, "b" * 16)
+    other.queue_name = "queue-2"
+    ERRORS[error](tables, other)
+
+
+@when("both pools are placed in one slice")
+def place_round(context):
+    placement = PlacementRound(context.tables, LearnedDurations(), NOW_UNIX)
+    context.commands = placement.next_slice(NOW)
+    assert placement.is_finished
+
+
+@then('the task of the first pool starts, and the error is logged as "{event}"')
+def check_error(context, event):
+    start, *logged = context.commands
+    assert start.run.task.job is context.job, context.commands
+    assert event in [log.event for log in logged], logged
--- a/sassafrasgrade/systems/placement_passes.py
+++ b/sassafrasgrade/systems/placement_passes.py
@@ -90,9 +90,13 @@
 
     def _copy_runs(self, pool_name, now):
         jobs = [job for job in self._jobs_of(pool_name) if job.is_open]
-        return copy_overdue_runs(
-            self._tables, pool_name, self._learned_durations, now, jobs
-        )
+        try:
+            return copy_overdue_runs(
+                self._tables, pool_name, self._learned_durations, now, jobs
+            )
+        except Exception as error:
+            fields = {"pool": pool_name, "error": repr(error)}
+            return [LogEvent("runs-not-copied", fields)]
 
 
 class PlacementPass:
@@ -154,6 +158,11 @@
                 next(self._turns)
             except StopIteration:
                 self.is_finished = True
+            except Exception as error:
+                # What has been started is in the tables by now and has to be sent.
+                self.is_finished = True
+                fields = {"pool": self.pool_name, "error": repr(error)}
+                self._commands.append(LogEvent("pool-not-placed", fields))
         return self._commands, self._work_done
 
     # The following generators stop after each part of the work. When they go on,
--- a/tasks.py
+++ b/tasks.py
@@ -26,5 +26,5 @@
 
 @task
 def bench(context, name="overheads"):
-    """Runs a benchmark: overheads, floods, peaks, processors, rollouts or slopes."""
+    """Runs a benchmark: a module of ``benches``, such as overheads or placements."""
     context.run(f"python -m benches.{name}")
