Let virtual timers keep subscriptions as their base class does

The rows of virtual_time.feature failed since stopped subscriptions are dropped: their timer service sets the fields of its base class itself.

--- a/features/support/virtual/loops.py
+++ b/features/support/virtual/loops.py
@@ -112,7 +112,7 @@
     """
 
     def __init__(self, clock, offset_s, unix_s):
-        self._callbacks = []
+        self._subscriptions = set()
         self._clock = clock
         self._offset_s = offset_s
         self._unix_s = unix_s
